--- /dev/null
+++ b/src/clients.rs
@@ -0,0 +1,334 @@
+//! Clients of the state service, the cloud and the workers, with timeouts and
+//! rate budgets derived from the settings.
+
+use crate::clock;
+use crate::config::Settings;
+use crate::http::{CallError, Client};
+use crate::model::Flavor;
+use crate::part::{CommitResult, DirectResult};
+use crate::wire::{self, Changes, Grant, Item, Listed, Page, Revision, store};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// A token bucket on the steady clock.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    most: f64,
+    tokens: f64,
+    at_ms: u64,
+}
+
+impl Bucket {
+    /// `rate` tokens a second; bursts of `burst_s` seconds' worth.
+    pub fn new(rate: f64, burst_s: f64, now: u64) -> Bucket {
+        let most = (rate * burst_s).max(1.0);
+        Bucket { rate, most, tokens: most, at_ms: now }
+    }
+
+    /// Whole tokens at hand.
+    pub fn at_hand(&mut self, now: u64) -> usize {
+        let passed = now.saturating_sub(self.at_ms) as f64 / 1000.0;
+        self.at_ms = now;
+        self.tokens = (self.tokens + passed * self.rate).min(self.most);
+        self.tokens.max(0.0) as usize
+    }
+
+    pub fn spend(&mut self, n: usize) {
+        self.tokens -= n as f64;
+    }
+
+    pub fn take(&mut self, now: u64) -> bool {
+        let ok = self.at_hand(now) >= 1;
+        if ok {
+            self.spend(1);
+        }
+        ok
+    }
+}
+
+/// Why the state service or the cloud gave no answer to work with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fail {
+    /// Not carried out.
+    Refused,
+    /// Maybe carried out, maybe later.
+    Unclear,
+    /// What was named is not there (any more).
+    Missing,
+}
+
+impl From<CallError> for Fail {
+    fn from(e: CallError) -> Fail {
+        match e {
+            CallError::NotSent => Fail::Refused,
+            CallError::Unclear => Fail::Unclear,
+        }
+    }
+}
+
+/// The state service.
+#[derive(Clone)]
+pub struct State {
+    http: Client,
+    addr: SocketAddr,
+    timeout: Duration,
+    budget: Arc<std::sync::Mutex<Bucket>>,
+    last_ok: Arc<AtomicU64>,
+}
+
+impl State {
+    pub fn new(s: &Settings) -> State {
+        let now = clock::now_ms();
+        State {
+            http: Client::default(),
+            addr: s.endpoints.state,
+            timeout: Duration::from_millis(s.lease_ms() / 10),
+            // Half for each controller: the holder needs most, and seldom that.
+            budget: Arc::new(std::sync::Mutex::new(Bucket::new(s.params.state.rps * 0.5, 1.0, now))),
+            last_ok: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    /// Steady time of the last answer that was not a refusal; 0 if none.
+    pub fn last_ok_ms(&self) -> u64 {
+        self.last_ok.load(Ordering::Relaxed)
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), Fail> {
+        let r = self.http.call(self.addr, method, path, body, limit).await?;
+        match r.0 {
+            429 | 500.. => Err(Fail::Refused),
+            _ => {
+                self.last_ok.store(clock::now_ms(), Ordering::Relaxed);
+                Ok(r)
+            }
+        }
+    }
+
+    /// True if an ordinary request may be made now.
+    pub fn within_budget(&self) -> bool {
+        self.budget.lock().is_ok_and(|mut b| b.take(clock::now_ms()))
+    }
+
+    /// A key, if it is there, and the revision up to which that is known.
+    pub async fn get(&self, key: &str) -> Result<(Option<Item>, u64), Fail> {
+        let (status, body) = self.call("GET", &store::key(key), None, self.timeout).await?;
+        match status {
+            200 => {
+                let item: Item = serde_json::from_slice(&body).map_err(|_| Fail::Refused)?;
+                let v = item.version;
+                Ok((Some(item), v))
+            }
+            404 => {
+                let r: Revision = serde_json::from_slice(&body).map_err(|_| Fail::Refused)?;
+                Ok((None, r.revision))
+            }
+            _ => Err(Fail::Refused),
+        }
+    }
+
+    /// All keys with the prefix.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Item>, Fail> {
+        let mut out: Vec<Item> = Vec::new();
+        loop {
+            let after = out.last().map_or("", |i| i.key.as_str());
+            let (status, body) = self.call("GET", &store::page(prefix, after, 500), None, self.timeout * 2).await?;
+            if status != 200 {
+                return Err(Fail::Refused);
+            }
+            let page: Page = serde_json::from_slice(&body).map_err(|_| Fail::Refused)?;
+            let empty = page.items.is_empty();
+            out.extend(page.items);
+            if !page.more || empty {
+                return Ok(out);
+            }
+        }
+    }
+
+    pub async fn commit(&self, guards: &[Value], apply: &[Value]) -> CommitResult {
+        let body = wire::commit_body(guards, apply);
+        match self.call("POST", store::COMMIT, Some(&body), self.timeout).await {
+            Ok((200, b)) => match serde_json::from_slice::<Revision>(&b) {
+                Ok(r) => CommitResult::Done { revision: r.revision },
+                Err(_) => CommitResult::Unclear,
+            },
+            Ok((409, b)) => match serde_json::from_slice::<Revision>(&b) {
+                Ok(r) => CommitResult::Conflict { failed: r.failed },
+                Err(_) => CommitResult::Unclear,
+            },
+            Ok((status, b)) => {
+                tracing::error!(status, body = %String::from_utf8_lossy(&b), "commit refused");
+                CommitResult::Refused
+            }
+            Err(Fail::Unclear) => CommitResult::Unclear,
+            Err(_) => CommitResult::Refused,
+        }
+    }
+
+    pub async fn new_grant(&self, life_ms: u64) -> Result<u64, Fail> {
+        let (status, body) = self.call("POST", store::GRANTS, Some(&wire::grant_body(life_ms)), self.timeout).await?;
+        if status != 200 {
+            return Err(Fail::Refused);
+        }
+        serde_json::from_slice::<Grant>(&body).map(|g| g.id).map_err(|_| Fail::Unclear)
+    }
+
+    pub async fn extend_grant(&self, id: u64, life_ms: u64) -> Result<(), Fail> {
+        let body = wire::grant_body(life_ms);
+        let limit = Duration::from_millis(life_ms / 3);
+        match self.call("POST", &store::extend(id), Some(&body), limit).await?.0 {
+            200 => Ok(()),
+            404 => Err(Fail::Missing),
+            _ => Err(Fail::Refused),
+        }
+    }
+
+    pub async fn end_grant(&self, id: u64) -> Result<(), Fail> {
+        self.call("DELETE", &store::grant(id), None, self.timeout).await.map(|_| ())
+    }
+
+    /// Changes under the prefix after a revision; `Missing` if that is too old.
+    pub async fn changes(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Changes, Fail> {
+        let limit = self.timeout + Duration::from_millis(wait_ms);
+        let (status, body) = self.call("GET", &store::changes(prefix, after, wait_ms), None, limit).await?;
+        match status {
+            200 => serde_json::from_slice(&body).map_err(|_| Fail::Refused),
+            410 => Err(Fail::Missing),
+            _ => Err(Fail::Refused),
+        }
+    }
+}
+
+/// The cloud.
+#[derive(Clone)]
+pub struct Cloud {
+    http: Client,
+    addr: SocketAddr,
+    timeout: Duration,
+    budget: Arc<std::sync::Mutex<Bucket>>,
+}
+
+/// What became of a rental request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RentResult {
+    Rented(Vec<String>),
+    NoCapacity,
+    Malformed,
+    /// Ask again under the same name.
+    Again,
+}
+
+impl Cloud {
+    pub fn new(s: &Settings) -> Cloud {
+        Cloud {
+            http: Client::default(),
+            addr: s.endpoints.cloud,
+            timeout: Duration::from_millis(s.lease_ms() / 4),
+            budget: Arc::new(std::sync::Mutex::new(Bucket::new(s.params.cloud.rps * 0.8, 1.0, clock::now_ms()))),
+        }
+    }
+
+    async fn call(&self, method: &str, path: &str, body: Option<&[u8]>) -> Result<(u16, Vec<u8>), Fail> {
+        loop {
+            if self.budget.lock().is_ok_and(|mut b| b.take(clock::now_ms())) {
+                break;
+            }
+            tokio::time::sleep(self.timeout / 20).await;
+        }
+        Ok(self.http.call(self.addr, method, path, body, self.timeout).await?)
+    }
+
+    pub async fn flavors(&self) -> Option<Vec<Flavor>> {
+        let (status, body) = self.call("GET", "/flavors", None).await.ok()?;
+        if status != 200 {
+            return None;
+        }
+        wire::parse_flavors(&body).filter(|f| !f.is_empty())
+    }
+
+    pub async fn rent(&self, name: &str, flavor: &str, zone: &str, spot: bool, count: usize) -> RentResult {
+        let body = wire::rent_body(name, flavor, zone, spot, count);
+        match self.call("POST", "/hosts", Some(&body)).await {
+            Ok((200, b)) => wire::parse_rented(&b).map_or(RentResult::Again, RentResult::Rented),
+            Ok((400, _)) => RentResult::Malformed,
+            Ok((503, b)) if String::from_utf8_lossy(&b).contains("no capacity") => RentResult::NoCapacity,
+            _ => RentResult::Again,
+        }
+    }
+
+    /// True once the cloud has confirmed that the machines are gone.
+    pub async fn release(&self, hosts: &[String]) -> bool {
+        let body = wire::release_body(hosts);
+        matches!(self.call("POST", "/hosts/release", Some(&body)).await, Ok((200, _)))
+    }
+
+    pub async fn list(&self) -> Option<Vec<Listed>> {
+        let mut out: Vec<Listed> = Vec::new();
+        loop {
+            let after = out.last().map_or("", |h| h.id.as_str());
+            let (status, body) = self.call("GET", &wire::list_path(after), None).await.ok()?;
+            if status != 200 {
+                return None;
+            }
+            let (page, more) = wire::parse_list(&body)?;
+            let empty = page.is_empty();
+            out.extend(page);
+            if !more || empty {
+                return Some(out);
+            }
+        }
+    }
+}
+
+/// Direct commands to workers.
+#[derive(Clone)]
+pub struct Worker {
+    http: Client,
+    timeout: Duration,
+}
+
+impl Worker {
+    pub fn new(s: &Settings) -> Worker {
+        Worker { http: Client::default(), timeout: Duration::from_millis(s.report_ms()) }
+    }
+
+    pub async fn direct(&self, addr: SocketAddr, body: &[u8]) -> DirectResult {
+        match self.http.call(addr, "POST", wire::DO_PATH, Some(body), self.timeout).await {
+            Ok((200 | 409, b)) => match serde_json::from_slice(&b) {
+                Ok(r) => DirectResult::Answered(Box::new(r)),
+                Err(_) => DirectResult::Unclear,
+            },
+            Ok(_) | Err(CallError::Unclear) => DirectResult::Unclear,
+            Err(CallError::NotSent) => DirectResult::NotSent,
+        }
+    }
+
+    pub fn forget(&self, addr: SocketAddr) {
+        self.http.forget(addr);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bucket_allows_bursts_and_then_its_rate() {
+        let mut b = Bucket::new(10.0, 1.0, 0);
+        assert_eq!((0..20).filter(|_| b.take(0)).count(), 10);
+        assert_eq!((0..20).filter(|_| b.take(500)).count(), 5);
+        b.spend(3);
+        assert!(!b.take(700));
+        assert!(b.take(1000));
+    }
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,22 @@
+//! Clocks. Safety counts on the steady clock only; the time of day serves for
+//! deadlines, which outlive a controller.
+
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Bound on the drift of a steady clock, twice over: ours and the other's.
+pub const DRIFT: f64 = 0.001;
+
+static BASE: OnceLock<std::time::Instant> = OnceLock::new();
+
+/// Milliseconds on the steady clock since the process began.
+pub fn now_ms() -> u64 {
+    let base = *BASE.get_or_init(std::time::Instant::now);
+    Instant::now().into_std().saturating_duration_since(base).as_millis() as u64
+}
+
+/// Milliseconds of the time of day.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,347 @@
+//! Settings: the platform's TOML file (unknown fields ignored) and the
+//! operators' optional HCL file (unknown names refused).
+
+use serde::Deserialize;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What the platform hands over.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub node: String,
+    pub site: String,
+    pub serve_on: SocketAddr,
+    pub internal_addr: SocketAddr,
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    pub endpoints: Endpoints,
+    pub params: Params,
+}
+
+/// Another controller of the deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Seed {
+    pub node: String,
+    pub site: String,
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub time_bound_ms: f64,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim on starting or finishing, as the settings repeat it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub max_sockets: usize,
+}
+
+/// The operators' own settings.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Width of a bin of soft deadlines, in seconds.
+    pub bin_width_s: f64,
+    /// Soft deadline of a job that has neither `due_s` nor an objective.
+    pub default_deadline_s: f64,
+    /// Idle machines are kept for this many of their boot times.
+    pub idle_keep: f64,
+    /// Scales the spare room kept for arrivals during a boot; 0 keeps none.
+    pub headroom: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator { bin_width_s: 5.0, default_deadline_s: 600.0, idle_keep: 1.0, headroom: 1.0 }
+    }
+}
+
+/// Reads and checks the settings file; the error is one line naming file and field.
+pub fn load_settings(path: &Path) -> Result<Settings, String> {
+    let text = read(path)?;
+    let settings: Settings =
+        toml::from_str(&text).map_err(|e| format!("{}: {}", path.display(), locate(&text, e.span(), e.message())))?;
+    check_settings(&settings).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(settings)
+}
+
+/// Reads and checks the operators' file.
+pub fn load_operator(path: &Path) -> Result<Operator, String> {
+    let text = read(path)?;
+    let operator: Operator = hcl::from_str(&text).map_err(|e| {
+        format!("{}: {}", path.display(), e.to_string().split_whitespace().collect::<Vec<_>>().join(" "))
+    })?;
+    check_operator(&operator).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(operator)
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: cannot be read: {e}", path.display()))
+}
+
+/// Names the line of a parse error, so that the message stays on one line.
+fn locate(text: &str, span: Option<std::ops::Range<usize>>, message: &str) -> String {
+    let message = message.replace('\n', " ");
+    match span {
+        Some(span) => {
+            let line = text[..span.start.min(text.len())].matches('\n').count();
+            let source = text.lines().nth(line).unwrap_or("").trim();
+            format!("line {} ({source}): {message}", line + 1)
+        }
+        None => message,
+    }
+}
+
+fn positive(name: &str, v: f64) -> Result<(), String> {
+    if v.is_finite() && v > 0.0 { Ok(()) } else { Err(format!("{name}: must be above 0, is {v}")) }
+}
+
+fn not_negative(name: &str, v: f64) -> Result<(), String> {
+    if v.is_finite() && v >= 0.0 { Ok(()) } else { Err(format!("{name}: must be 0 or more, is {v}")) }
+}
+
+/// Checks what the types cannot say.
+pub fn check_settings(s: &Settings) -> Result<(), String> {
+    if s.node.is_empty() {
+        return Err("node: must not be empty".into());
+    }
+    let mut names: HashSet<&str> = HashSet::from([s.node.as_str()]);
+    for seed in &s.seeds {
+        if !names.insert(&seed.node) {
+            return Err(format!("seeds.node: {} appears twice", seed.node));
+        }
+    }
+    let p = &s.params;
+    if p.zones.is_empty() {
+        return Err("params.zones: must name a zone".into());
+    }
+    if !p.zones.contains(&s.site) {
+        return Err(format!("site: {} is not among params.zones", s.site));
+    }
+    not_negative("params.time_bound_ms", p.time_bound_ms)?;
+    if p.teams.is_empty() {
+        return Err("params.teams: must name a team".into());
+    }
+    let mut teams = HashSet::new();
+    for t in &p.teams {
+        if !teams.insert(&t.name) {
+            return Err(format!("params.teams.name: {} appears twice", t.name));
+        }
+        for (field, v, max) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
+            not_negative(&format!("params.teams.{field} of {}", t.name), v)?;
+            not_negative(&format!("params.teams.{field}_max of {}", t.name), max)?;
+            if max > 0.0 && v > max {
+                return Err(format!("params.teams.{field} of {}: above {field}_max", t.name));
+            }
+        }
+    }
+    for o in &p.objectives {
+        for (field, v) in [("within_s", o.within_s), ("share", o.share)] {
+            if let Some(v) = v {
+                not_negative(&format!("params.objectives.{field}"), v)?;
+            }
+        }
+    }
+    let w = &p.workers;
+    positive("params.workers.report_s", w.report_s)?;
+    positive("params.workers.lease_s", w.lease_s)?;
+    positive("params.workers.gang_wait_s", w.gang_wait_s)?;
+    positive("params.workers.gang_peer_s", w.gang_peer_s)?;
+    positive("params.workers.cancel_s", w.cancel_s)?;
+    if w.lease_s < 2.0 * w.report_s {
+        return Err("params.workers.lease_s: must be at least twice report_s".into());
+    }
+    positive("params.state.rps", p.state.rps)?;
+    positive("params.state.write_rps", p.state.write_rps)?;
+    positive("params.state.value_kb", p.state.value_kb)?;
+    if p.state.txn_ops < 2 {
+        return Err("params.state.txn_ops: must be at least 2".into());
+    }
+    positive("params.cloud.rps", p.cloud.rps)?;
+    not_negative("params.cloud.list_lag_s", p.cloud.list_lag_s)?;
+    if p.limits.max_sockets < 16 {
+        return Err("params.limits.max_sockets: must be at least 16".into());
+    }
+    Ok(())
+}
+
+fn check_operator(o: &Operator) -> Result<(), String> {
+    positive("bin_width_s", o.bin_width_s)?;
+    positive("default_deadline_s", o.default_deadline_s)?;
+    not_negative("idle_keep", o.idle_keep)?;
+    not_negative("headroom", o.headroom)
+}
+
+impl Settings {
+    /// The start objective of a class and the share that must meet it.
+    pub fn wait_objective(&self, class: &str) -> Option<(f64, f64)> {
+        self.params
+            .objectives
+            .iter()
+            .find(|o| o.kind == "wait" && o.class.as_deref() == Some(class))
+            .and_then(|o| Some((o.within_s?, o.share.unwrap_or(0.9))))
+    }
+
+    /// Life of a holder's grant: short enough that a takeover, with the
+    /// restart of a controller, ends well within a worker's lease.
+    pub fn grant_life_ms(&self) -> u64 {
+        ((self.params.workers.lease_s * 250.0) as u64).clamp(100, 600_000)
+    }
+
+    pub fn lease_ms(&self) -> u64 {
+        (self.params.workers.lease_s * 1000.0) as u64
+    }
+
+    pub fn report_ms(&self) -> u64 {
+        (self.params.workers.report_s * 1000.0) as u64
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn example() -> String {
+        r#"
+node = "n0"
+site = "a"
+serve_on = "127.0.0.1:8080"
+internal_addr = "127.0.0.1:8081"
+novelty = 3
+[[seeds]]
+node = "n1"
+site = "b"
+endpoint = "127.0.0.1:9081"
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+nodes = 2
+zones = ["a", "b"]
+time_bound_ms = 25.0
+[[params.teams]]
+name = "red"
+gpus = 8.0
+gpus_max = 16.0
+[[params.teams]]
+name = "blue"
+gpus = 4.0
+gpus_max = 0.0
+[[params.objectives]]
+kind = "wait"
+class = "chat"
+within_s = 2.0
+share = 0.9
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[params.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 32
+[params.cloud]
+rps = 6.0
+list_lag_s = 4.0
+[params.limits]
+core_share = 0.12
+memory_mb = 56.0
+max_sockets = 800
+"#
+        .to_string()
+    }
+
+    pub fn settings() -> Settings {
+        toml::from_str(&example()).unwrap()
+    }
+
+    #[test]
+    fn unknown_settings_are_ignored_and_bad_ones_named() {
+        check_settings(&settings()).unwrap();
+        let mut s = settings();
+        s.params.workers.lease_s = f64::NAN;
+        assert!(check_settings(&s).unwrap_err().contains("lease_s"));
+        let mut s = settings();
+        s.site = "elsewhere".into();
+        assert!(check_settings(&s).unwrap_err().starts_with("site"));
+        let mut s = settings();
+        s.params.teams[0].gpus = 99.0;
+        assert!(check_settings(&s).unwrap_err().contains("gpus of red"));
+    }
+
+    #[test]
+    fn operators_names_are_checked() {
+        let o: Operator = hcl::from_str("bin_width_s = 2").unwrap();
+        assert_eq!(o.bin_width_s, 2.0);
+        assert!(hcl::from_str::<Operator>("bin_widht_s = 2").is_err());
+        assert!(check_operator(&Operator { headroom: -1.0, ..Operator::default() }).is_err());
+    }
+}
--- /dev/null
+++ b/src/holder.rs
@@ -0,0 +1,454 @@
+//! The actor of a part: owns its state, is spoken to by messages, and carries
+//! out what `part` and `leader` decide.
+
+use crate::clients::{Bucket, Cloud, RentResult, State, Worker};
+use crate::clock;
+use crate::config::{Operator, Settings};
+use crate::leader::{CloudOp, Leader};
+use crate::membership::{self, Entitlement, Tenancy};
+use crate::model::{Flavor, HostIx};
+use crate::part::{CommitResult, Direct, DirectResult, Part, UserAnswer, Via, Waiter};
+use crate::peer::Ask;
+use crate::sched::Policy;
+use crate::wire::{self, Item, Listed, Order, Report};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+
+/// Key under which the machine types are kept for a restart in a cloud outage.
+const FLAVORS_KEY: &str = "flavors";
+
+/// Messages to the actor of a part.
+pub enum Msg {
+    /// Answered with the token and orders, or none if the node may not act.
+    Beat(Box<Report>, oneshot::Sender<Option<(u64, Vec<Order>)>>),
+    User(Ask, Waiter),
+    Metrics(oneshot::Sender<String>),
+    Loaded(u64, Option<Loaded>),
+    DirectDone(Direct, DirectResult),
+    Committed(u64, CommitResult),
+    Reread(u64, Vec<Item>),
+    Raised(u64, Option<(u64, u64)>),
+    Rented(u64, String, RentResult),
+    Released(u64, Vec<String>, bool),
+    Listed(u64, Vec<Listed>),
+    Flavors(u64, Vec<Flavor>),
+}
+
+pub struct Loaded {
+    jobs: Vec<Item>,
+    hosts: Vec<Item>,
+    flavors: Vec<Flavor>,
+}
+
+/// What the actor works with.
+pub struct Holder {
+    pub id: u32,
+    pub settings: Settings,
+    pub operator: Operator,
+    pub state: State,
+    pub cloud: Cloud,
+    pub worker: Worker,
+    pub entitled: Entitlement,
+    pub superseded: mpsc::Sender<membership::Msg>,
+    pub tx: mpsc::Sender<Msg>,
+    /// Number of the tenancy under way; 0 if none.
+    pub current: Arc<AtomicU64>,
+}
+
+/// One tenancy of the part.
+struct Tenure {
+    part: Part,
+    leader: Leader,
+    /// Number of the tenancy: answers to an earlier one are dropped.
+    n: u64,
+    grant: u64,
+    version: u64,
+    loaded: bool,
+    writes: Bucket,
+    raising: bool,
+    raise_after_ms: u64,
+    commit_after_ms: u64,
+    next_pass_ms: u64,
+    next_upkeep_ms: u64,
+    next_plan_ms: u64,
+}
+
+impl Holder {
+    pub async fn run(self, mut tenancy: mpsc::Receiver<Tenancy>, mut rx: mpsc::Receiver<Msg>) {
+        let mut held: Option<Tenure> = None;
+        let mut n = 0;
+        let mut metrics = Default::default();
+        loop {
+            let wake = self.next_wake(held.as_ref());
+            tokio::select! {
+                biased;
+                t = tenancy.recv() => match t {
+                    Some(Tenancy::Begin { term, version, grant, start_ms }) => {
+                        n += 1;
+                        self.current.store(n, Ordering::Relaxed);
+                        let mut tenure = self.begin(n, term, version, grant, start_ms);
+                        tenure.part.metrics = std::mem::take(&mut metrics);
+                        held = Some(tenure);
+                    }
+                    Some(Tenancy::End) => {
+                        self.current.store(0, Ordering::Relaxed);
+                        if let Some(h) = held.take() {
+                            metrics = h.part.metrics;
+                        }
+                    }
+                    None => return,
+                },
+                m = rx.recv() => match m {
+                    Some(m) => {
+                        self.handle(held.as_mut(), m);
+                        // What has come meanwhile is taken into the same round.
+                        for _ in 0..64 {
+                            let Ok(m) = rx.try_recv() else { break };
+                            self.handle(held.as_mut(), m);
+                        }
+                    }
+                    None => return,
+                },
+                () = sleep(wake) => {}
+            }
+            if let Some(h) = held.as_mut().filter(|h| h.loaded) {
+                self.drive(h);
+            }
+        }
+    }
+
+    /// How long the actor may sleep if nothing comes.
+    fn next_wake(&self, held: Option<&Tenure>) -> Duration {
+        let most = self.settings.report_ms() / 4;
+        let Some(h) = held.filter(|h| h.loaded) else { return Duration::from_millis(most) };
+        let now = clock::now_ms();
+        let mut at = h.next_upkeep_ms;
+        if h.part.stirred {
+            at = at.min(h.next_pass_ms);
+        }
+        Duration::from_millis(at.saturating_sub(now).clamp(1, most))
+    }
+
+    fn begin(&self, n: u64, term: u64, version: u64, grant: u64, start_ms: u64) -> Tenure {
+        let now = clock::now_ms();
+        let p = &self.settings.params;
+        let policy = Policy::new(&self.settings, &self.operator, start_ms);
+        let mut part = Part::new(policy, membership::part_key(self.id), p.state.txn_ops, p.state.value_kb);
+        part.set_term(term, version);
+        self.load(n);
+        Tenure {
+            part,
+            leader: Leader::new(p.cloud.list_lag_s),
+            n,
+            grant,
+            version,
+            loaded: false,
+            // The rest is for membership.
+            writes: Bucket::new(p.state.write_rps * 0.9, 0.8, now),
+            raising: false,
+            raise_after_ms: 0,
+            commit_after_ms: 0,
+            next_pass_ms: 0,
+            next_upkeep_ms: 0,
+            next_plan_ms: 0,
+        }
+    }
+
+    fn load(&self, n: u64) {
+        let (state, tx) = (self.state.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let loaded = async {
+                let jobs = state.list("job/").await.ok()?;
+                let hosts = state.list("host/").await.ok()?;
+                let flavors = state.get(FLAVORS_KEY).await.ok()?.0;
+                let flavors = flavors.and_then(|i| serde_json::from_value(i.value).ok()).unwrap_or_default();
+                Some(Loaded { jobs, hosts, flavors })
+            };
+            let _ = tx.send(Msg::Loaded(n, loaded.await)).await;
+        });
+    }
+
+    fn handle(&self, held: Option<&mut Tenure>, m: Msg) {
+        let now = clock::now_ms();
+        let entitled = self.entitled.holds(now);
+        let Some(h) = held else {
+            self.handle_idle(m);
+            return;
+        };
+        let n = h.n;
+        match m {
+            Msg::Beat(r, reply) => {
+                let answer = entitled.then(|| {
+                    // Leases live on while the records are read.
+                    let orders = if h.loaded { h.part.report(&r, Via::Beat, now) } else { Vec::new() };
+                    (h.part.term, orders)
+                });
+                let _ = reply.send(answer);
+            }
+            Msg::User(ask, waiter) => {
+                if !entitled || !h.loaded {
+                    let _ = waiter.send(UserAnswer::Later("the jobs are being taken over"));
+                    return;
+                }
+                match ask {
+                    Ask::Submit(body) => h.part.submit(&body, now, clock::wall_ms(), waiter),
+                    Ask::Status(id) => {
+                        let _ = waiter.send(h.part.status(&id));
+                    }
+                    Ask::Cancel(id) => h.part.cancel(&id, waiter),
+                    Ask::Promise { .. } => {}
+                }
+            }
+            Msg::Metrics(reply) => {
+                let _ = reply.send(h.part.metrics.text());
+            }
+            Msg::Loaded(of, loaded) if of == n => match loaded {
+                Some(l) => {
+                    let (term, version) = (h.part.term, h.version);
+                    h.part.begin(term, version, l.jobs, l.hosts, l.flavors, now);
+                    h.loaded = true;
+                    tracing::info!(term, jobs = h.part.world.live.len(), hosts = h.part.world.host_ix.len(), "loaded");
+                    self.watch_cloud(n, h.part.world.flavors.clone());
+                }
+                None => {
+                    let again = (self.tx.clone(), self.settings.report_ms() / 4);
+                    tokio::spawn(async move {
+                        sleep(Duration::from_millis(again.1)).await;
+                        let _ = again.0.send(Msg::Loaded(n, None)).await;
+                    });
+                    self.load(n);
+                }
+            },
+            Msg::DirectDone(d, result) => h.part.direct_done(&d, result, now),
+            Msg::Committed(of, result) if of == n => {
+                if matches!(result, CommitResult::Refused | CommitResult::Unclear) {
+                    h.commit_after_ms = now + self.settings.report_ms() / 5;
+                }
+                match h.part.committed(result, now) {
+                    Ok(keys) if !keys.is_empty() => self.reread(n, keys),
+                    Ok(_) => {}
+                    Err(()) => {
+                        h.loaded = false;
+                        self.entitled.set(0);
+                        let _ = self.superseded.try_send(membership::Msg::Superseded);
+                    }
+                }
+            }
+            Msg::Reread(of, items) if of == n => {
+                for i in items {
+                    h.part.reread(i, now);
+                }
+            }
+            Msg::Raised(of, result) if of == n => {
+                h.raising = false;
+                h.raise_after_ms = now + self.settings.report_ms();
+                if let Some((term, version)) = result {
+                    tracing::info!(term, "raised the term");
+                    h.part.set_term(term, version);
+                    h.version = version;
+                }
+            }
+            Msg::Rented(of, name, result) if of == n => {
+                if let Some(op) = h.leader.rented(&name, result, now) {
+                    self.cloud_op(h, op);
+                }
+            }
+            Msg::Released(of, ids, ok) if of == n => {
+                if ok {
+                    h.leader.released(&ids);
+                    for id in &ids {
+                        if let Some(addr) = h.part.world.host_ix.get(id).and_then(|ix| h.part.world.host(*ix)?.addr) {
+                            self.worker.forget(addr);
+                        }
+                        h.part.host_gone(id, now);
+                    }
+                } else {
+                    self.cloud_op(h, CloudOp::Release(ids));
+                }
+            }
+            Msg::Listed(of, list) if of == n => {
+                let ops = h.leader.listed(&list, &h.part, now);
+                for op in ops {
+                    self.cloud_op(h, op);
+                }
+            }
+            Msg::Flavors(of, flavors) if of == n => h.part.set_flavors(flavors),
+            _ => {}
+        }
+    }
+
+    /// Without the part, users and workers are sent away.
+    fn handle_idle(&self, m: Msg) {
+        match m {
+            Msg::Beat(_, reply) => {
+                let _ = reply.send(None);
+            }
+            Msg::User(_, waiter) => {
+                let _ = waiter.send(UserAnswer::Later("this node does not hold the jobs"));
+            }
+            Msg::Metrics(reply) => {
+                let _ = reply.send(String::new());
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what is due.
+    fn drive(&self, h: &mut Tenure) {
+        let now = clock::now_ms();
+        if !self.entitled.holds(now) {
+            return;
+        }
+        let report = self.settings.report_ms();
+        if now >= h.next_upkeep_ms {
+            h.next_upkeep_ms = now + report / 4;
+            let (release, probe) = h.part.upkeep(now);
+            for op in h.leader.release(release) {
+                self.cloud_op(h, op);
+            }
+            for hix in probe {
+                self.send_direct(h, hix, now, true);
+            }
+        }
+        if h.part.stirred && now >= h.next_pass_ms {
+            let began = std::time::Instant::now();
+            h.part.pass(now, clock::wall_ms());
+            let took = began.elapsed().as_millis() as u64;
+            h.part.metrics.observe("pass_ms", "all", took);
+            // Rounds widen with the load: the costlier, the rarer.
+            h.next_pass_ms = now + 2 + 5 * took;
+        }
+        for hix in std::mem::take(&mut h.part.kick) {
+            self.send_direct(h, hix, now, false);
+        }
+        self.commit(h, now);
+        if now >= h.next_plan_ms {
+            h.next_plan_ms = now + report / 2;
+            // A waiting task's back-off may have ended, or a hold.
+            h.part.stirred = true;
+            let ops = h.leader.plan(&h.part, now, clock::wall_ms());
+            for op in ops {
+                self.cloud_op(h, op);
+            }
+        }
+    }
+
+    fn commit(&self, h: &mut Tenure, now: u64) {
+        if h.raising || h.part.committing() || now < h.commit_after_ms {
+            return;
+        }
+        let (state, tx, n) = (self.state.clone(), self.tx.clone(), h.n);
+        if h.part.needs_new_term() && now >= h.raise_after_ms {
+            h.raising = true;
+            let (id, node, version, grant) = (self.id, self.settings.node.clone(), h.version, h.grant);
+            tokio::spawn(async move {
+                let result = membership::raise_term(&state, id, &node, version, grant).await.ok();
+                let _ = tx.send(Msg::Raised(n, result)).await;
+            });
+            return;
+        }
+        let ops = h.writes.at_hand(now);
+        if ops == 0 {
+            return;
+        }
+        if let Some(c) = h.part.next_commit(now, ops) {
+            h.writes.spend(c.apply.len());
+            tokio::spawn(async move {
+                let result = state.commit(&c.guards, &c.apply).await;
+                let _ = tx.send(Msg::Committed(n, result)).await;
+            });
+        }
+    }
+
+    fn reread(&self, n: u64, keys: Vec<String>) {
+        let (state, tx) = (self.state.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let mut items = Vec::new();
+            for k in keys {
+                if let Ok((Some(i), _)) = state.get(&k).await {
+                    items.push(i);
+                }
+            }
+            let _ = tx.send(Msg::Reread(n, items)).await;
+        });
+    }
+
+    fn send_direct(&self, h: &mut Tenure, hix: HostIx, now: u64, probe: bool) {
+        let Some(d) = h.part.direct(hix, now, probe) else { return };
+        let body = wire::direct(d.term, d.tenure, &d.orders);
+        let (worker, tx) = (self.worker.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let result = worker.direct(d.addr, &body).await;
+            let _ = tx.send(Msg::DirectDone(d, result)).await;
+        });
+    }
+
+    fn cloud_op(&self, h: &mut Tenure, op: CloudOp) {
+        let (cloud, tx, n) = (self.cloud.clone(), self.tx.clone(), h.n);
+        let pause = Duration::from_millis(self.settings.report_ms());
+        match op {
+            CloudOp::Rent { name, rental } => {
+                let flavor = h.part.world.flavors[rental.flavor].name.clone();
+                tokio::spawn(async move {
+                    let result = cloud.rent(&name, &flavor, &rental.zone, rental.spot, rental.count).await;
+                    if result == RentResult::Again {
+                        sleep(pause).await;
+                    }
+                    let _ = tx.send(Msg::Rented(n, name, result)).await;
+                });
+            }
+            CloudOp::Release(ids) => {
+                for id in &ids {
+                    h.part.mark_releasing(id);
+                }
+                tokio::spawn(async move {
+                    let ok = cloud.release(&ids).await;
+                    if !ok {
+                        sleep(pause).await;
+                    }
+                    let _ = tx.send(Msg::Released(n, ids, ok)).await;
+                });
+            }
+        }
+    }
+
+    /// Reads the machine types and the list for as long as the tenancy lasts.
+    fn watch_cloud(&self, n: u64, known: Vec<Flavor>) {
+        let (cloud, state, tx) = (self.cloud.clone(), self.state.clone(), self.tx.clone());
+        let pause = Duration::from_secs_f64((self.settings.params.cloud.list_lag_s / 2.0).max(1.0));
+        let current = self.current.clone();
+        tokio::spawn(async move {
+            let mut known = known;
+            let mut round = 0u32;
+            loop {
+                if round.is_multiple_of(8) || known.is_empty() {
+                    if let Some(flavors) = cloud.flavors().await {
+                        if known.len() != flavors.len()
+                            && let Ok(v) = serde_json::to_value(&flavors)
+                        {
+                            state.commit(&[], &[wire::put(FLAVORS_KEY, &v, None)]).await;
+                        }
+                        known.clone_from(&flavors);
+                        if tx.send(Msg::Flavors(n, flavors)).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                if let Some(list) = cloud.list().await
+                    && tx.send(Msg::Listed(n, list)).await.is_err()
+                {
+                    return;
+                }
+                round += 1;
+                sleep(if known.is_empty() { pause / 4 } else { pause }).await;
+                // A later tenancy starts its own.
+                if current.load(Ordering::Relaxed) != n {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,324 @@
+//! A small HTTP/1.1 server and client on one shared framing.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Most that a request's body may hold.
+pub const MAX_BODY: usize = 64 * 1024;
+const MAX_HEAD: usize = 16 * 1024;
+/// Replies of the state service have no size limit; this one only bounds memory.
+const MAX_REPLY: usize = 8 * 1024 * 1024;
+
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u64>,
+    pub allow: Option<&'static str>,
+    pub content_type: &'static str,
+}
+
+impl Response {
+    pub fn json(status: u16, value: &impl serde::Serialize) -> Response {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Response { status, body, retry_after_s: None, allow: None, content_type: "application/json" }
+    }
+
+    pub fn error(status: u16, message: &str) -> Response {
+        Response::json(status, &serde_json::json!({ "error": message }))
+    }
+
+    /// What can't be served now is answered at once, with when to come back.
+    pub fn later(message: &str) -> Response {
+        Response { retry_after_s: Some(1), ..Response::error(503, message) }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+/// A head as framing sees it: where the body begins, how long it is, whether
+/// the connection stays open.
+struct Frame {
+    head_len: usize,
+    body_len: usize,
+    close: bool,
+}
+
+/// Headers that framing needs; `Err` is the status of the refusal.
+fn frame(head_len: usize, headers: &[httparse::Header<'_>], max_body: usize) -> Result<Frame, u16> {
+    let mut f = Frame { head_len, body_len: 0, close: false };
+    for h in headers {
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(h.value).map_err(|_| 400u16)?.trim();
+            f.body_len = text.parse().map_err(|_| 400u16)?;
+            if f.body_len > max_body {
+                return Err(413);
+            }
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(501);
+        } else if h.name.eq_ignore_ascii_case("connection") && h.value.eq_ignore_ascii_case(b"close") {
+            f.close = true;
+        }
+    }
+    Ok(f)
+}
+
+/// Reads from `stream` into `buf` until `parse` finds a head and its body is in.
+async fn read_message<T>(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    parse: impl Fn(&[u8]) -> Result<Option<(T, Frame)>, u16>,
+) -> Result<(T, Vec<u8>, bool), ReadError> {
+    let mut chunk = [0u8; 8192];
+    loop {
+        if let Some((head, f)) = parse(buf).map_err(ReadError::Refused)? {
+            let total = f.head_len + f.body_len;
+            while buf.len() < total {
+                let n = stream.read(&mut chunk).await.map_err(|_| ReadError::Closed)?;
+                if n == 0 {
+                    return Err(ReadError::Closed);
+                }
+                buf.extend_from_slice(&chunk[..n]);
+            }
+            let body = buf[f.head_len..total].to_vec();
+            buf.drain(..total);
+            return Ok((head, body, f.close));
+        }
+        if buf.len() > MAX_HEAD {
+            return Err(ReadError::Refused(431));
+        }
+        let n = stream.read(&mut chunk).await.map_err(|_| ReadError::Closed)?;
+        if n == 0 {
+            return Err(ReadError::Closed);
+        }
+        buf.extend_from_slice(&chunk[..n]);
+    }
+}
+
+enum ReadError {
+    Closed,
+    Refused(u16),
+}
+
+fn parse_request(buf: &[u8]) -> Result<Option<((String, String), Frame)>, u16> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut req = httparse::Request::new(&mut headers);
+    match req.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => {
+            let f = frame(n, req.headers, MAX_BODY)?;
+            let method = req.method.unwrap_or("").to_string();
+            Ok(Some(((method, req.path.unwrap_or("").to_string()), f)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(431),
+        Err(_) => Err(400),
+    }
+}
+
+fn parse_reply(buf: &[u8]) -> Result<Option<(u16, Frame)>, u16> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut rep = httparse::Response::new(&mut headers);
+    match rep.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => {
+            let f = frame(n, rep.headers, MAX_REPLY)?;
+            Ok(Some((rep.code.unwrap_or(0), f)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(400),
+    }
+}
+
+/// Serves `listener` for ever. `patience` bounds how long a request may take
+/// to arrive; idle connections may stay.
+pub async fn serve<H, F>(listener: TcpListener, max_open: usize, patience: Duration, handler: H)
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // No free socket: wait for one instead of spinning.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= max_open {
+            drop(stream);
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (handler, open) = (handler.clone(), open.clone());
+        tokio::spawn(async move {
+            connection(stream, patience, &*handler).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn connection<H, F>(mut stream: TcpStream, patience: Duration, handler: &H)
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response>,
+{
+    let _ = stream.set_nodelay(true);
+    let mut buf = Vec::new();
+    loop {
+        if buf.is_empty() {
+            // An idle connection may wait long for its next request.
+            let mut chunk = [0u8; 8192];
+            match timeout(patience * 30, stream.read(&mut chunk)).await {
+                Ok(Ok(n)) if n > 0 => buf.extend_from_slice(&chunk[..n]),
+                _ => return,
+            }
+        }
+        let (reply, close) = match timeout(patience, read_message(&mut stream, &mut buf, parse_request)).await {
+            Ok(Ok(((method, path), body, close))) => (handler(Request { method, path, body }).await, close),
+            Ok(Err(ReadError::Refused(status))) => (Response::error(status, reason(status)), true),
+            Ok(Err(ReadError::Closed)) => return,
+            Err(_) => (Response::error(408, "the request did not arrive in time"), true),
+        };
+        if timeout(patience, stream.write_all(&encode_reply(&reply, close))).await.is_err() || close {
+            return;
+        }
+    }
+}
+
+fn encode_reply(r: &Response, close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(160 + r.body.len());
+    out.extend_from_slice(
+        format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
+            r.status,
+            reason(r.status),
+            r.content_type,
+            r.body.len()
+        )
+        .as_bytes(),
+    );
+    if let Some(s) = r.retry_after_s {
+        out.extend_from_slice(format!("Retry-After: {s}\r\n").as_bytes());
+    }
+    if let Some(a) = r.allow {
+        out.extend_from_slice(format!("Allow: {a}\r\n").as_bytes());
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&r.body);
+    out
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// The request never left: it will not be carried out.
+    NotSent,
+    /// The request may have been carried out, or may be later.
+    Unclear,
+}
+
+/// A client with a pool of idle connections for each address.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<TcpStream>>>>,
+}
+
+const IDLE_PER_HOST: usize = 4;
+
+impl Client {
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        let deadline = Instant::now() + limit;
+        let reused = self.idle.lock().ok().and_then(|mut m| m.get_mut(&addr)?.pop());
+        let mut stream = match reused {
+            Some(s) if !is_closed(&s) => s,
+            _ => match timeout_at(deadline, TcpStream::connect(addr)).await {
+                Ok(Ok(s)) => s,
+                _ => return Err(CallError::NotSent),
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let mut out = Vec::with_capacity(128 + body.map_or(0, <[u8]>::len));
+        out.extend_from_slice(format!("{method} {path} HTTP/1.1\r\nHost: {addr}\r\n").as_bytes());
+        if let Some(b) = body {
+            out.extend_from_slice(
+                format!("Content-Type: application/json\r\nContent-Length: {}\r\n", b.len()).as_bytes(),
+            );
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(body.unwrap_or(&[]));
+        match timeout_at(deadline, stream.write_all(&out)).await {
+            Ok(Ok(())) => {}
+            _ => return Err(CallError::Unclear),
+        }
+        let mut buf = Vec::new();
+        match timeout_at(deadline, read_message(&mut stream, &mut buf, parse_reply)).await {
+            Ok(Ok((status, body, close))) => {
+                if !close
+                    && buf.is_empty()
+                    && let Ok(mut idle) = self.idle.lock()
+                {
+                    let pool = idle.entry(addr).or_default();
+                    if pool.len() < IDLE_PER_HOST {
+                        pool.push(stream);
+                    }
+                }
+                Ok((status, body))
+            }
+            _ => Err(CallError::Unclear),
+        }
+    }
+
+    /// Forgets the idle connections to a machine that is gone.
+    pub fn forget(&self, addr: SocketAddr) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(&addr);
+        }
+    }
+}
+
+/// True if the other side has closed an idle connection meanwhile.
+fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0u8; 1];
+    !matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! badgerdrift: a scheduler for fleets that serve language models.
+//!
+//! `docs/design.md` tells how it works and why.
+
+pub mod api;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod holder;
+pub mod http;
+pub mod leader;
+pub mod membership;
+pub mod metrics;
+pub mod model;
+pub mod node;
+pub mod part;
+pub mod peer;
+pub mod sched;
+pub mod wire;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,61 @@
+//! Histograms and counters, told at `GET /metrics` in the usual text format.
+
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Figures by name and label.
+#[derive(Default)]
+pub struct Metrics {
+    histograms: BTreeMap<(&'static str, String), Histogram<u32>>,
+    counters: BTreeMap<(&'static str, String), u64>,
+}
+
+/// Longest time that is told apart: an hour, in milliseconds.
+const LONGEST_MS: u64 = 3_600_000;
+
+impl Metrics {
+    pub fn observe(&mut self, name: &'static str, label: &str, ms: u64) {
+        let h = self.histograms.entry((name, label.to_string())).or_insert_with(|| {
+            // One significant digit keeps a histogram at a few kilobytes.
+            Histogram::new_with_bounds(1, LONGEST_MS, 1).expect("bounds that hdrhistogram takes")
+        });
+        h.saturating_record(ms.clamp(1, LONGEST_MS));
+    }
+
+    pub fn count(&mut self, name: &'static str, label: &str) {
+        *self.counters.entry((name, label.to_string())).or_default() += 1;
+    }
+
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        for ((name, label), h) in &self.histograms {
+            for q in [0.5, 0.9, 0.99] {
+                let v = h.value_at_quantile(q);
+                let _ = writeln!(out, "badgerdrift_{name}{{of=\"{label}\",quantile=\"{q}\"}} {v}");
+            }
+            let _ = writeln!(out, "badgerdrift_{name}_count{{of=\"{label}\"}} {}", h.len());
+        }
+        for ((name, label), n) in &self.counters {
+            let _ = writeln!(out, "badgerdrift_{name}_total{{of=\"{label}\"}} {n}");
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_are_told_by_name_and_label() {
+        let mut m = Metrics::default();
+        for ms in 1..=100 {
+            m.observe("decision_ms", "chat", ms);
+        }
+        m.count("preempted", "sweep");
+        let text = m.text();
+        assert!(text.contains("badgerdrift_decision_ms_count{of=\"chat\"} 100"));
+        assert!(text.contains("badgerdrift_preempted_total{of=\"sweep\"} 1"));
+    }
+}
--- /dev/null
+++ b/src/part.rs
@@ -0,0 +1,1036 @@
+//! The protocol of a part, without I/O and clock: its jobs, its machines, what
+//! reports and answers mean, which orders follow, what must be recorded.
+
+use crate::clock::DRIFT;
+use crate::metrics::Metrics;
+use crate::model::*;
+use crate::sched::{self, Policy};
+use crate::wire::{self, Item, Order, Report};
+use serde_json::Value;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+
+/// Key of a job's record.
+pub fn job_key(id: &str) -> String {
+    format!("job/{id}")
+}
+
+/// Key of a machine in the registry.
+pub fn host_key(id: &str) -> String {
+    format!("host/{id}")
+}
+
+/// How a report came. Only a reply to a beat proves that the replies before
+/// it are over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Via {
+    Beat,
+    Direct,
+}
+
+/// A direct command to be sent.
+#[derive(Debug)]
+pub struct Direct {
+    pub host: HostIx,
+    pub id: String,
+    pub addr: SocketAddr,
+    pub term: u64,
+    pub tenure: u64,
+    pub orders: Vec<Order>,
+}
+
+/// How a direct command ended.
+#[derive(Debug)]
+pub enum DirectResult {
+    /// 200 or 409, with the worker's report.
+    Answered(Box<Report>),
+    NotSent,
+    Unclear,
+}
+
+/// What a commit under way will have told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Saved {
+    Job(JobIx, Unsaved),
+    Host(HostIx),
+    HostGone(String),
+}
+
+/// A commit to be sent.
+#[derive(Debug)]
+pub struct Commit {
+    pub guards: Vec<Value>,
+    pub apply: Vec<Value>,
+}
+
+/// How a commit ended.
+#[derive(Debug)]
+pub enum CommitResult {
+    Done { revision: u64 },
+    Conflict { failed: Vec<String> },
+    Refused,
+    Unclear,
+}
+
+/// What a user is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum UserAnswer {
+    Accepted { created: bool, id: String, phase: JobPhase },
+    Status { id: String, phase: JobPhase, done: u32, running: u32 },
+    Malformed(String),
+    Impossible(String),
+    Unknown,
+    Later(&'static str),
+}
+
+/// Waits for a commit about a job.
+pub type Waiter = tokio::sync::oneshot::Sender<UserAnswer>;
+
+pub struct Part {
+    pub world: World,
+    pub policy: Policy,
+    pub metrics: Metrics,
+    pub term: u64,
+    part_key: String,
+    part_version: u64,
+    begun_ms: u64,
+    next_attempt: u64,
+    dirty: BTreeSet<JobIx>,
+    new_hosts: BTreeSet<HostIx>,
+    gone_hosts: BTreeSet<String>,
+    /// Names of machines that were released: late copies of their reports mean nothing.
+    released: HashSet<String>,
+    in_flight: Option<Vec<Saved>>,
+    waiters: HashMap<JobIx, Vec<Waiter>>,
+    /// Machines that have orders to get without waiting for their next report.
+    pub kick: BTreeSet<HostIx>,
+    /// Something changed that a pass may use.
+    pub stirred: bool,
+    pub unplaced: Vec<JobIx>,
+    txn_ops: usize,
+    value_bytes: usize,
+    last_upkeep_ms: u64,
+    gone_copies: u64,
+}
+
+/// Ranges that certainly fit into half of a value: two numbers of six digits
+/// and what is around them.
+const RANGE_BYTES: usize = 18;
+/// Most bytes of the changes of one commit, under the protocol's 64 KiB.
+const COMMIT_BYTES: usize = 48 * 1024;
+/// Most orders in one reply, so that a line stays under 64 KiB.
+const REPLY_ORDERS: usize = 400;
+
+impl Part {
+    pub fn new(policy: Policy, part_key: String, txn_ops: usize, value_kb: f64) -> Part {
+        Part {
+            world: World { all_accounted: true, ..World::default() },
+            policy,
+            metrics: Metrics::default(),
+            term: 0,
+            part_key,
+            part_version: 0,
+            begun_ms: 0,
+            next_attempt: 0,
+            dirty: BTreeSet::new(),
+            new_hosts: BTreeSet::new(),
+            gone_hosts: BTreeSet::new(),
+            released: HashSet::new(),
+            in_flight: None,
+            waiters: HashMap::new(),
+            kick: BTreeSet::new(),
+            stirred: true,
+            unplaced: Vec::new(),
+            txn_ops,
+            value_bytes: (value_kb * 1024.0) as usize,
+            last_upkeep_ms: 0,
+            gone_copies: 0,
+        }
+    }
+
+    /// Begins a term with what the state service holds. Nothing is known of
+    /// the machines until they report under this term.
+    pub fn begin(
+        &mut self,
+        term: u64,
+        version: u64,
+        jobs: Vec<Item>,
+        hosts: Vec<Item>,
+        flavors: Vec<Flavor>,
+        now: u64,
+    ) {
+        self.set_term(term, version);
+        self.begun_ms = now;
+        self.last_upkeep_ms = now;
+        self.world.flavors = flavors;
+        for item in jobs {
+            match serde_json::from_value::<JobRecord>(item.value) {
+                Ok(r) => {
+                    self.world.add_job(r.into_job(item.version, now));
+                }
+                Err(e) => tracing::error!(key = item.key, error = %e, "unreadable job record"),
+            }
+        }
+        for item in hosts {
+            let Some(id) = item.key.strip_prefix("host/") else { continue };
+            match serde_json::from_value::<HostRecord>(item.value) {
+                Ok(r) => {
+                    let flavor = self.world.flavor(&r.flavor);
+                    let mut h = Host::new(id.to_string(), r.zone, r.spot, flavor, now);
+                    h.addr = r.addr;
+                    h.registered = true;
+                    self.world.add_host(h);
+                }
+                Err(e) => tracing::error!(key = item.key, error = %e, "unreadable machine record"),
+            }
+        }
+        self.recount();
+    }
+
+    /// A new term: attempts count on from it, so that none repeats.
+    pub fn set_term(&mut self, term: u64, version: u64) {
+        self.term = term;
+        self.part_version = version;
+        self.next_attempt = term << 32;
+    }
+
+    /// Takes the machine types as the cloud tells them now. Places in the list
+    /// stay, for machines refer to them.
+    pub fn set_flavors(&mut self, flavors: Vec<Flavor>) {
+        for f in flavors {
+            match self.world.flavors.iter_mut().find(|o| o.name == f.name) {
+                Some(old) => *old = f,
+                None => self.world.flavors.push(f),
+            }
+        }
+        self.stirred = true;
+    }
+
+    /// Looks again which machines of the last holder are still unaccounted for.
+    fn recount(&mut self) {
+        let mut open = Demand::default();
+        let mut all = true;
+        for (_, h) in self.world.each_host().filter(|(_, h)| h.registered && !h.accounted) {
+            all = false;
+            if let Some(f) = h.flavor {
+                open.add(&self.world.flavors[f].cap);
+            }
+        }
+        if all && !self.world.all_accounted {
+            tracing::info!(term = self.term, "all machines accounted for");
+            self.stirred = true;
+        }
+        self.world.unaccounted = open;
+        self.world.all_accounted = all;
+    }
+
+    // ---- users ----
+
+    /// A submission. The answer comes at once or, through the waiter, after
+    /// the commit.
+    pub fn submit(&mut self, body: &[u8], now: u64, wall: u64, waiter: Waiter) {
+        let (id, spec) = match wire::parse_submission(body) {
+            Ok(spec) => (Some(spec.id.clone()), Ok(spec)),
+            Err(e) => (e.id, Err(e.message)),
+        };
+        // A known id is answered before any judgement of the rest.
+        if let Some(&ix) = id.as_ref().and_then(|id| self.world.job_ix.get(id)) {
+            if self.world.jobs[ix].version == 0 {
+                self.waiters.entry(ix).or_default().push(waiter);
+            } else {
+                let _ = waiter.send(self.accepted(ix, false));
+            }
+            return;
+        }
+        let answer = match spec {
+            Err(message) => UserAnswer::Malformed(message),
+            Ok(_) if self.world.flavors.is_empty() => UserAnswer::Later("the machine types are not known yet"),
+            Ok(spec) => match sched::impossible(&spec, &self.policy, &self.world.flavors) {
+                Some(message) => UserAnswer::Impossible(message),
+                None if serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len()) > self.value_bytes / 3 => {
+                    UserAnswer::Malformed("bundle: the job's texts are too long".into())
+                }
+                None => {
+                    let mut job = Job::new(spec, wall, now);
+                    job.unsaved = Unsaved::Creation;
+                    job.fresh = true;
+                    let ix = self.world.add_job(job);
+                    self.dirty.insert(ix);
+                    self.waiters.entry(ix).or_default().push(waiter);
+                    return;
+                }
+            },
+        };
+        let _ = waiter.send(answer);
+    }
+
+    fn accepted(&self, ix: JobIx, created: bool) -> UserAnswer {
+        let job = &self.world.jobs[ix];
+        UserAnswer::Accepted { created, id: job.spec.id.clone(), phase: job.phase(self.running(ix)) }
+    }
+
+    fn running(&self, ix: JobIx) -> u32 {
+        self.world.each_host().flat_map(|(_, h)| &h.copies).filter(|c| c.key.job == ix && c.running()).count() as u32
+    }
+
+    pub fn status(&self, id: &str) -> UserAnswer {
+        match self.world.job_ix.get(id) {
+            Some(&ix) if self.world.jobs[ix].version > 0 => self.status_of(ix),
+            Some(_) => UserAnswer::Later("the job is not accepted yet"),
+            None => UserAnswer::Unknown,
+        }
+    }
+
+    fn status_of(&self, ix: JobIx) -> UserAnswer {
+        let job = &self.world.jobs[ix];
+        let running = if job.end.is_some() { 0 } else { self.running(ix) };
+        // All tasks may be done before the record says so; the end is said later.
+        let done = if job.end.is_some() { job.done } else { job.done.min(job.spec.tasks) };
+        UserAnswer::Status { id: job.spec.id.clone(), phase: job.phase(running), done, running }
+    }
+
+    /// A cancellation; answered after its commit.
+    pub fn cancel(&mut self, id: &str, waiter: Waiter) {
+        let Some(&ix) = self.world.job_ix.get(id) else {
+            let _ = waiter.send(UserAnswer::Unknown);
+            return;
+        };
+        let job = &mut self.world.jobs[ix];
+        if job.end.is_some() {
+            let _ = waiter.send(self.status_of(ix));
+            return;
+        }
+        // A completion may be in a commit under way: it goes first.
+        if job.version > 0 && !job.saving {
+            job.unsaved = Unsaved::End(JobEnd::Cancelled);
+            self.dirty.insert(ix);
+            self.waiters.entry(ix).or_default().push(waiter);
+        } else {
+            let _ = waiter.send(UserAnswer::Later("the job's record is being written"));
+        }
+    }
+
+    // ---- records ----
+
+    /// The next commit, if one is due: ends and creations first, then machines,
+    /// then progress that has waited for a while. At most `ops` changes.
+    pub fn next_commit(&mut self, now: u64, ops: usize) -> Option<Commit> {
+        if self.in_flight.is_some() || self.part_version == 0 {
+            return None;
+        }
+        let ops = ops.min(self.txn_ops);
+        let patience = 3 * self.policy.report_ms;
+        let mut picked: Vec<(u8, JobIx)> = self
+            .dirty
+            .iter()
+            .filter_map(|ix| {
+                let j = &self.world.jobs[*ix];
+                match j.unsaved {
+                    Unsaved::End(_) => Some((0, *ix)),
+                    Unsaved::Creation => Some((1, *ix)),
+                    Unsaved::Progress if now >= j.unsaved_since_ms + patience => Some((3, *ix)),
+                    _ => None,
+                }
+            })
+            .collect();
+        picked.sort_unstable();
+        let hosts_at = picked.partition_point(|p| p.0 < 3);
+        let mut commit = Commit { guards: vec![wire::guard(&self.part_key, self.part_version)], apply: Vec::new() };
+        let mut saved = Vec::new();
+        let mut bytes = 0;
+        let most = (self.value_bytes / 2 / RANGE_BYTES).max(1);
+        let jobs =
+            |me: &mut Part, range: &[(u8, JobIx)], commit: &mut Commit, saved: &mut Vec<Saved>, bytes: &mut usize| {
+                for (_, ix) in range {
+                    if commit.apply.len() >= ops || *bytes > COMMIT_BYTES {
+                        break;
+                    }
+                    let job = &mut me.world.jobs[*ix];
+                    let end = match job.unsaved {
+                        Unsaved::End(e) => Some(e),
+                        _ => None,
+                    };
+                    let key = job_key(&job.spec.id);
+                    let Ok(value) = serde_json::to_value(JobRecord::of(job, end, most)) else { continue };
+                    *bytes += value.to_string().len() + 2 * key.len() + 64;
+                    if *bytes > COMMIT_BYTES && !commit.apply.is_empty() {
+                        break;
+                    }
+                    commit.guards.push(wire::guard(&key, job.version));
+                    commit.apply.push(wire::put(&key, &value, None));
+                    saved.push(Saved::Job(*ix, job.unsaved));
+                    job.saving = true;
+                    job.unsaved = Unsaved::Nothing;
+                    me.dirty.remove(ix);
+                }
+            };
+        jobs(self, &picked[..hosts_at], &mut commit, &mut saved, &mut bytes);
+        for hix in self.new_hosts.clone() {
+            if commit.apply.len() >= ops {
+                break;
+            }
+            self.new_hosts.remove(&hix);
+            let Some(h) = self.world.host(hix) else { continue };
+            let flavor = h.flavor.map_or(String::new(), |f| self.world.flavors[f].name.clone());
+            let record = HostRecord { addr: h.addr, flavor, zone: h.zone.clone(), spot: h.spot };
+            let Ok(value) = serde_json::to_value(record) else { continue };
+            commit.apply.push(wire::put(&host_key(&h.id), &value, None));
+            saved.push(Saved::Host(hix));
+        }
+        jobs(self, &picked[hosts_at..], &mut commit, &mut saved, &mut bytes);
+        while commit.apply.len() < ops {
+            let Some(id) = self.gone_hosts.pop_first() else { break };
+            commit.apply.push(wire::delete(&host_key(&id)));
+            saved.push(Saved::HostGone(id));
+        }
+        if commit.apply.is_empty() {
+            return None;
+        }
+        self.in_flight = Some(saved);
+        Some(commit)
+    }
+
+    pub fn committing(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    /// Takes the result of the commit under way; returns the keys of jobs
+    /// whose records must be read again, or `Err` if the part is lost.
+    pub fn committed(&mut self, result: CommitResult, now: u64) -> Result<Vec<String>, ()> {
+        let saved = self.in_flight.take().unwrap_or_default();
+        let mut reread = Vec::new();
+        match result {
+            CommitResult::Done { revision } => {
+                for s in saved {
+                    match s {
+                        Saved::Job(ix, what) => self.job_saved(ix, what, revision, now),
+                        Saved::Host(hix) => {
+                            if let Some(h) = self.world.host_mut(hix) {
+                                h.registered = true;
+                                self.stirred = true;
+                            }
+                        }
+                        Saved::HostGone(_) => {}
+                    }
+                }
+                return Ok(reread);
+            }
+            CommitResult::Conflict { failed } => {
+                if failed.contains(&self.part_key) {
+                    return Err(());
+                }
+                reread = failed.into_iter().filter(|k| k.starts_with("job/")).collect();
+            }
+            CommitResult::Refused | CommitResult::Unclear => {}
+        }
+        for s in saved {
+            match s {
+                Saved::Job(ix, what) => {
+                    let job = &mut self.world.jobs[ix];
+                    job.saving = false;
+                    // What came meanwhile weighs more, except against a creation or an end.
+                    if !matches!(job.unsaved, Unsaved::End(_)) || matches!(what, Unsaved::End(_)) {
+                        job.unsaved = what;
+                    }
+                    self.dirty.insert(ix);
+                }
+                Saved::Host(hix) => {
+                    self.new_hosts.insert(hix);
+                }
+                Saved::HostGone(id) => {
+                    self.gone_hosts.insert(id);
+                }
+            }
+        }
+        Ok(reread)
+    }
+
+    fn job_saved(&mut self, ix: JobIx, what: Unsaved, version: u64, now: u64) {
+        let job = &mut self.world.jobs[ix];
+        job.saving = false;
+        job.version = version;
+        match what {
+            Unsaved::End(end) => self.ended(ix, end, now),
+            Unsaved::Creation => {
+                self.stirred = true;
+                let answer = self.accepted(ix, true);
+                self.answer(ix, &answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// The job's record says that it is over.
+    fn ended(&mut self, ix: JobIx, end: JobEnd, now: u64) {
+        let job = &mut self.world.jobs[ix];
+        job.end = Some(end);
+        job.unsaved = Unsaved::Nothing;
+        job.retire();
+        self.dirty.remove(&ix);
+        self.world.live.retain(|l| *l != ix);
+        self.stop_all(ix, 0.0, now);
+        let answer = self.status_of(ix);
+        self.answer(ix, &answer);
+        self.stirred = true;
+    }
+
+    fn answer(&mut self, ix: JobIx, answer: &UserAnswer) {
+        for w in self.waiters.remove(&ix).unwrap_or_default() {
+            let _ = w.send(answer.clone());
+        }
+    }
+
+    /// A record as read again after a conflict: what it holds is true, what it
+    /// lacks stays to be written.
+    pub fn reread(&mut self, item: Item, now: u64) {
+        let Some(&ix) = item.key.strip_prefix("job/").and_then(|id| self.world.job_ix.get(id)) else { return };
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else { return };
+        let job = &mut self.world.jobs[ix];
+        let created = job.version == 0;
+        job.version = item.version;
+        if let Some(end) = record.end {
+            if job.end.is_none() {
+                self.ended(ix, end, now);
+            }
+            return;
+        }
+        if created {
+            if job.unsaved == Unsaved::Creation {
+                job.unsaved = Unsaved::Nothing;
+                self.dirty.remove(&ix);
+            }
+            // Known already, maybe by our own commit whose answer was lost.
+            job.accepted_ms = record.accepted_ms;
+            self.stirred = true;
+            let answer = self.accepted(ix, false);
+            self.answer(ix, &answer);
+        }
+    }
+
+    // ---- reports ----
+
+    /// Takes a report and returns the orders of its reply.
+    pub fn report(&mut self, r: &Report, via: Via, now: u64) -> Vec<Order> {
+        if self.released.contains(&r.host) {
+            return Vec::new();
+        }
+        let hix = match self.world.host_ix.get(&r.host) {
+            Some(&hix) => hix,
+            None => {
+                let flavor = self.world.flavor(&r.flavor);
+                let mut h = Host::new(r.host.clone(), r.zone.clone(), r.spot, flavor, now);
+                // Not in the registry: no holder before us placed anything on it.
+                h.accounted = true;
+                let hix = self.world.add_host(h);
+                self.new_hosts.insert(hix);
+                tracing::info!(host = r.host, flavor = r.flavor, zone = r.zone, spot = r.spot, "machine is up");
+                hix
+            }
+        };
+        let flavor = self.world.flavor(&r.flavor);
+        let Some(h) = self.world.host_mut(hix) else { return Vec::new() };
+        if via == Via::Beat {
+            h.answered_ms = now;
+        }
+        // Late copies of older reports change nothing.
+        if (r.tenure, r.serial) <= (h.tenure, h.serial) {
+            return Vec::new();
+        }
+        if r.tenure > h.tenure && h.tenure > 0 {
+            tracing::info!(host = h.id, tenure = r.tenure, "machine lost its lease");
+            self.lose_all(hix, now);
+        }
+        let term = self.term;
+        let Some(h) = self.world.host_mut(hix) else { return Vec::new() };
+        h.tenure = r.tenure;
+        h.serial = r.serial;
+        h.fence = h.fence.max(r.fence);
+        h.addr = Some(r.addr);
+        h.flavor = flavor;
+        h.heard_ms = now;
+        h.probed_ms = 0;
+        if r.warning_s.is_some() && !h.notice {
+            h.notice = true;
+            tracing::info!(host = h.id, "machine will be taken back");
+        }
+        // A worker that has seen a higher token refuses older direct commands.
+        for c in &mut h.copies {
+            if c.risk.is_some_and(|t| r.fence > t) {
+                c.risk = None;
+            }
+        }
+        if !h.accounted && r.fence >= term {
+            h.accounted = true;
+            self.recount();
+        }
+        let mut orders = Vec::new();
+        self.reported_tasks(hix, r, &mut orders, now);
+        self.missing_tasks(hix, r, via, now);
+        if via == Via::Beat {
+            self.orders_for(hix, &mut orders);
+        }
+        if let Some(h) = self.world.host_mut(hix)
+            && !h.copies.is_empty()
+        {
+            h.idle_since_ms = now;
+        }
+        orders
+    }
+
+    fn reported_tasks(&mut self, hix: HostIx, r: &Report, orders: &mut Vec<Order>, now: u64) {
+        let mut strays = false;
+        for t in &r.tasks {
+            let Some((job, n)) = t.key() else { continue };
+            let Some(&ix) = self.world.job_ix.get(job).filter(|ix| n < self.world.jobs[**ix].spec.tasks) else {
+                // No such job: whatever it is must go.
+                strays = true;
+                if matches!(t.phase(), TaskPhase::Ended(_)) {
+                    orders.push(Order::Reap { task: t.task.clone(), attempt: t.attempt });
+                } else {
+                    orders.push(Order::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 });
+                }
+                continue;
+            };
+            let key = TaskKey { job: ix, task: n };
+            let known = self.world.host_mut(hix).and_then(|h| h.copy_mut(key, t.attempt)).map(|c| c.phase);
+            let before = match known {
+                Some(phase) => phase,
+                None => {
+                    self.adopt(hix, key, t.attempt, t.phase(), now);
+                    TaskPhase::Sent
+                }
+            };
+            self.phase_seen(hix, key, t.attempt, before, t.phase(), now);
+        }
+        if let Some(h) = self.world.host_mut(hix) {
+            if h.strays && !strays {
+                self.stirred = true;
+            }
+            h.strays = strays;
+        }
+    }
+
+    /// A copy that we did not start: an earlier holder did, or a late order.
+    fn adopt(&mut self, hix: HostIx, key: TaskKey, attempt: u64, phase: TaskPhase, now: u64) {
+        let job = &mut self.world.jobs[key.job];
+        let task = &mut job.tasks[key.task as usize];
+        let ended = matches!(phase, TaskPhase::Ended(_));
+        let mut wanted = job.end.is_none() && !ended && task.place == Place::Idle;
+        if wanted && job.spec.shape == Shape::Gang {
+            if attempt > job.gang_attempt {
+                job.gang_attempt = attempt;
+            }
+            wanted = attempt == job.gang_attempt;
+        }
+        if wanted {
+            job.tasks[key.task as usize].place = Place::On(hix, attempt);
+        }
+        let spec = &self.world.jobs[key.job].spec;
+        let (image, gb) = (spec.image.clone(), spec.image_gb);
+        let cache = self.world.host(hix).and_then(|h| h.flavor).map_or(0.0, |f| self.world.flavors[f].cache_gb);
+        if let Some(h) = self.world.host_mut(hix) {
+            h.use_image(&image, gb, cache, now);
+            let stop = (!wanted && !ended).then_some(0.0);
+            h.copies.push(Copy {
+                key,
+                attempt,
+                phase: TaskPhase::Sent,
+                since_ms: now,
+                stop,
+                risk: None,
+                in_flight: false,
+                stopped_ms: now,
+            });
+        }
+    }
+
+    fn phase_seen(&mut self, hix: HostIx, key: TaskKey, attempt: u64, before: TaskPhase, phase: TaskPhase, now: u64) {
+        let image = self.world.jobs[key.job].spec.image.clone();
+        let Some(h) = self.world.host_mut(hix) else { return };
+        let Some(c) = h.copy_mut(key, attempt) else { return };
+        c.phase = phase;
+        let since = c.since_ms;
+        match phase {
+            TaskPhase::Gathering | TaskPhase::Running => {
+                h.image_ready(&image);
+                if before != phase && phase == TaskPhase::Running {
+                    let (class, waited) = {
+                        let j = &self.world.jobs[key.job];
+                        (j.spec.class.clone(), now.saturating_sub(since))
+                    };
+                    self.metrics.observe("start_after_order_ms", &class, waited);
+                }
+            }
+            TaskPhase::Ended(reason) if before != phase => self.copy_ended(hix, key, attempt, reason, now),
+            _ => {}
+        }
+    }
+
+    fn copy_ended(&mut self, hix: HostIx, key: TaskKey, attempt: u64, reason: ExitReason, now: u64) {
+        self.stirred = true;
+        let report_ms = self.policy.report_ms;
+        let hosts = self.world.hosts.len();
+        let job = &mut self.world.jobs[key.job];
+        tracing::debug!(job = job.spec.id, task = key.task, attempt, reason = ?reason, "task ended");
+        let shape = job.spec.shape;
+        if reason == ExitReason::Done && shape != Shape::Service {
+            // The tasks of a gang complete together.
+            let done: Vec<u32> = if shape == Shape::Gang { (0..job.spec.tasks).collect() } else { vec![key.task] };
+            self.tasks_done(key.job, &done, now);
+            if let Some(h) = self.world.host_mut(hix) {
+                h.failed_jobs.clear();
+            }
+            return;
+        }
+        let task = &mut job.tasks[key.task as usize];
+        if task.place != Place::On(hix, attempt) {
+            return;
+        }
+        task.place = Place::Idle;
+        match reason {
+            ExitReason::Error | ExitReason::NoSuch => {
+                task.fails = task.fails.saturating_add(1);
+                if task.fails >= 2 {
+                    // Fails wherever it runs: ever longer pauses, so that it
+                    // doesn't retake room in each pass.
+                    task.retry_ms = now + report_ms * (1 << task.fails.min(6));
+                }
+                if reason == ExitReason::Error {
+                    job.failed_on.insert(hix);
+                    let blames_job = job.failed_on.len() > 1 || hosts == 1;
+                    for h in self.world.hosts.iter_mut().flatten() {
+                        if blames_job {
+                            h.failed_jobs.remove(&key.job);
+                        }
+                    }
+                    if !blames_job && let Some(h) = self.world.host_mut(hix) {
+                        h.failed_jobs.insert(key.job);
+                    }
+                }
+            }
+            ExitReason::NoRoom | ExitReason::InUse => {
+                if let Some(h) = self.world.host_mut(hix) {
+                    h.blocked_until_ms = now + 2 * report_ms;
+                }
+            }
+            _ => {}
+        }
+        if shape == Shape::Gang {
+            self.gang_broken(key.job, now);
+        }
+    }
+
+    fn tasks_done(&mut self, ix: JobIx, tasks: &[u32], now: u64) {
+        let job = &mut self.world.jobs[ix];
+        let mut new = 0;
+        for t in tasks {
+            let task = &mut job.tasks[*t as usize];
+            if task.place != Place::Done {
+                task.place = Place::Done;
+                new += 1;
+            }
+        }
+        if new == 0 || job.end.is_some() {
+            return;
+        }
+        job.done += new;
+        if job.done >= job.spec.tasks {
+            // A cancellation that is on its way goes first; else the job is done.
+            if !matches!(job.unsaved, Unsaved::End(_)) {
+                job.unsaved = Unsaved::End(JobEnd::Done);
+            }
+        } else if job.unsaved == Unsaved::Nothing {
+            job.unsaved = Unsaved::Progress;
+            job.unsaved_since_ms = now;
+        }
+        self.dirty.insert(ix);
+        // Another copy of a task that is done has nothing left to do.
+        if job.spec.shape == Shape::Batch {
+            for h in self.world.hosts.iter_mut().flatten() {
+                for c in h.copies.iter_mut().filter(|c| c.key.job == ix && tasks.contains(&c.key.task)) {
+                    if !c.ended() && c.stop.is_none() {
+                        c.stop = Some(0.0);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A gang that lost a task: the rest must go before the next attempt.
+    fn gang_broken(&mut self, ix: JobIx, now: u64) {
+        self.stop_all(ix, 0.0, now);
+    }
+
+    /// Stops all copies of a job.
+    fn stop_all(&mut self, ix: JobIx, grace_s: f64, now: u64) {
+        for (hix, h) in self.world.hosts.iter_mut().enumerate() {
+            let Some(h) = h else { continue };
+            for c in h.copies.iter_mut().filter(|c| c.key.job == ix && !c.ended()) {
+                if c.stop.is_none_or(|g| g > grace_s) {
+                    c.stop = Some(grace_s);
+                    c.stopped_ms = now;
+                    self.kick.insert(hix);
+                }
+            }
+        }
+    }
+
+    /// Copies that we know of and the report does not.
+    fn missing_tasks(&mut self, hix: HostIx, r: &Report, via: Via, now: u64) {
+        let Some(h) = self.world.host(hix) else { return };
+        let listed: HashSet<(&str, u64)> = r.tasks.iter().map(|t| (t.task.as_str(), t.attempt)).collect();
+        let gone: Vec<(TaskKey, u64)> = h
+            .copies
+            .iter()
+            .filter(|c| {
+                let name = format!("{}/{}", self.world.jobs[c.key.job].spec.id, c.key.task);
+                if listed.contains(&(name.as_str(), c.attempt)) {
+                    return false;
+                }
+                match c.phase {
+                    // Its `run` may still come: from a direct command that had
+                    // no answer, or from a reply that is not over yet.
+                    TaskPhase::Sent => c.stop.is_some() && via == Via::Beat && c.risk.is_none() && !c.in_flight,
+                    _ => true,
+                }
+            })
+            .map(|c| (c.key, c.attempt))
+            .collect();
+        for (key, attempt) in gone {
+            self.lose(hix, key, attempt, now);
+        }
+    }
+
+    /// The copy is certainly not on the machine any more.
+    fn lose(&mut self, hix: HostIx, key: TaskKey, attempt: u64, now: u64) {
+        let Some(h) = self.world.host_mut(hix) else { return };
+        let ended = h.copy_mut(key, attempt).is_some_and(|c| c.ended());
+        h.copies.retain(|c| c.key != key || c.attempt != attempt);
+        self.stirred = true;
+        self.copy_lost(hix, key, attempt, ended, now);
+    }
+
+    fn copy_lost(&mut self, hix: HostIx, key: TaskKey, attempt: u64, ended: bool, now: u64) {
+        let job = &mut self.world.jobs[key.job];
+        let task = &mut job.tasks[key.task as usize];
+        if task.place == Place::On(hix, attempt) {
+            task.place = Place::Idle;
+            self.gone_copies += 1;
+            if !ended && job.spec.shape == Shape::Gang {
+                self.gang_broken(key.job, now);
+            }
+        }
+    }
+
+    /// All copies are gone: the machine, or its lease, ended.
+    fn lose_all(&mut self, hix: HostIx, now: u64) {
+        let Some(h) = self.world.host_mut(hix) else { return };
+        let copies = std::mem::take(&mut h.copies);
+        h.strays = false;
+        for c in copies {
+            self.copy_lost(hix, c.key, c.attempt, c.ended(), now);
+        }
+        self.stirred = true;
+    }
+
+    /// The orders of a reply: everything that the worker should have done and,
+    /// by its report, has not.
+    fn orders_for(&mut self, hix: HostIx, orders: &mut Vec<Order>) {
+        let Some(h) = self.world.host(hix) else { return };
+        for c in &h.copies {
+            if orders.len() >= REPLY_ORDERS {
+                break;
+            }
+            let job = &self.world.jobs[c.key.job];
+            let id = &job.spec.id;
+            match (c.phase, c.stop) {
+                (TaskPhase::Ended(reason), _) => {
+                    let safe = reason != ExitReason::Done
+                        || job.end.is_some()
+                        || (job.unsaved == Unsaved::Nothing && !job.saving);
+                    if safe && c.risk.is_none() && !c.in_flight {
+                        orders.push(Order::reap(id, c));
+                    }
+                }
+                (TaskPhase::Saving, Some(grace)) if grace > 0.0 => {}
+                (_, Some(grace)) => orders.push(Order::stop(id, c, grace)),
+                (TaskPhase::Sent, None) => orders.push(Order::run(id, c)),
+                _ => {}
+            }
+        }
+    }
+
+    // ---- direct commands ----
+
+    /// The direct command that a machine is due, if any.
+    pub fn direct(&mut self, hix: HostIx, now: u64, probe: bool) -> Option<Direct> {
+        let term = self.term;
+        let h = self.world.hosts.get_mut(hix)?.as_mut()?;
+        let addr = h.addr?;
+        if h.do_in_flight || h.tenure == 0 || now < h.do_after_ms {
+            return None;
+        }
+        let mut orders = Vec::new();
+        for c in h.copies.iter_mut() {
+            let id = &self.world.jobs[c.key.job].spec.id;
+            match (c.phase, c.stop) {
+                (TaskPhase::Ended(_), _) => {}
+                (TaskPhase::Saving, Some(grace)) if grace > 0.0 => {}
+                (_, Some(grace)) => orders.push(Order::stop(id, c, grace)),
+                (TaskPhase::Sent, None) => {
+                    orders.push(Order::run(id, c));
+                    c.in_flight = true;
+                }
+                _ => {}
+            }
+            if orders.len() >= REPLY_ORDERS {
+                break;
+            }
+        }
+        if orders.is_empty() && !probe {
+            return None;
+        }
+        h.do_in_flight = true;
+        Some(Direct { host: hix, id: h.id.clone(), addr, term, tenure: h.tenure, orders })
+    }
+
+    pub fn direct_done(&mut self, d: &Direct, result: DirectResult, now: u64) {
+        let retry = now + self.policy.report_ms;
+        let Some(h) = self.world.host_mut(d.host).filter(|h| h.id == d.id) else { return };
+        h.do_in_flight = false;
+        for c in h.copies.iter_mut().filter(|c| c.in_flight) {
+            c.in_flight = false;
+            if matches!(result, DirectResult::Unclear) {
+                // It may be carried out minutes later.
+                c.risk = Some(c.risk.unwrap_or(0).max(d.term));
+            }
+        }
+        match result {
+            DirectResult::Answered(r) => {
+                if r.host == d.id {
+                    self.report(&r, Via::Direct, now);
+                }
+                if self.world.host(d.host).is_some_and(|h| h.copies.iter().any(|c| c.phase == TaskPhase::Sent)) {
+                    self.kick.insert(d.host);
+                }
+            }
+            DirectResult::NotSent | DirectResult::Unclear => h.do_after_ms = retry,
+        }
+    }
+
+    /// True if a copy can only be settled by a higher token.
+    pub fn needs_new_term(&self) -> bool {
+        self.world.each_host().any(|(_, h)| {
+            h.copies.iter().any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
+        })
+    }
+
+    // ---- decisions ----
+
+    /// One pass; the machines with new orders are in `kick`.
+    pub fn pass(&mut self, now: u64, wall: u64) {
+        self.stirred = false;
+        let next = &mut self.next_attempt;
+        let out = sched::pass(&mut self.world, &self.policy, now, wall, || {
+            *next += 1;
+            *next
+        });
+        for s in &out.starts {
+            let job = &self.world.jobs[s.key.job];
+            let waited = wall.saturating_sub(job.accepted_ms);
+            self.metrics.observe("decision_ms", &job.spec.class, waited);
+            if let Some(h) = self.world.host(s.host) {
+                tracing::debug!(
+                    job = job.spec.id,
+                    task = s.key.task,
+                    attempt = s.attempt,
+                    host = h.id,
+                    term = self.term,
+                    waited,
+                    "start"
+                );
+            }
+            self.kick.insert(s.host);
+        }
+        for s in &out.stops {
+            let job = &self.world.jobs[s.key.job];
+            tracing::info!(job = job.spec.id, task = s.key.task, attempt = s.attempt, "preempted");
+            self.kick.insert(s.host);
+        }
+        self.unplaced = out.unplaced;
+    }
+
+    /// Looks after silent machines; returns those to be released, and those to
+    /// be asked directly.
+    pub fn upkeep(&mut self, now: u64) -> (Vec<String>, Vec<HostIx>) {
+        let report = self.policy.report_ms;
+        let lease = self.policy.lease_ms;
+        // After a stall of our own, the silence may be ours.
+        let stalled = now.saturating_sub(self.last_upkeep_ms) > report;
+        self.last_upkeep_ms = now;
+        let outlived = (lease as f64 * (1.0 + DRIFT)) as u64 + report / 2;
+        let mut lapsed = Vec::new();
+        let mut silent = Vec::new();
+        let mut probe = Vec::new();
+        let total = self.world.each_host().count();
+        for (hix, h) in self.world.each_host() {
+            if h.releasing {
+                continue;
+            }
+            if now > h.answered_ms + outlived && (!h.copies.is_empty() || !h.accounted) {
+                lapsed.push(hix);
+            }
+            let quiet = now.saturating_sub(h.heard_ms);
+            // One that has not found us yet may be on its way from node to node.
+            let limit = if h.tenure == 0 { lease * 7 / 10 } else { 4 * report };
+            if quiet > limit {
+                silent.push((hix, h.id.clone()));
+            } else if quiet > 2 * report && h.probed_ms == 0 {
+                probe.push(hix);
+            }
+        }
+        for hix in lapsed {
+            self.lose_all(hix, now);
+            if let Some(h) = self.world.host_mut(hix) {
+                tracing::info!(host = h.id, "lease surely outlived");
+                h.accounted = true;
+            }
+            self.recount();
+        }
+        for hix in &probe {
+            if let Some(h) = self.world.host_mut(*hix) {
+                h.probed_ms = now;
+            }
+        }
+        let mut release = Vec::new();
+        // Many silent machines at once: it is rather we who are cut off.
+        if !stalled && silent.len() * 3 <= total.max(3) {
+            for (hix, id) in silent {
+                if let Some(h) = self.world.host_mut(hix) {
+                    h.releasing = true;
+                    tracing::info!(host = id, "machine is silent, releasing it");
+                }
+                release.push(id);
+            }
+        }
+        (release, probe)
+    }
+
+    /// Marks a machine for release; true if it was not marked yet.
+    pub fn mark_releasing(&mut self, id: &str) -> bool {
+        let Some(&hix) = self.world.host_ix.get(id) else { return true };
+        self.world.host_mut(hix).is_some_and(|h| !std::mem::replace(&mut h.releasing, true))
+    }
+
+    /// The cloud has confirmed: the machine and all on it are gone.
+    pub fn host_gone(&mut self, id: &str, now: u64) {
+        self.released.insert(id.to_string());
+        let Some(&hix) = self.world.host_ix.get(id) else { return };
+        self.lose_all(hix, now);
+        self.new_hosts.remove(&hix);
+        if self.world.remove_host(hix).is_some_and(|h| h.registered) {
+            self.gone_hosts.insert(id.to_string());
+        }
+        self.recount();
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,228 @@
+//! What controllers say to each other: CBOR messages in frames of a length and
+//! a body, requests and replies matched by number.
+
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// Most that a frame may hold: a request's body with what is around it.
+const MAX_FRAME: usize = 128 * 1024;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Promise not to act for this part for a while.
+    Promise {
+        part: u32,
+        term: u64,
+        for_ms: u64,
+        state_ok: bool,
+    },
+    /// A user's request for the holder of the parts.
+    Submit(Vec<u8>),
+    Status(String),
+    Cancel(String),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    Promised,
+    No,
+    User { status: u16, body: Vec<u8>, retry_after_s: Option<u64> },
+}
+
+#[derive(Serialize, Deserialize)]
+struct Numbered<T> {
+    n: u64,
+    body: T,
+}
+
+fn encode<T: Serialize>(n: u64, body: T) -> Option<Vec<u8>> {
+    let mut out = vec![0; 4];
+    ciborium::into_writer(&Numbered { n, body }, &mut out).ok()?;
+    let len = out.len() - 4;
+    if len > MAX_FRAME {
+        return None;
+    }
+    out[..4].copy_from_slice(&(len as u32).to_be_bytes());
+    Some(out)
+}
+
+async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut OwnedReadHalf) -> Option<(u64, T)> {
+    let mut len = [0; 4];
+    stream.read_exact(&mut len).await.ok()?;
+    let len = u32::from_be_bytes(len) as usize;
+    if len > MAX_FRAME {
+        return None;
+    }
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).await.ok()?;
+    let m: Numbered<T> = ciborium::from_reader(body.as_slice()).ok()?;
+    Some((m.n, m.body))
+}
+
+/// Serves the other controllers for ever.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Ask) -> F + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (mut read, write) = stream.into_split();
+        let handler = handler.clone();
+        let (tx, rx) = mpsc::channel::<Vec<u8>>(64);
+        tokio::spawn(write_frames(write, rx));
+        tokio::spawn(async move {
+            while let Some((n, ask)) = read_frame::<Ask>(&mut read).await {
+                let (handler, tx) = (handler.clone(), tx.clone());
+                tokio::spawn(async move {
+                    if let Some(frame) = encode(n, handler(ask).await) {
+                        let _ = tx.send(frame).await;
+                    }
+                });
+            }
+        });
+    }
+}
+
+async fn write_frames(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Vec<u8>>) {
+    while let Some(frame) = rx.recv().await {
+        if write.write_all(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+enum ToPeer {
+    Ask(Ask, oneshot::Sender<Reply>),
+    Reply(u64, u64, Reply),
+    Broken(u64),
+    Abandoned,
+}
+
+/// The way to one other controller.
+#[derive(Clone)]
+pub struct Peer {
+    pub name: String,
+    tx: mpsc::Sender<ToPeer>,
+}
+
+impl Peer {
+    /// Starts the actor that owns the connection. One that leaves requests
+    /// unanswered is given up, as a cut may hold what is sent on it.
+    pub fn start(name: String, addr: SocketAddr, connect_limit: Duration) -> Peer {
+        let (tx, rx) = mpsc::channel(256);
+        tokio::spawn(run(addr, connect_limit, tx.clone(), rx));
+        Peer { name, tx }
+    }
+
+    pub async fn ask(&self, ask: Ask, limit: Duration) -> Option<Reply> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.try_send(ToPeer::Ask(ask, tx)).ok()?;
+        match timeout(limit, rx).await {
+            Ok(r) => r.ok(),
+            Err(_) => {
+                let _ = self.tx.try_send(ToPeer::Abandoned);
+                None
+            }
+        }
+    }
+}
+
+async fn run(addr: SocketAddr, connect_limit: Duration, tx: mpsc::Sender<ToPeer>, mut rx: mpsc::Receiver<ToPeer>) {
+    let mut next = 0u64;
+    let mut life = 0u64;
+    let mut open: Option<mpsc::Sender<Vec<u8>>> = None;
+    let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
+    while let Some(m) = rx.recv().await {
+        match m {
+            ToPeer::Ask(ask, reply) => {
+                if open.is_none() {
+                    life += 1;
+                    open = connect(addr, connect_limit, life, &tx).await;
+                }
+                next += 1;
+                if let (Some(frame), Some(out)) = (encode(next, ask), open.as_ref())
+                    && out.try_send(frame).is_ok()
+                {
+                    waiting.insert(next, reply);
+                }
+            }
+            ToPeer::Reply(l, n, r) if l == life => {
+                if let Some(w) = waiting.remove(&n) {
+                    let _ = w.send(r);
+                }
+            }
+            ToPeer::Broken(l) if l == life => {
+                open = None;
+                waiting.clear();
+            }
+            ToPeer::Abandoned => {
+                open = None;
+                life += 1;
+                waiting.clear();
+            }
+            ToPeer::Reply(..) | ToPeer::Broken(_) => {}
+        }
+    }
+}
+
+async fn connect(
+    addr: SocketAddr,
+    limit: Duration,
+    life: u64,
+    tx: &mpsc::Sender<ToPeer>,
+) -> Option<mpsc::Sender<Vec<u8>>> {
+    let stream = timeout(limit, TcpStream::connect(addr)).await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    let (mut read, write) = stream.into_split();
+    let (out, frames) = mpsc::channel(256);
+    tokio::spawn(write_frames(write, frames));
+    let tx = tx.clone();
+    tokio::spawn(async move {
+        while let Some((n, r)) = read_frame::<Reply>(&mut read).await {
+            if tx.send(ToPeer::Reply(life, n, r)).await.is_err() {
+                return;
+            }
+        }
+        let _ = tx.send(ToPeer::Broken(life)).await;
+    });
+    Some(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn peers_ask_and_answer_and_survive_a_silent_one() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(serve(listener, |ask| async move {
+            match ask {
+                Ask::Status(_) => std::future::pending().await,
+                Ask::Promise { term: 3, .. } => Reply::Promised,
+                _ => Reply::No,
+            }
+        }));
+        let p = Peer::start("b".into(), addr, Duration::from_millis(500));
+        let ask = |term| Ask::Promise { part: 0, term, for_ms: 5, state_ok: true };
+        let limit = Duration::from_millis(500);
+        assert_eq!(p.ask(ask(3), limit).await, Some(Reply::Promised));
+        assert_eq!(p.ask(Ask::Status("x".into()), Duration::from_millis(30)).await, None);
+        assert_eq!(p.ask(ask(4), limit).await, Some(Reply::No));
+    }
+}
--- /dev/null
+++ b/src/sched.rs
@@ -0,0 +1,805 @@
+//! Decisions: bins, the pass over them, placement, gangs, preemption and the
+//! rental plan. Pure and synchronous: no I/O, no clock.
+
+use crate::config::{Operator, Settings};
+use crate::model::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// What decisions depend on besides the world.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    pub bin_width_s: f64,
+    pub default_deadline_s: f64,
+    pub headroom: f64,
+    pub idle_keep: f64,
+    pub teams: HashMap<String, TeamRule>,
+    /// By class: start objective and the share that must meet it.
+    pub waits: HashMap<String, (f64, f64)>,
+    /// How long room is held for a gang or a preempting job.
+    pub hold_ms: u64,
+    pub lease_ms: u64,
+    pub report_ms: u64,
+    /// Wall time of the system's start, from the state service.
+    pub start_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamRule {
+    pub guarantee: Demand,
+    pub limit: Demand,
+}
+
+/// 0 in the settings means no limit.
+fn limit(v: f64) -> f64 {
+    if v > 0.0 { v } else { f64::INFINITY }
+}
+
+impl Policy {
+    pub fn new(s: &Settings, o: &Operator, start_ms: u64) -> Policy {
+        let teams = s.params.teams.iter().map(|t| {
+            let rule = TeamRule {
+                guarantee: Demand { cpus: t.cpus, gpus: t.gpus, mem: f64::INFINITY },
+                limit: Demand { cpus: limit(t.cpus_max), gpus: limit(t.gpus_max), mem: f64::INFINITY },
+            };
+            (t.name.clone(), rule)
+        });
+        let waits = s.params.objectives.iter().filter(|o| o.kind == "wait");
+        Policy {
+            bin_width_s: o.bin_width_s,
+            default_deadline_s: o.default_deadline_s,
+            headroom: o.headroom,
+            idle_keep: o.idle_keep,
+            teams: teams.collect(),
+            waits: waits.filter_map(|o| Some((o.class.clone()?, (o.within_s?, o.share.unwrap_or(0.9))))).collect(),
+            hold_ms: (s.params.workers.gang_wait_s * 1000.0) as u64,
+            lease_ms: s.lease_ms(),
+            report_ms: s.report_ms(),
+            start_ms,
+        }
+    }
+
+    /// The job's soft deadline, as wall time.
+    pub fn soft_deadline_ms(&self, job: &Job) -> u64 {
+        let after_s =
+            job.spec.due_s.or_else(|| self.waits.get(&job.spec.class).map(|w| w.0)).unwrap_or(self.default_deadline_s);
+        job.accepted_ms + (after_s * 1000.0) as u64
+    }
+
+    /// The deadline that counts now. Work that can't meet its deadline any
+    /// more steps back in two strides, so that it doesn't starve what can.
+    pub fn effective_deadline_ms(&self, job: &Job, wall: u64) -> u64 {
+        let soft = self.soft_deadline_ms(job);
+        let Some(due_s) = job.spec.due_s else { return soft };
+        let needs = (job.spec.expected_s * 500.0) as u64;
+        let stride = (due_s * 500.0) as u64;
+        if wall + needs <= soft {
+            soft
+        } else if wall + needs <= soft + stride {
+            soft + stride
+        } else {
+            soft + stride + (self.default_deadline_s * 1000.0) as u64
+        }
+    }
+
+    /// The bin of a deadline.
+    pub fn bin(&self, deadline_ms: u64) -> u64 {
+        let width = (self.bin_width_s * 1000.0).max(1.0) as u64;
+        deadline_ms.saturating_sub(self.start_ms) / width
+    }
+}
+
+/// Why a submission can never run, if so.
+pub fn impossible(spec: &Spec, policy: &Policy, flavors: &[Flavor]) -> Option<String> {
+    let Some(team) = policy.teams.get(&spec.team) else {
+        return Some(format!("owner: no team {}", spec.team));
+    };
+    let fits = flavors.iter().any(|f| spec.allows_flavor(f) && f.zones.iter().any(|z| spec.allows_zone(z)));
+    if !fits {
+        return Some("a task fits no allowed machine type".into());
+    }
+    let together = if spec.shape == Shape::Batch { 1.0 } else { f64::from(spec.tasks) };
+    if !spec.demand.times(together).fits(&team.limit) {
+        return Some(format!("the job needs more than the limit of {}", spec.team));
+    }
+    None
+}
+
+/// Start this attempt on that machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Assignment {
+    pub key: TaskKey,
+    pub host: HostIx,
+    pub attempt: u64,
+}
+
+/// Stop this attempt, to make room.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Eviction {
+    pub host: HostIx,
+    pub key: TaskKey,
+    pub attempt: u64,
+    pub grace_s: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub starts: Vec<Assignment>,
+    pub stops: Vec<Eviction>,
+    /// Jobs with tasks that found no room.
+    pub unplaced: Vec<JobIx>,
+}
+
+/// Scratch values of one pass.
+struct Pass<'a> {
+    world: &'a mut World,
+    policy: &'a Policy,
+    now: u64,
+    wall: u64,
+    free: Vec<Demand>,
+    usage: HashMap<String, Demand>,
+    /// Flavors that some live job depends on alone.
+    exclusive: Vec<bool>,
+    out: Outcome,
+}
+
+/// One pass over the bins, lowest first. `attempt` yields numbers that never
+/// repeat.
+pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, mut attempt: impl FnMut() -> u64) -> Outcome {
+    for host in world.hosts.iter_mut().flatten() {
+        host.claims.retain(|c| c.until_ms > now);
+    }
+    let free = world.hosts.iter().map(|h| h.as_ref().map_or(Demand::default(), |h| world.free(h))).collect();
+    let mut p = Pass {
+        usage: usage(world),
+        exclusive: exclusive(world),
+        free,
+        world,
+        policy,
+        now,
+        wall,
+        out: Outcome::default(),
+    };
+    let mut leading_gang = None;
+    for ix in p.queue() {
+        let placed = match p.world.jobs[ix].spec.shape {
+            Shape::Gang => p.place_gang(ix, &mut attempt),
+            _ => p.place_tasks(ix, &mut attempt),
+        };
+        if !placed {
+            p.out.unplaced.push(ix);
+            if p.world.jobs[ix].spec.shape == Shape::Gang && leading_gang.is_none() {
+                leading_gang = Some(ix);
+                p.hold_for_gang(ix);
+            } else {
+                p.make_room(ix);
+            }
+        }
+    }
+    p.out
+}
+
+/// What each team's copies take, fetching ones included.
+pub fn usage(world: &World) -> HashMap<String, Demand> {
+    let mut usage: HashMap<String, Demand> = HashMap::new();
+    for (_, h) in world.each_host() {
+        for c in h.copies.iter().filter(|c| !c.ended()) {
+            let spec = &world.jobs[c.key.job].spec;
+            match usage.get_mut(&spec.team) {
+                Some(u) => u.add(&spec.demand),
+                None => {
+                    usage.insert(spec.team.clone(), spec.demand);
+                }
+            }
+        }
+    }
+    usage
+}
+
+fn exclusive(world: &World) -> Vec<bool> {
+    let mut out = vec![false; world.flavors.len()];
+    let mut seen: HashSet<&str> = HashSet::new();
+    for ix in &world.live {
+        let spec = &world.jobs[*ix].spec;
+        if !seen.insert(&spec.class) {
+            continue;
+        }
+        let mut allowed = (0..world.flavors.len()).filter(|f| spec.allows_flavor(&world.flavors[*f]));
+        if let (Some(only), None) = (allowed.next(), allowed.next()) {
+            out[only] = true;
+        }
+    }
+    out
+}
+
+impl Pass<'_> {
+    /// Jobs with tasks to place: lowest bin first, then the more urgent, then
+    /// the older.
+    fn queue(&self) -> Vec<JobIx> {
+        let mut queue: Vec<_> = self
+            .world
+            .live
+            .iter()
+            .copied()
+            .filter(|ix| {
+                let j = &self.world.jobs[*ix];
+                j.active()
+                    && (self.world.all_accounted || j.fresh)
+                    && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now)
+            })
+            .map(|ix| {
+                let j = &self.world.jobs[ix];
+                let bin = self.policy.bin(self.policy.effective_deadline_ms(j, self.wall));
+                (bin, std::cmp::Reverse(j.spec.urgency), j.accepted_ms, ix)
+            })
+            .collect();
+        queue.sort_unstable();
+        queue.into_iter().map(|q| q.3).collect()
+    }
+
+    fn within_limit(&self, spec: &Spec, n: f64) -> bool {
+        let Some(team) = self.policy.teams.get(&spec.team) else { return false };
+        let mut total = self.usage.get(&spec.team).copied().unwrap_or_default();
+        total.add(&spec.demand.times(n));
+        // A machine that is not accounted for may be full of this team's tasks.
+        total.add(&self.world.unaccounted);
+        total.fits(&team.limit)
+    }
+
+    fn within_guarantee(&self, spec: &Spec) -> bool {
+        let Some(team) = self.policy.teams.get(&spec.team) else { return false };
+        let mut total = self.usage.get(&spec.team).copied().unwrap_or_default();
+        total.add(&spec.demand);
+        total.gpus <= team.guarantee.gpus + 1e-6
+            && (team.guarantee.cpus <= 0.0 || total.cpus <= team.guarantee.cpus + 1e-6)
+    }
+
+    fn beyond_guarantee(&self, team: &str) -> bool {
+        let used = self.usage.get(team).copied().unwrap_or_default();
+        self.policy.teams.get(team).is_some_and(|t| used.gpus > t.guarantee.gpus + 1e-6)
+    }
+
+    /// Zones in which more tasks of the job may start now, from where its
+    /// tasks are, lingering ones included.
+    fn zone_counts(&self, ix: JobIx) -> BTreeMap<String, u32> {
+        let mut counts = BTreeMap::new();
+        for (_, h) in self.world.each_host() {
+            let n = h.copies.iter().filter(|c| c.key.job == ix && !c.ended()).count() as u32;
+            if n > 0 {
+                *counts.entry(h.zone.clone()).or_insert(0) += n;
+            }
+        }
+        counts
+    }
+
+    /// What the machine has free for the job, less what is held for others.
+    fn free_for(&self, host_ix: HostIx, ix: JobIx) -> Demand {
+        let mut free = self.free[host_ix];
+        if let Some(h) = self.world.host(host_ix) {
+            for c in h.claims.iter().filter(|c| c.job != ix) {
+                free.sub(&c.demand);
+            }
+        }
+        free
+    }
+
+    /// May the job's tasks ever be on this machine, room and zone limits aside?
+    fn allowed(&self, spec: &Spec, h: &Host, counts: &BTreeMap<String, u32>) -> bool {
+        usable(h, self.now)
+            && h.flavor.is_some_and(|f| spec.allows_flavor(&self.world.flavors[f]))
+            && (spec.spot || !h.spot)
+            && spec.allows_zone(&h.zone)
+            && counts.get(&h.zone).copied().unwrap_or(0) < spec.zone_limit()
+            && (!spec.one_zone || counts.is_empty() || counts.contains_key(&h.zone))
+    }
+
+    /// The best machine for a task of the job; the least cost wins.
+    fn best_host(&self, ix: JobIx, counts: &BTreeMap<String, u32>, only_zone: Option<&str>) -> Option<HostIx> {
+        let spec = &self.world.jobs[ix].spec;
+        let mut best: Option<(f64, HostIx)> = None;
+        for (hix, h) in self.world.each_host() {
+            if only_zone.is_some_and(|z| z != h.zone)
+                || !self.allowed(spec, h, counts)
+                || !spec.demand.fits(&self.free_for(hix, ix))
+            {
+                continue;
+            }
+            let cost = self.cost(ix, hix, h);
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, hix));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    fn cost(&self, ix: JobIx, hix: HostIx, h: &Host) -> f64 {
+        let job = &self.world.jobs[ix];
+        let spec = &job.spec;
+        let Some(f) = h.flavor else { return f64::INFINITY };
+        let flavor = &self.world.flavors[f];
+        let fetch = h.fetch_s(&spec.image, spec.image_gb, flavor.fetch_gb_per_s);
+        let deadline = self.policy.soft_deadline_ms(job);
+        let slack = deadline.saturating_sub(self.wall) as f64 / 1000.0 - spec.expected_s;
+        let within = self.policy.waits.get(&spec.class).map_or(self.policy.default_deadline_s.min(60.0), |w| w.0);
+        let mut cost = fetch / within.max(0.1);
+        if fetch > slack.max(0.0) {
+            cost += 3.0;
+        }
+        // Room of one resource that is stranded by lack of another.
+        let spread_of = |free: &Demand| {
+            let (lo, hi) = free.shares(&flavor.cap).fold((1.0f64, 0.0f64), |(l, h), s| (l.min(s), h.max(s)));
+            hi - lo
+        };
+        let before = self.free[hix];
+        let mut after = before;
+        after.sub(&spec.demand);
+        cost += 4.0 * (spread_of(&after) - spread_of(&before));
+        if self.exclusive[f] && self.has_choice(spec, f) {
+            cost += 1.0;
+        }
+        if spec.spot && !h.spot {
+            cost += 1.0;
+        }
+        let mates = h.copies.iter().filter(|c| c.key.job == ix).count() as f64;
+        if spec.shape == Shape::Service {
+            cost += 2.0 * mates;
+        }
+        // Fuller machines first, so that others can be returned.
+        let used = 1.0 - before.shares(&flavor.cap).fold(1.0f64, f64::min);
+        cost - 0.5 * used
+    }
+
+    /// Could the job run on another type than `f`?
+    fn has_choice(&self, spec: &Spec, f: usize) -> bool {
+        self.world.flavors.iter().enumerate().any(|(i, o)| i != f && spec.allows_flavor(o))
+    }
+
+    fn start(&mut self, key: TaskKey, host: HostIx, attempt: u64) {
+        let spec = self.world.jobs[key.job].spec.clone();
+        self.free[host].sub(&spec.demand);
+        self.usage.entry(spec.team.clone()).or_default().add(&spec.demand);
+        let now = self.now;
+        let cache = self.world.host(host).and_then(|h| h.flavor).map_or(0.0, |f| self.world.flavors[f].cache_gb);
+        self.world.jobs[key.job].tasks[key.task as usize].place = Place::On(host, attempt);
+        if let Some(h) = self.world.host_mut(host) {
+            // Room held for this job is used up by its tasks.
+            if let Some(i) = h.claims.iter().position(|c| c.job == key.job) {
+                h.claims[i].demand.sub(&spec.demand);
+                if !spec.demand.fits(&h.claims[i].demand) {
+                    h.claims.remove(i);
+                }
+            }
+            h.use_image(&spec.image, spec.image_gb, cache, now);
+            h.copies.push(Copy {
+                key,
+                attempt,
+                phase: TaskPhase::Sent,
+                since_ms: now,
+                stop: None,
+                risk: None,
+                in_flight: false,
+                stopped_ms: 0,
+            });
+        }
+        self.out.starts.push(Assignment { key, host, attempt });
+    }
+
+    /// Places the idle tasks of an array or service; false if room lacked.
+    fn place_tasks(&mut self, ix: JobIx, attempt: &mut impl FnMut() -> u64) -> bool {
+        let mut counts = self.zone_counts(ix);
+        for n in 0..self.world.jobs[ix].tasks.len() {
+            let t = self.world.jobs[ix].tasks[n];
+            if t.place != Place::Idle || t.retry_ms > self.now {
+                continue;
+            }
+            if !self.within_limit(&self.world.jobs[ix].spec, 1.0) {
+                return true; // waits for its own team, not for room
+            }
+            let Some(host) = self.best_host(ix, &counts, None) else { return false };
+            if let Some(h) = self.world.host(host) {
+                *counts.entry(h.zone.clone()).or_insert(0) += 1;
+            }
+            self.start(TaskKey { job: ix, task: n as u32 }, host, attempt());
+        }
+        true
+    }
+
+    /// Starts a gang whole or not at all; false if room lacked.
+    fn place_gang(&mut self, ix: JobIx, attempt: &mut impl FnMut() -> u64) -> bool {
+        let job = &self.world.jobs[ix];
+        // The next attempt waits until every task of the last one is gone.
+        if job.tasks.iter().any(|t| t.place != Place::Idle || t.retry_ms > self.now) || self.lingers(ix) {
+            return true;
+        }
+        if !self.within_limit(&job.spec, f64::from(job.spec.tasks)) {
+            return true;
+        }
+        let zones: Vec<Option<String>> = if job.spec.one_zone {
+            let mut z: Vec<_> = self.world.each_host().map(|(_, h)| h.zone.clone()).collect();
+            z.sort_unstable();
+            z.dedup();
+            z.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let n = self.world.jobs[ix].spec.tasks;
+        for zone in zones {
+            let saved = self.free.clone();
+            let demand = self.world.jobs[ix].spec.demand;
+            let mut counts = BTreeMap::new();
+            let mut hosts = Vec::new();
+            for _ in 0..n {
+                let Some(h) = self.best_host(ix, &counts, zone.as_deref()) else { break };
+                self.free[h].sub(&demand);
+                if let Some(host) = self.world.host(h) {
+                    *counts.entry(host.zone.clone()).or_insert(0) += 1;
+                }
+                hosts.push(h);
+            }
+            self.free = saved;
+            if hosts.len() == n as usize {
+                let a = attempt();
+                self.world.jobs[ix].gang_attempt = a;
+                for (task, host) in hosts.into_iter().enumerate() {
+                    self.start(TaskKey { job: ix, task: task as u32 }, host, a);
+                }
+                for h in self.world.hosts.iter_mut().flatten() {
+                    h.claims.retain(|c| c.job != ix);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    fn lingers(&self, ix: JobIx) -> bool {
+        self.world.each_host().any(|(_, h)| h.copies.iter().any(|c| c.key.job == ix && !c.ended()))
+    }
+
+    /// Holds room for the leading gang on the machines that are nearest to
+    /// having it, for a bounded time; then others have their turn as long.
+    fn hold_for_gang(&mut self, ix: JobIx) {
+        let hold = self.policy.hold_ms;
+        let now = self.now;
+        let job = &mut self.world.jobs[ix];
+        if now < job.no_hold_until_ms {
+            return;
+        }
+        if job.hold_until_ms == 0 {
+            job.hold_until_ms = now + hold;
+        } else if now >= job.hold_until_ms {
+            job.hold_until_ms = 0;
+            job.no_hold_until_ms = now + hold;
+            for h in self.world.hosts.iter_mut().flatten() {
+                h.claims.retain(|c| c.job != ix);
+            }
+            return;
+        }
+        let until_ms = job.hold_until_ms;
+        let spec = job.spec.clone();
+        let counts = BTreeMap::new();
+        // How many tasks each machine could take if all lesser work left it.
+        let mut by_zone: BTreeMap<String, Vec<(usize, u32, HostIx)>> = BTreeMap::new();
+        for (hix, h) in self.world.each_host() {
+            if !self.allowed(&spec, h, &counts) || h.claims.iter().any(|c| c.job != ix) {
+                continue;
+            }
+            let mut room = self.free[hix];
+            let mut victims = 0;
+            for c in h.copies.iter().filter(|c| !c.ended()) {
+                if c.stop.is_some() || self.may_evict(&spec, c) {
+                    room.add(&self.world.jobs[c.key.job].spec.demand);
+                    victims += usize::from(c.stop.is_none());
+                }
+            }
+            let mut n = 0;
+            while n < spec.tasks && spec.demand.times(f64::from(n + 1)).fits(&room) {
+                n += 1;
+            }
+            if n > 0 {
+                let zone = if spec.one_zone { h.zone.clone() } else { String::new() };
+                by_zone.entry(zone).or_default().push((victims, n, hix));
+            }
+        }
+        for mut hosts in by_zone.into_values() {
+            if hosts.iter().map(|h| h.1).sum::<u32>() < spec.tasks {
+                continue;
+            }
+            hosts.sort_unstable();
+            let mut left = spec.tasks;
+            for (_, n, hix) in hosts {
+                let n = n.min(left);
+                left -= n;
+                let demand = spec.demand.times(f64::from(n));
+                if let Some(h) = self.world.host_mut(hix) {
+                    h.claims.retain(|c| c.job != ix);
+                    h.claims.push(Claim { job: ix, demand, until_ms });
+                }
+                self.evict_for(&spec, hix, &demand);
+                if left == 0 {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// May a task of `spec` push this copy off its machine?
+    fn may_evict(&self, spec: &Spec, c: &Copy) -> bool {
+        let victim = &self.world.jobs[c.key.job].spec;
+        if c.stop.is_some() || c.ended() {
+            return false;
+        }
+        if victim.urgency < spec.urgency {
+            return true;
+        }
+        victim.team != spec.team
+            && victim.shape != Shape::Service
+            && victim.urgency <= spec.urgency.max(Urgency::Normal)
+            && self.within_guarantee(spec)
+            && self.beyond_guarantee(&victim.team)
+    }
+
+    /// Stops lesser work on the machine until `demand` will fit; false if it can't.
+    fn evict_for(&mut self, spec: &Spec, hix: HostIx, demand: &Demand) -> bool {
+        let Some(h) = self.world.host(hix) else { return false };
+        let mut room = self.free[hix];
+        for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_some()) {
+            room.add(&self.world.jobs[c.key.job].spec.demand);
+        }
+        let mut victims: Vec<Copy> = h.copies.iter().filter(|c| self.may_evict(spec, c)).copied().collect();
+        // The least urgent first; of those, the ones that lose least.
+        victims.sort_by_key(|c| (self.world.jobs[c.key.job].spec.urgency, std::cmp::Reverse(c.since_ms)));
+        let mut stops = Vec::new();
+        for c in victims {
+            if demand.fits(&room) {
+                break;
+            }
+            let v = &self.world.jobs[c.key.job].spec;
+            room.add(&v.demand);
+            stops.push((c.key, c.attempt, v.grace_s()));
+        }
+        if !demand.fits(&room) {
+            return false;
+        }
+        for (key, attempt, grace_s) in stops {
+            self.stop_job_part(hix, key, attempt, grace_s);
+        }
+        true
+    }
+
+    /// Orders a stop; a gang stops whole.
+    fn stop_job_part(&mut self, hix: HostIx, key: TaskKey, attempt: u64, grace_s: f64) {
+        let whole = self.world.jobs[key.job].spec.shape == Shape::Gang;
+        let now = self.now;
+        for i in 0..self.world.hosts.len() {
+            let Some(h) = self.world.hosts[i].as_mut() else { continue };
+            for c in h.copies.iter_mut().filter(|c| !c.ended() && c.stop.is_none()) {
+                let same = i == hix && c.key == key && c.attempt == attempt;
+                if same || (whole && c.key.job == key.job) {
+                    c.stop = Some(grace_s);
+                    c.stopped_ms = now;
+                    self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s });
+                }
+            }
+        }
+    }
+
+    /// Preempts lesser work for a job that found no room, on the machine where
+    /// that costs least, and holds the room for it.
+    fn make_room(&mut self, ix: JobIx) {
+        let job = &self.world.jobs[ix];
+        let spec = job.spec.clone();
+        let waiting = job.tasks.iter().filter(|t| t.place == Place::Idle && t.retry_ms <= self.now).count();
+        let claimed = self.world.each_host().filter(|(_, h)| h.claims.iter().any(|c| c.job == ix)).count();
+        let counts = self.zone_counts(ix);
+        for _ in claimed..waiting {
+            let mut best: Option<(usize, f64, HostIx)> = None;
+            for (hix, h) in self.world.each_host() {
+                if !self.allowed(&spec, h, &counts) || !h.claims.is_empty() {
+                    continue;
+                }
+                let mut room = self.free[hix];
+                let mut victims = 0;
+                for c in h.copies.iter().filter(|c| !c.ended()) {
+                    if spec.demand.fits(&room) {
+                        break;
+                    }
+                    if c.stop.is_some() || self.may_evict(&spec, c) {
+                        victims += usize::from(c.stop.is_none());
+                        room.add(&self.world.jobs[c.key.job].spec.demand);
+                    }
+                }
+                let cost = self.cost(ix, hix, h);
+                if spec.demand.fits(&room) && best.is_none_or(|(v, c, _)| (victims, cost) < (v, c)) {
+                    best = Some((victims, cost, hix));
+                }
+            }
+            let Some((_, _, hix)) = best else { return };
+            if !self.evict_for(&spec, hix, &spec.demand) {
+                return;
+            }
+            let until_ms = self.now + self.policy.lease_ms;
+            if let Some(h) = self.world.host_mut(hix) {
+                h.claims.push(Claim { job: ix, demand: spec.demand, until_ms });
+            }
+        }
+    }
+}
+
+/// May tasks be placed on the machine now?
+pub fn usable(h: &Host, now: u64) -> bool {
+    h.registered
+        && h.accounted
+        && !h.strays
+        && !h.notice
+        && !h.releasing
+        && h.blocked_until_ms <= now
+        && h.failed_jobs.len() < SHUNNED
+        && h.addr.is_some()
+}
+
+/// A machine on which tasks of this many jobs failed is shunned.
+pub const SHUNNED: usize = 3;
+
+/// Machines that were asked for and are not up yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Coming {
+    pub flavor: usize,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A request for machines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rental {
+    pub flavor: usize,
+    pub zone: String,
+    pub spot: bool,
+    pub count: usize,
+}
+
+/// Arrivals of a class, as seen so far.
+#[derive(Debug, Clone)]
+pub struct ClassFlow {
+    /// A recent job of the class, with nothing placed.
+    pub spec: Spec,
+    /// Tasks that arrive in a second, and the mean of the squared job sizes
+    /// over the mean size.
+    pub rate: f64,
+    pub burst: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Plan {
+    pub rent: Vec<Rental>,
+    /// Machines that nothing waiting or expected needs.
+    pub spare: Vec<HostIx>,
+}
+
+struct Bin {
+    free: Demand,
+    flavor: usize,
+    zone: String,
+    spot: bool,
+    host: Option<HostIx>,
+    used: bool,
+}
+
+/// What to rent and what could be returned: the waiting tasks, then the
+/// arrivals expected during a boot, are fitted into free room, machines that
+/// are coming, and new ones.
+pub fn plan(
+    world: &World,
+    policy: &Policy,
+    now: u64,
+    unplaced: &[JobIx],
+    flows: &[ClassFlow],
+    coming: &[Coming],
+    refused: &dyn Fn(usize, &str, bool) -> bool,
+) -> Plan {
+    let mut bins: Vec<Bin> = Vec::new();
+    for (hix, h) in world.each_host() {
+        let Some(flavor) = h.flavor else { continue };
+        if !usable(h, now) {
+            continue;
+        }
+        let free = world.free(h);
+        let used = !h.copies.is_empty() || !h.claims.is_empty();
+        bins.push(Bin { free, flavor, zone: h.zone.clone(), spot: h.spot, host: Some(hix), used });
+    }
+    for c in coming {
+        let free = world.flavors[c.flavor].cap;
+        bins.push(Bin { free, flavor: c.flavor, zone: c.zone.clone(), spot: c.spot, host: None, used: true });
+    }
+    let have = bins.len();
+    for ix in unplaced {
+        let job = &world.jobs[*ix];
+        let n = job.tasks.iter().filter(|t| t.place == Place::Idle).count();
+        fit(world, &mut bins, &job.spec, n, refused);
+    }
+    for flow in flows {
+        let boot_s = world.flavors.iter().filter(|f| flow.spec.allows_flavor(f)).map(|f| f.boot_s).fold(0.0, f64::max);
+        let share = policy.waits.get(&flow.spec.class).map_or(0.9, |w| w.1);
+        // Arrivals and departures during a boot both vary; room for the
+        // spread that the class's objective asks for.
+        let mean = flow.rate * boot_s;
+        let spread = (2.0 * mean * flow.burst).sqrt();
+        let n = (policy.headroom * z_score(share) * spread).ceil() as usize;
+        fit(world, &mut bins, &flow.spec, n, refused);
+    }
+    let mut rent: Vec<Rental> = Vec::new();
+    for b in &bins[have..] {
+        match rent.iter_mut().find(|r| r.flavor == b.flavor && r.zone == b.zone && r.spot == b.spot) {
+            Some(r) => r.count += 1,
+            None => rent.push(Rental { flavor: b.flavor, zone: b.zone.clone(), spot: b.spot, count: 1 }),
+        }
+    }
+    let spare = bins.iter().filter(|b| !b.used).filter_map(|b| b.host).collect();
+    Plan { rent, spare }
+}
+
+/// Fits `n` tasks like `spec` into the bins; opens new ones where needed.
+fn fit(world: &World, bins: &mut Vec<Bin>, spec: &Spec, n: usize, refused: &dyn Fn(usize, &str, bool) -> bool) {
+    let mut zones: HashMap<String, u32> = HashMap::new();
+    let limit = spec.zone_limit();
+    for _ in 0..n {
+        let fits = |b: &Bin, zones: &HashMap<String, u32>| {
+            spec.demand.fits(&b.free)
+                && (spec.spot || !b.spot)
+                && spec.allows_zone(&b.zone)
+                && spec.allows_flavor(&world.flavors[b.flavor])
+                && zones.get(&b.zone).copied().unwrap_or(0) < limit
+        };
+        // Machines in use first, so that idle ones are not called needed.
+        let found = (0..bins.len()).filter(|i| fits(&bins[*i], &zones)).min_by_key(|i| (!bins[*i].used, *i));
+        let i = match found {
+            Some(i) => i,
+            None => match cheapest(world, spec, &zones, refused) {
+                Some(b) => {
+                    bins.push(b);
+                    bins.len() - 1
+                }
+                None => return,
+            },
+        };
+        bins[i].free.sub(&spec.demand);
+        bins[i].used = true;
+        *zones.entry(bins[i].zone.clone()).or_insert(0) += 1;
+    }
+}
+
+/// The machine to rent on which a task like `spec` costs least.
+fn cheapest(
+    world: &World,
+    spec: &Spec,
+    zones: &HashMap<String, u32>,
+    refused: &dyn Fn(usize, &str, bool) -> bool,
+) -> Option<Bin> {
+    let mut best: Option<(f64, u32, Bin)> = None;
+    for (i, f) in world.flavors.iter().enumerate().filter(|(_, f)| spec.allows_flavor(f)) {
+        let per = f.cap.shares(&spec.demand).fold(f64::INFINITY, f64::min).floor().max(1.0);
+        for zone in f.zones.iter().filter(|z| spec.allows_zone(z)) {
+            let there = zones.get(zone).copied().unwrap_or(0);
+            if there >= spec.zone_limit() {
+                continue;
+            }
+            for spot in [false, true] {
+                if (spot && !spec.spot) || refused(i, zone, spot) {
+                    continue;
+                }
+                let price = f.price(spot) / per;
+                if best.as_ref().is_none_or(|(p, t, _)| (price, there) < (*p, *t)) {
+                    let bin = Bin { free: f.cap, flavor: i, zone: zone.clone(), spot, host: None, used: true };
+                    best = Some((price, there, bin));
+                }
+            }
+        }
+    }
+    best.map(|b| b.2)
+}
+
+/// Standard deviations that leave `1 - share` above them (a plain fit of the
+/// normal quantile, good to 0.005 for shares from 0.5 to 0.999).
+fn z_score(share: f64) -> f64 {
+    let t = (-2.0 * (1.0 - share.clamp(0.5, 0.999)).ln()).sqrt();
+    t - (2.30753 + 0.27061 * t) / (1.0 + 0.99229 * t + 0.04481 * t * t)
+}
