--- a/src/holder.rs
+++ b/src/holder.rs
@@ -7,7 +7,7 @@
 use crate::leader::{CloudOp, Leader};
 use crate::membership::{self, Entitlement, Tenancy};
 use crate::model::{Flavor, HostIx};
-use crate::part::{CommitResult, Direct, DirectResult, Part, UserAnswer, Via, Waiter};
+use crate::part::{CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
 use crate::peer::Ask;
 use crate::sched::Policy;
 use crate::wire::{self, Item, Listed, Order, Report};
@@ -230,7 +230,7 @@
                 match h.part.committed(result, now) {
                     Ok(keys) if !keys.is_empty() => self.reread(n, keys),
                     Ok(_) => {}
-                    Err(()) => {
+                    Err(Superseded) => {
                         h.loaded = false;
                         self.entitled.set(0);
                         let _ = self.superseded.try_send(membership::Msg::Superseded);
@@ -424,17 +424,17 @@
             let mut known = known;
             let mut round = 0u32;
             loop {
-                if round.is_multiple_of(8) || known.is_empty() {
-                    if let Some(flavors) = cloud.flavors().await {
-                        if known.len() != flavors.len()
-                            && let Ok(v) = serde_json::to_value(&flavors)
-                        {
-                            state.commit(&[], &[wire::put(FLAVORS_KEY, &v, None)]).await;
-                        }
-                        known.clone_from(&flavors);
-                        if tx.send(Msg::Flavors(n, flavors)).await.is_err() {
-                            return;
-                        }
+                if (round.is_multiple_of(8) || known.is_empty())
+                    && let Some(flavors) = cloud.flavors().await
+                {
+                    if known.len() != flavors.len()
+                        && let Ok(v) = serde_json::to_value(&flavors)
+                    {
+                        state.commit(&[], &[wire::put(FLAVORS_KEY, &v, None)]).await;
+                    }
+                    known.clone_from(&flavors);
+                    if tx.send(Msg::Flavors(n, flavors)).await.is_err() {
+                        return;
                     }
                 }
                 if let Some(list) = cloud.list().await
--- a/src/http.rs
+++ b/src/http.rs
@@ -99,7 +99,7 @@
 async fn read_message<T>(
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
-    parse: impl Fn(&[u8]) -> Result<Option<(T, Frame)>, u16>,
+    parse: impl Fn(&[u8]) -> Parsed<T>,
 ) -> Result<(T, Vec<u8>, bool), ReadError> {
     let mut chunk = [0u8; 8192];
     loop {
@@ -132,7 +132,10 @@
     Refused(u16),
 }
 
-fn parse_request(buf: &[u8]) -> Result<Option<((String, String), Frame)>, u16> {
+/// A head that has arrived whole, with its frame; none if more must come.
+type Parsed<T> = Result<Option<(T, Frame)>, u16>;
+
+fn parse_request(buf: &[u8]) -> Parsed<(String, String)> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut req = httparse::Request::new(&mut headers);
     match req.parse(buf) {
@@ -147,7 +150,7 @@
     }
 }
 
-fn parse_reply(buf: &[u8]) -> Result<Option<(u16, Frame)>, u16> {
+fn parse_reply(buf: &[u8]) -> Parsed<u16> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut rep = httparse::Response::new(&mut headers);
     match rep.parse(buf) {
--- a/src/part.rs
+++ b/src/part.rs
@@ -72,6 +72,10 @@
     Unclear,
 }
 
+/// The part has another holder, or none: its key is not as it was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Superseded;
+
 /// What a user is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum UserAnswer {
@@ -396,7 +400,7 @@
 
     /// Takes the result of the commit under way; returns the keys of jobs
     /// whose records must be read again, or `Err` if the part is lost.
-    pub fn committed(&mut self, result: CommitResult, now: u64) -> Result<Vec<String>, ()> {
+    pub fn committed(&mut self, result: CommitResult, now: u64) -> Result<Vec<String>, Superseded> {
         let saved = self.in_flight.take().unwrap_or_default();
         let mut reread = Vec::new();
         match result {
@@ -417,7 +421,7 @@
             }
             CommitResult::Conflict { failed } => {
                 if failed.contains(&self.part_key) {
-                    return Err(());
+                    return Err(Superseded);
                 }
                 reread = failed.into_iter().filter(|k| k.starts_with("job/")).collect();
             }
