--- a/src/holder.rs
+++ b/src/holder.rs
@@ -329,7 +329,7 @@
             h.next_plan_ms = now + report / 2;
             // A waiting task's back-off may have ended, or a hold.
             h.part.stirred = true;
-            let ops = h.leader.plan(&h.part, now, clock::wall_ms());
+            let ops = h.leader.plan(&mut h.part, now, clock::wall_ms());
             for op in ops {
                 self.cloud_op(h, op);
             }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -49,7 +49,7 @@
 
     /// Plans rentals and returns. Nothing is rented before the list was read
     /// once: the last leader's machines may be on their way.
-    pub fn plan(&mut self, part: &Part, now: u64, wall: u64) -> Vec<CloudOp> {
+    pub fn plan(&mut self, part: &mut Part, now: u64, wall: u64) -> Vec<CloudOp> {
         let world = &part.world;
         let mut ops = Vec::new();
         if !self.listed_once || world.flavors.is_empty() || !world.all_accounted {
@@ -85,11 +85,14 @@
             })
             .collect();
         for (_, h) in world.each_host() {
-            if h.copies.is_empty() && (h.notice || h.failed_jobs.len() >= sched::SHUNNED) {
+            if h.copies.is_empty() && (h.notice || h.draining || h.failed_jobs.len() >= sched::SHUNNED) {
                 idle.push(h.id.clone());
             }
         }
         ops.extend(self.release(idle));
+        if let Some(d) = &plan.drain {
+            part.drain(d, now);
+        }
         ops
     }
 
--- a/src/model.rs
+++ b/src/model.rs
@@ -222,6 +222,8 @@
     pub strays: bool,
     pub notice: bool,
     pub releasing: bool,
+    /// Being emptied, to be returned.
+    pub draining: bool,
     /// A probe, or release, is on its way since then.
     pub probed_ms: u64,
     pub do_in_flight: bool,
@@ -253,6 +255,7 @@
             strays: false,
             notice: false,
             releasing: false,
+            draining: false,
             probed_ms: 0,
             do_in_flight: false,
             do_after_ms: 0,
--- a/src/part.rs
+++ b/src/part.rs
@@ -962,6 +962,9 @@
             self.kick.insert(s.host);
         }
         self.unplaced = out.unplaced;
+        if !self.unplaced.is_empty() {
+            self.undrain();
+        }
     }
 
     /// Looks after silent machines; returns those to be released, and those to
@@ -1020,6 +1023,36 @@
         (release, probe)
     }
 
+    /// Begins to empty a machine: each replica is stopped with room held for it
+    /// where it goes.
+    pub fn drain(&mut self, d: &sched::Drain, now: u64) {
+        let until_ms = now + self.policy.lease_ms;
+        let Some(h) = self.world.host_mut(d.host) else { return };
+        h.draining = true;
+        tracing::info!(host = h.id, moves = d.moves.len(), "emptying a machine");
+        for (key, attempt, _) in &d.moves {
+            if let Some(c) = h.copy_mut(*key, *attempt) {
+                c.stop = Some(0.0);
+                c.stopped_ms = now;
+            }
+        }
+        self.kick.insert(d.host);
+        for (key, _, to) in &d.moves {
+            let demand = self.world.jobs[key.job].spec.demand;
+            if let Some(h) = self.world.host_mut(*to) {
+                h.claims.push(Claim { job: key.job, demand, until_ms });
+            }
+        }
+    }
+
+    /// Takes machines that were being emptied into use again.
+    fn undrain(&mut self) {
+        for h in self.world.hosts.iter_mut().flatten().filter(|h| h.draining && !h.releasing) {
+            h.draining = false;
+            self.stirred = true;
+        }
+    }
+
     /// Marks a machine for release; true if it was not marked yet.
     pub fn mark_releasing(&mut self, id: &str) -> bool {
         let Some(&hix) = self.world.host_ix.get(id) else { return true };
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -129,6 +129,9 @@
     pub unplaced: Vec<JobIx>,
 }
 
+/// Copies that would leave a machine, and where those go that are moved.
+type Leavers = Vec<(Copy, Option<HostIx>)>;
+
 /// Scratch values of one pass.
 struct Pass<'a> {
     world: &'a mut World,
@@ -478,33 +481,28 @@
         let spec = job.spec.clone();
         let counts = BTreeMap::new();
         // How many tasks each machine could take if all lesser work left it.
-        let mut by_zone: BTreeMap<String, Vec<(usize, u32, HostIx)>> = BTreeMap::new();
+        let mut by_zone: BTreeMap<String, Vec<(f64, u32, HostIx)>> = BTreeMap::new();
         for (hix, h) in self.world.each_host() {
             if !self.allowed(&spec, h, &counts) || h.claims.iter().any(|c| c.job != ix) {
                 continue;
             }
-            let mut room = self.free[hix];
-            let mut victims = 0;
-            for c in h.copies.iter().filter(|c| !c.ended()) {
-                if c.stop.is_some() || self.may_evict(&spec, c) {
-                    room.add(&self.world.jobs[c.key.job].spec.demand);
-                    victims += usize::from(c.stop.is_none());
-                }
-            }
             let mut n = 0;
-            while n < spec.tasks && spec.demand.times(f64::from(n + 1)).fits(&room) {
+            let mut cost = 0.0;
+            while n < spec.tasks {
+                let Some((c, _)) = self.vacate(&spec, hix, &spec.demand.times(f64::from(n + 1))) else { break };
+                cost = c;
                 n += 1;
             }
             if n > 0 {
                 let zone = if spec.one_zone { h.zone.clone() } else { String::new() };
-                by_zone.entry(zone).or_default().push((victims, n, hix));
+                by_zone.entry(zone).or_default().push((cost / f64::from(n), n, hix));
             }
         }
         for mut hosts in by_zone.into_values() {
             if hosts.iter().map(|h| h.1).sum::<u32>() < spec.tasks {
                 continue;
             }
-            hosts.sort_unstable();
+            hosts.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut left = spec.tasks;
             for (_, n, hix) in hosts {
                 let n = n.min(left);
@@ -514,7 +512,9 @@
                     h.claims.retain(|c| c.job != ix);
                     h.claims.push(Claim { job: ix, demand, until_ms });
                 }
-                self.evict_for(&spec, hix, &demand);
+                if let Some((_, leave)) = self.vacate(&spec, hix, &demand) {
+                    self.clear(hix, &leave);
+                }
                 if left == 0 {
                     return;
                 }
@@ -538,32 +538,83 @@
             && self.beyond_guarantee(&victim.team)
     }
 
-    /// Stops lesser work on the machine until `demand` will fit; false if it can't.
-    fn evict_for(&mut self, spec: &Spec, hix: HostIx, demand: &Demand) -> bool {
-        let Some(h) = self.world.host(hix) else { return false };
+    /// A machine with free room and the image for a running replica, so that
+    /// moving it there costs it next to nothing. `taken` is promised already.
+    fn refuge(&self, from: HostIx, c: &Copy, taken: &[(HostIx, Demand)]) -> Option<HostIx> {
+        let spec = &self.world.jobs[c.key.job].spec;
+        if spec.shape != Shape::Service || !c.running() || c.stop.is_some() {
+            return None;
+        }
+        let here = self.world.host(from)?;
+        let mut counts = self.zone_counts(c.key.job);
+        if let Some(n) = counts.get_mut(&here.zone) {
+            *n -= 1;
+        }
+        let mut best: Option<(f64, HostIx)> = None;
+        for (hix, h) in self.world.each_host() {
+            let ready = h.images.iter().any(|i| i.ready && i.name == spec.image);
+            if hix == from || !ready || !self.allowed(spec, h, &counts) {
+                continue;
+            }
+            let mut room = self.free[hix];
+            for d in h.claims.iter().map(|c| &c.demand).chain(taken.iter().filter(|t| t.0 == hix).map(|t| &t.1)) {
+                room.sub(d);
+            }
+            if spec.demand.fits(&room) {
+                let cost = self.cost(c.key.job, hix, h);
+                if best.is_none_or(|b| cost < b.0) {
+                    best = Some((cost, hix));
+                }
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    /// What would have to leave the machine so that `demand` fits, and where
+    /// to, if it is moved; with a measure of what that costs.
+    fn vacate(&self, spec: &Spec, hix: HostIx, demand: &Demand) -> Option<(f64, Leavers)> {
+        let h = self.world.host(hix)?;
         let mut room = self.free[hix];
         for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_some()) {
             room.add(&self.world.jobs[c.key.job].spec.demand);
         }
-        let mut victims: Vec<Copy> = h.copies.iter().filter(|c| self.may_evict(spec, c)).copied().collect();
+        let mut victims: Vec<&Copy> = h.copies.iter().filter(|c| !c.ended() && c.stop.is_none()).collect();
         // The least urgent first; of those, the ones that lose least.
         victims.sort_by_key(|c| (self.world.jobs[c.key.job].spec.urgency, std::cmp::Reverse(c.since_ms)));
-        let mut stops = Vec::new();
+        let mut leave = Vec::new();
+        let mut taken = Vec::new();
+        let mut cost = 0.0;
         for c in victims {
             if demand.fits(&room) {
                 break;
             }
             let v = &self.world.jobs[c.key.job].spec;
+            if let Some(to) = self.refuge(hix, c, &taken) {
+                taken.push((to, v.demand));
+                leave.push((*c, Some(to)));
+                cost += 0.3;
+            } else if self.may_evict(spec, c) {
+                leave.push((*c, None));
+                cost += 1.0;
+            } else {
+                continue;
+            }
             room.add(&v.demand);
-            stops.push((c.key, c.attempt, v.grace_s()));
         }
-        if !demand.fits(&room) {
-            return false;
-        }
-        for (key, attempt, grace_s) in stops {
-            self.stop_job_part(hix, key, attempt, grace_s);
+        demand.fits(&room).then_some((cost, leave))
+    }
+
+    /// Carries out what `vacate` found.
+    fn clear(&mut self, hix: HostIx, leave: &[(Copy, Option<HostIx>)]) {
+        let until_ms = self.now + self.policy.lease_ms;
+        for (c, to) in leave {
+            let spec = &self.world.jobs[c.key.job].spec;
+            let (demand, grace_s) = (spec.demand, spec.grace_s());
+            if let Some(h) = to.and_then(|t| self.world.host_mut(t)) {
+                h.claims.push(Claim { job: c.key.job, demand, until_ms });
+            }
+            self.stop_job_part(hix, c.key, c.attempt, grace_s);
         }
-        true
     }
 
     /// Orders a stop; a gang stops whole.
@@ -592,31 +643,19 @@
         let claimed = self.world.each_host().filter(|(_, h)| h.claims.iter().any(|c| c.job == ix)).count();
         let counts = self.zone_counts(ix);
         for _ in claimed..waiting {
-            let mut best: Option<(usize, f64, HostIx)> = None;
+            let mut best: Option<(f64, HostIx, Leavers)> = None;
             for (hix, h) in self.world.each_host() {
                 if !self.allowed(&spec, h, &counts) || !h.claims.is_empty() {
                     continue;
                 }
-                let mut room = self.free[hix];
-                let mut victims = 0;
-                for c in h.copies.iter().filter(|c| !c.ended()) {
-                    if spec.demand.fits(&room) {
-                        break;
-                    }
-                    if c.stop.is_some() || self.may_evict(&spec, c) {
-                        victims += usize::from(c.stop.is_none());
-                        room.add(&self.world.jobs[c.key.job].spec.demand);
-                    }
-                }
-                let cost = self.cost(ix, hix, h);
-                if spec.demand.fits(&room) && best.is_none_or(|(v, c, _)| (victims, cost) < (v, c)) {
-                    best = Some((victims, cost, hix));
+                let Some((lost, leave)) = self.vacate(&spec, hix, &spec.demand) else { continue };
+                let cost = lost + 0.2 * self.cost(ix, hix, h);
+                if best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, hix, leave));
                 }
             }
-            let Some((_, _, hix)) = best else { return };
-            if !self.evict_for(&spec, hix, &spec.demand) {
-                return;
-            }
+            let Some((_, hix, leave)) = best else { return };
+            self.clear(hix, &leave);
             let until_ms = self.now + self.policy.lease_ms;
             if let Some(h) = self.world.host_mut(hix) {
                 h.claims.push(Claim { job: ix, demand: spec.demand, until_ms });
@@ -632,6 +671,7 @@
         && !h.strays
         && !h.notice
         && !h.releasing
+        && !h.draining
         && h.blocked_until_ms <= now
         && h.failed_jobs.len() < SHUNNED
         && h.addr.is_some()
@@ -673,6 +713,15 @@
     pub rent: Vec<Rental>,
     /// Machines that nothing waiting or expected needs.
     pub spare: Vec<HostIx>,
+    /// A machine whose work fits elsewhere, so that it can be returned.
+    pub drain: Option<Drain>,
+}
+
+/// A machine to be emptied: its replicas move, the rest runs out.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Drain {
+    pub host: HostIx,
+    pub moves: Vec<(TaskKey, u64, HostIx)>,
 }
 
 struct Bin {
@@ -717,8 +766,12 @@
         fit(world, &mut bins, &job.spec, n, refused);
     }
     for flow in flows {
-        let boot_s = world.flavors.iter().filter(|f| flow.spec.allows_flavor(f)).map(|f| f.boot_s).fold(0.0, f64::max);
+        let allowed = world.flavors.iter().filter(|f| flow.spec.allows_flavor(f));
+        let boot_s = allowed.map(|f| f.boot_s).reduce(f64::min).unwrap_or(0.0);
         let share = policy.waits.get(&flow.spec.class).map_or(0.9, |w| w.1);
+        // Work that may wait needs room ahead only as far as a boot is longer.
+        let patience_s = flow.spec.due_s.map_or(0.0, |d| d - flow.spec.expected_s);
+        let boot_s = (boot_s - patience_s).max(0.0);
         // Arrivals and departures during a boot both vary; room for the
         // spread that the class's objective asks for.
         let mean = flow.rate * boot_s;
@@ -734,17 +787,27 @@
         }
     }
     let spare = bins.iter().filter(|b| !b.used).filter_map(|b| b.host).collect();
-    Plan { rent, spare }
+    bins.truncate(have);
+    let drain = if unplaced.is_empty() && rent.is_empty() { consolidate(world, &bins) } else { None };
+    Plan { rent, spare, drain }
 }
 
 /// Fits `n` tasks like `spec` into the bins; opens new ones where needed.
 fn fit(world: &World, bins: &mut Vec<Bin>, spec: &Spec, n: usize, refused: &dyn Fn(usize, &str, bool) -> bool) {
     let mut zones: HashMap<String, u32> = HashMap::new();
     let limit = spec.zone_limit();
+    // Work that may run on cheap machines leaves the others alone while there
+    // are any to be had.
+    let only_spot =
+        spec.spot
+            && world.flavors.iter().enumerate().any(|(i, f)| {
+                spec.allows_flavor(f) && f.zones.iter().any(|z| spec.allows_zone(z) && !refused(i, z, true))
+            });
     for _ in 0..n {
         let fits = |b: &Bin, zones: &HashMap<String, u32>| {
             spec.demand.fits(&b.free)
                 && (spec.spot || !b.spot)
+                && (b.spot || !only_spot)
                 && spec.allows_zone(&b.zone)
                 && spec.allows_flavor(&world.flavors[b.flavor])
                 && zones.get(&b.zone).copied().unwrap_or(0) < limit
@@ -797,6 +860,82 @@
     best.map(|b| b.2)
 }
 
+/// Least cost of a task on machines that are full of its like.
+fn least_cost(world: &World, spec: &Spec) -> f64 {
+    let per_task = |f: &Flavor| f.price / f.cap.shares(&spec.demand).fold(f64::INFINITY, f64::min).floor().max(1.0);
+    world.flavors.iter().filter(|f| spec.allows_flavor(f)).map(per_task).fold(f64::INFINITY, f64::min)
+}
+
+/// A machine is worth emptying while its work would cost less than this share
+/// of its price elsewhere.
+const WASTEFUL: f64 = 0.5;
+
+/// The most wasteful machine whose replicas all fit, with their images ready,
+/// on machines that are used better. `bins` holds what is free beyond all that
+/// is waiting or expected.
+fn consolidate(world: &World, bins: &[Bin]) -> Option<Drain> {
+    // One at a time: what moves is down for a moment.
+    if world.each_host().any(|(_, h)| h.draining && !h.copies.is_empty()) {
+        return None;
+    }
+    let mut costs: HashMap<&str, f64> = HashMap::new();
+    let mut worth: Vec<(f64, HostIx)> = Vec::new();
+    for b in bins {
+        let Some((hix, h)) = b.host.and_then(|i| Some((i, world.host(i)?))) else { continue };
+        let value: f64 = h
+            .copies
+            .iter()
+            .map(|c| {
+                let spec = &world.jobs[c.key.job].spec;
+                *costs.entry(&spec.class).or_insert_with(|| least_cost(world, spec))
+            })
+            .sum();
+        worth.push((value / world.flavors[b.flavor].price(h.spot).max(1e-6), hix));
+    }
+    worth.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let rank: HashMap<HostIx, f64> = worth.iter().map(|w| (w.1, w.0)).collect();
+    worth
+        .iter()
+        .filter(|w| w.0 > 0.0 && w.0 < WASTEFUL)
+        .find_map(|(w, hix)| drain_of(world, bins, *hix, &|to| rank.get(&to).is_some_and(|r| r > w)))
+}
+
+fn drain_of(world: &World, bins: &[Bin], host: HostIx, better: &dyn Fn(HostIx) -> bool) -> Option<Drain> {
+    let h = world.host(host)?;
+    let mut free: Vec<Demand> = bins.iter().map(|b| b.free).collect();
+    let mut moves = Vec::new();
+    for c in h.copies.iter().filter(|c| !c.ended()) {
+        let spec = &world.jobs[c.key.job].spec;
+        if spec.shape == Shape::Gang || c.stop.is_some() || !c.running() {
+            return None;
+        }
+        if spec.shape == Shape::Batch {
+            continue;
+        }
+        let mut there: HashMap<&str, u32> = HashMap::new();
+        for (i, o) in world.each_host() {
+            let n = o.copies.iter().filter(|o| o.key.job == c.key.job && !o.ended()).count() as u32;
+            *there.entry(&o.zone).or_insert(0) += n - u32::from(i == host);
+        }
+        let to = (0..bins.len()).find(|i| {
+            let b = &bins[*i];
+            let Some(o) = b.host.and_then(|o| world.host(o)) else { return false };
+            b.host.is_some_and(better)
+                && spec.demand.fits(&free[*i])
+                && (spec.spot || !b.spot)
+                && spec.allows_flavor(&world.flavors[b.flavor])
+                && spec.allows_zone(&b.zone)
+                && there.get(b.zone.as_str()).copied().unwrap_or(0) < spec.zone_limit()
+                && (!spec.one_zone || b.zone == h.zone)
+                && o.claims.is_empty()
+                && o.images.iter().any(|im| im.ready && im.name == spec.image)
+        })?;
+        free[to].sub(&spec.demand);
+        moves.push((c.key, c.attempt, bins[to].host?));
+    }
+    Some(Drain { host, moves })
+}
+
 /// Standard deviations that leave `1 - share` above them (a plain fit of the
 /// normal quantile, good to 0.005 for shares from 0.5 to 0.999).
 fn z_score(share: f64) -> f64 {
