Urgency before bins; guarantees with hysteresis; reserved slots; cached hosts cleared

Cause: in lanna's first minute 3500 stops, as teams near their guarantees took the same room from each other and lesser work was started only to be stopped; later, cold images made chat replicas and call-outs late. Excluded: slow decisions (p90 11 ms).

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -50,6 +50,8 @@
     /// Plans rentals and returns. Nothing is rented before the list was read
     /// once: the last leader's machines may be on their way.
     pub fn plan(&mut self, part: &mut Part, now: u64, wall: u64) -> Vec<CloudOp> {
+        let flows = flows(part, wall);
+        part.world.reserves = sched::reserves(&part.world, &part.policy, &flows);
         let world = &part.world;
         let mut ops = Vec::new();
         if !self.listed_once || world.flavors.is_empty() || !world.all_accounted {
@@ -62,7 +64,7 @@
             coming.extend(std::iter::repeat_n(one, r.count));
         }
         let refused = &self.refused;
-        let plan = sched::plan(world, &part.policy, now, &part.unplaced, &flows(part, wall), &coming, &|f, z, s| {
+        let plan = sched::plan(world, &part.policy, now, &part.unplaced, &flows, &coming, &|f, z, s| {
             refused.get(&(f, z.to_string(), s)).is_some_and(|r| now < r.0)
         });
         for mut rental in plan.rent {
--- a/src/model.rs
+++ b/src/model.rs
@@ -407,6 +407,15 @@
     }
 }
 
+/// Room on a machine type that a class can't do without.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reserve {
+    pub class: String,
+    pub flavor: usize,
+    pub demand: Demand,
+    pub tasks: f64,
+}
+
 /// Everything that one part knows.
 #[derive(Debug, Default)]
 pub struct World {
@@ -417,6 +426,8 @@
     pub flavors: Vec<Flavor>,
     /// Jobs that are not over.
     pub live: Vec<JobIx>,
+    /// Room that classes with one machine type alone are expected to need.
+    pub reserves: Vec<Reserve>,
     /// What machines that are not accounted for may hold.
     pub unaccounted: Demand,
     /// False until every machine of the last holder is accounted for.
--- a/src/part.rs
+++ b/src/part.rs
@@ -944,13 +944,20 @@
             let waited = wall.saturating_sub(job.accepted_ms);
             self.metrics.observe("decision_ms", &job.spec.class, waited);
             if let Some(h) = self.world.host(s.host) {
+                let fetch_s =
+                    h.flavor.map_or(0.0, |f| job.spec.image_gb / self.world.flavors[f].fetch_gb_per_s.max(1e-3));
+                let cached = h.images.iter().any(|i| i.ready && i.name == job.spec.image);
                 tracing::debug!(
                     job = job.spec.id,
+                    class = job.spec.class,
                     task = s.key.task,
                     attempt = s.attempt,
                     host = h.id,
                     term = self.term,
                     waited,
+                    cached,
+                    fetch_s,
+                    spot = h.spot,
                     "start"
                 );
             }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -140,8 +140,10 @@
     wall: u64,
     free: Vec<Demand>,
     usage: HashMap<String, Demand>,
-    /// Flavors that some live job depends on alone.
-    exclusive: Vec<bool>,
+    /// What they will take once all that is being stopped is gone.
+    staying: HashMap<String, Demand>,
+    /// Classes whose one machine type has no more room than is expected to be needed.
+    scarce: HashSet<String>,
     out: Outcome,
 }
 
@@ -151,10 +153,12 @@
     for host in world.hosts.iter_mut().flatten() {
         host.claims.retain(|c| c.until_ms > now);
     }
-    let free = world.hosts.iter().map(|h| h.as_ref().map_or(Demand::default(), |h| world.free(h))).collect();
+    let free: Vec<Demand> =
+        world.hosts.iter().map(|h| h.as_ref().map_or(Demand::default(), |h| world.free(h))).collect();
     let mut p = Pass {
-        usage: usage(world),
-        exclusive: exclusive(world),
+        usage: usage(world, false),
+        staying: usage(world, true),
+        scarce: scarce(world, &free, now),
         free,
         world,
         policy,
@@ -181,11 +185,12 @@
     p.out
 }
 
-/// What each team's copies take, fetching ones included.
-pub fn usage(world: &World) -> HashMap<String, Demand> {
+/// What each team's copies take, fetching ones included; `staying` leaves out
+/// those that are being stopped.
+pub fn usage(world: &World, staying: bool) -> HashMap<String, Demand> {
     let mut usage: HashMap<String, Demand> = HashMap::new();
     for (_, h) in world.each_host() {
-        for c in h.copies.iter().filter(|c| !c.ended()) {
+        for c in h.copies.iter().filter(|c| !c.ended() && !(staying && c.stop.is_some())) {
             let spec = &world.jobs[c.key.job].spec;
             match usage.get_mut(&spec.team) {
                 Some(u) => u.add(&spec.demand),
@@ -198,25 +203,45 @@
     usage
 }
 
-fn exclusive(world: &World) -> Vec<bool> {
-    let mut out = vec![false; world.flavors.len()];
-    let mut seen: HashSet<&str> = HashSet::new();
-    for ix in &world.live {
-        let spec = &world.jobs[*ix].spec;
-        if !seen.insert(&spec.class) {
-            continue;
-        }
+/// Classes that can run on one machine type alone and have hardly room there.
+fn scarce(world: &World, free: &[Demand], now: u64) -> HashSet<String> {
+    let slots = |r: &Reserve| -> f64 {
+        let hosts = world.each_host().filter(|(_, h)| h.flavor == Some(r.flavor) && usable(h, now));
+        hosts.map(|(i, _)| free[i].shares(&r.demand).fold(f64::INFINITY, f64::min).max(0.0).floor()).sum()
+    };
+    world.reserves.iter().filter(|r| slots(r) <= r.tasks).map(|r| r.class.clone()).collect()
+}
+
+/// The reserves that follow from the arrivals seen.
+pub fn reserves(world: &World, policy: &Policy, flows: &[ClassFlow]) -> Vec<Reserve> {
+    let only = |spec: &Spec| {
         let mut allowed = (0..world.flavors.len()).filter(|f| spec.allows_flavor(&world.flavors[*f]));
-        if let (Some(only), None) = (allowed.next(), allowed.next()) {
-            out[only] = true;
-        }
-    }
-    out
+        allowed.next().filter(|_| allowed.next().is_none())
+    };
+    let reserve = |f: &ClassFlow| {
+        let (class, demand) = (f.spec.class.clone(), f.spec.demand);
+        Some(Reserve { class, flavor: only(&f.spec)?, demand, tasks: headroom(world, policy, f) as f64 })
+    };
+    flows.iter().filter_map(reserve).collect()
+}
+
+/// Tasks of a class for which room is kept: arrivals and departures during a
+/// boot both vary; as much as the class's objective asks for.
+fn headroom(world: &World, policy: &Policy, flow: &ClassFlow) -> usize {
+    let allowed = world.flavors.iter().filter(|f| flow.spec.allows_flavor(f));
+    let boot_s = allowed.map(|f| f.boot_s).reduce(f64::min).unwrap_or(0.0);
+    let share = policy.waits.get(&flow.spec.class).map_or(0.9, |w| w.1);
+    // Work that may wait needs room ahead only as far as a boot is longer.
+    let patience_s = flow.spec.due_s.map_or(0.0, |d| d - flow.spec.expected_s);
+    let mean = flow.rate * (boot_s - patience_s).max(0.0);
+    let spread = (2.0 * mean * flow.burst).sqrt();
+    (policy.headroom * z_score(share) * spread).ceil() as usize
 }
 
 impl Pass<'_> {
-    /// Jobs with tasks to place: lowest bin first, then the more urgent, then
-    /// the older.
+    /// Jobs with tasks to place: of those that may preempt one another the more
+    /// urgent first, as preemption would turn any other order round; then the
+    /// lowest bin, then the older.
     fn queue(&self) -> Vec<JobIx> {
         let mut queue: Vec<_> = self
             .world
@@ -232,7 +257,7 @@
             .map(|ix| {
                 let j = &self.world.jobs[ix];
                 let bin = self.policy.bin(self.policy.effective_deadline_ms(j, self.wall));
-                (bin, std::cmp::Reverse(j.spec.urgency), j.accepted_ms, ix)
+                (std::cmp::Reverse(j.spec.urgency), bin, j.accepted_ms, ix)
             })
             .collect();
         queue.sort_unstable();
@@ -248,17 +273,20 @@
         total.fits(&team.limit)
     }
 
+    /// Would the job's team be within its guarantee with one more task?
     fn within_guarantee(&self, spec: &Spec) -> bool {
         let Some(team) = self.policy.teams.get(&spec.team) else { return false };
-        let mut total = self.usage.get(&spec.team).copied().unwrap_or_default();
+        let mut total = self.staying.get(&spec.team).copied().unwrap_or_default();
         total.add(&spec.demand);
         total.gpus <= team.guarantee.gpus + 1e-6
             && (team.guarantee.cpus <= 0.0 || total.cpus <= team.guarantee.cpus + 1e-6)
     }
 
-    fn beyond_guarantee(&self, team: &str) -> bool {
-        let used = self.usage.get(team).copied().unwrap_or_default();
-        self.policy.teams.get(team).is_some_and(|t| used.gpus > t.guarantee.gpus + 1e-6)
+    /// Would the victim's team be beyond its guarantee even without it? Else
+    /// two teams would go on taking the same room from each other.
+    fn beyond_guarantee(&self, victim: &Spec) -> bool {
+        let used = self.staying.get(&victim.team).copied().unwrap_or_default();
+        self.policy.teams.get(&victim.team).is_some_and(|t| used.gpus - victim.demand.gpus >= t.guarantee.gpus - 1e-6)
     }
 
     /// Zones in which more tasks of the job may start now, from where its
@@ -336,9 +364,7 @@
         let mut after = before;
         after.sub(&spec.demand);
         cost += 4.0 * (spread_of(&after) - spread_of(&before));
-        if self.exclusive[f] && self.has_choice(spec, f) {
-            cost += 1.0;
-        }
+        cost += self.trespass(spec, f, &before, &after);
         if spec.spot && !h.spot {
             cost += 1.0;
         }
@@ -346,20 +372,29 @@
         if spec.shape == Shape::Service {
             cost += 2.0 * mates;
         }
+        // Room that is held for this very job.
+        if h.claims.iter().any(|c| c.job == ix) {
+            cost -= 8.0;
+        }
         // Fuller machines first, so that others can be returned.
         let used = 1.0 - before.shares(&flavor.cap).fold(1.0f64, f64::min);
         cost - 0.5 * used
     }
 
-    /// Could the job run on another type than `f`?
-    fn has_choice(&self, spec: &Spec, f: usize) -> bool {
-        self.world.flavors.iter().enumerate().any(|(i, o)| i != f && spec.allows_flavor(o))
+    /// The cost of taking room that other work can find on this type alone:
+    /// little while there is plenty, much when what is expected needs the rest.
+    fn trespass(&self, spec: &Spec, f: usize, before: &Demand, after: &Demand) -> f64 {
+        let slots = |free: &Demand, d: &Demand| free.shares(d).fold(f64::INFINITY, f64::min).max(0.0).floor();
+        let lost = |r: &&Reserve| slots(before, &r.demand) > slots(after, &r.demand);
+        let theirs = self.world.reserves.iter().filter(|r| r.flavor == f && r.class != spec.class);
+        theirs.filter(lost).map(|r| if self.scarce.contains(&r.class) { 5.0 } else { 1.0 }).fold(0.0, f64::max)
     }
 
     fn start(&mut self, key: TaskKey, host: HostIx, attempt: u64) {
         let spec = self.world.jobs[key.job].spec.clone();
         self.free[host].sub(&spec.demand);
         self.usage.entry(spec.team.clone()).or_default().add(&spec.demand);
+        self.staying.entry(spec.team.clone()).or_default().add(&spec.demand);
         let now = self.now;
         let cache = self.world.host(host).and_then(|h| h.flavor).map_or(0.0, |f| self.world.flavors[f].cache_gb);
         self.world.jobs[key.job].tasks[key.task as usize].place = Place::On(host, attempt);
@@ -398,6 +433,9 @@
                 return true; // waits for its own team, not for room
             }
             let Some(host) = self.best_host(ix, &counts, None) else { return false };
+            if self.image_late(ix, host) && self.better_soon(ix, &counts) {
+                continue;
+            }
             if let Some(h) = self.world.host(host) {
                 *counts.entry(h.zone.clone()).or_insert(0) += 1;
             }
@@ -406,6 +444,43 @@
         true
     }
 
+    /// Would the image come too late for the class's start objective?
+    fn image_late(&self, ix: JobIx, hix: HostIx) -> bool {
+        let job = &self.world.jobs[ix];
+        let Some(h) = self.world.host(hix) else { return false };
+        let Some(f) = h.flavor else { return false };
+        let fetch = h.fetch_s(&job.spec.image, job.spec.image_gb, self.world.flavors[f].fetch_gb_per_s);
+        let left = self.policy.soft_deadline_ms(job) as f64 - self.wall as f64;
+        job.spec.due_s.is_none() && left > 0.0 && fetch * 1000.0 > left
+    }
+
+    /// Makes room where the image is ready, or sooner there, if only a little
+    /// lesser work stands in the way; the task then waits for that room.
+    fn better_soon(&mut self, ix: JobIx, counts: &BTreeMap<String, u32>) -> bool {
+        let spec = self.world.jobs[ix].spec.clone();
+        // One claim for each task that waits; if it lapses, any room will do.
+        if self.world.each_host().any(|(_, h)| h.claims.iter().any(|c| c.job == ix)) {
+            return true;
+        }
+        let mut best: Option<(f64, HostIx, Leavers)> = None;
+        for (hix, h) in self.world.each_host() {
+            if !self.allowed(&spec, h, counts) || !h.claims.is_empty() || self.image_late(ix, hix) {
+                continue;
+            }
+            let Some((lost, leave)) = self.vacate(&spec, hix, &spec.demand) else { continue };
+            if lost <= spec.demand.gpus.max(1.0) && best.as_ref().is_none_or(|b| lost < b.0) {
+                best = Some((lost, hix, leave));
+            }
+        }
+        let Some((_, hix, leave)) = best else { return false };
+        self.clear(hix, &leave);
+        let until_ms = self.now + self.policy.report_ms;
+        if let Some(h) = self.world.host_mut(hix) {
+            h.claims.push(Claim { job: ix, demand: spec.demand, until_ms });
+        }
+        true
+    }
+
     /// Starts a gang whole or not at all; false if room lacked.
     fn place_gang(&mut self, ix: JobIx, attempt: &mut impl FnMut() -> u64) -> bool {
         let job = &self.world.jobs[ix];
@@ -535,7 +610,7 @@
             && victim.shape != Shape::Service
             && victim.urgency <= spec.urgency.max(Urgency::Normal)
             && self.within_guarantee(spec)
-            && self.beyond_guarantee(&victim.team)
+            && self.beyond_guarantee(victim)
     }
 
     /// A machine with free room and the image for a running replica, so that
@@ -628,6 +703,10 @@
                 if same || (whole && c.key.job == key.job) {
                     c.stop = Some(grace_s);
                     c.stopped_ms = now;
+                    let spec = &self.world.jobs[c.key.job].spec;
+                    if let Some(u) = self.staying.get_mut(&spec.team) {
+                        u.sub(&spec.demand);
+                    }
                     self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s });
                 }
             }
@@ -766,17 +845,7 @@
         fit(world, &mut bins, &job.spec, n, refused);
     }
     for flow in flows {
-        let allowed = world.flavors.iter().filter(|f| flow.spec.allows_flavor(f));
-        let boot_s = allowed.map(|f| f.boot_s).reduce(f64::min).unwrap_or(0.0);
-        let share = policy.waits.get(&flow.spec.class).map_or(0.9, |w| w.1);
-        // Work that may wait needs room ahead only as far as a boot is longer.
-        let patience_s = flow.spec.due_s.map_or(0.0, |d| d - flow.spec.expected_s);
-        let boot_s = (boot_s - patience_s).max(0.0);
-        // Arrivals and departures during a boot both vary; room for the
-        // spread that the class's objective asks for.
-        let mean = flow.rate * boot_s;
-        let spread = (2.0 * mean * flow.burst).sqrt();
-        let n = (policy.headroom * z_score(share) * spread).ceil() as usize;
+        let n = headroom(world, policy, flow);
         fit(world, &mut bins, &flow.spec, n, refused);
     }
     let mut rent: Vec<Rental> = Vec::new();
