--- a/src/model.rs
+++ b/src/model.rs
@@ -226,6 +226,8 @@
     pub draining: bool,
     /// A probe, or release, is on its way since then.
     pub probed_ms: u64,
+    /// The probe had no answer either.
+    pub deaf: bool,
     pub do_in_flight: bool,
     pub do_after_ms: u64,
     pub blocked_until_ms: u64,
@@ -257,6 +259,7 @@
             releasing: false,
             draining: false,
             probed_ms: 0,
+            deaf: false,
             do_in_flight: false,
             do_after_ms: 0,
             blocked_until_ms: 0,
--- a/src/part.rs
+++ b/src/part.rs
@@ -553,6 +553,7 @@
         h.flavor = flavor;
         h.heard_ms = now;
         h.probed_ms = 0;
+        h.deaf = false;
         if r.warning_s.is_some() && !h.notice {
             h.notice = true;
             tracing::info!(host = h.id, "machine will be taken back");
@@ -573,10 +574,13 @@
         if via == Via::Beat {
             self.orders_for(hix, &mut orders);
         }
-        if let Some(h) = self.world.host_mut(hix)
-            && !h.copies.is_empty()
-        {
-            h.idle_since_ms = now;
+        if let Some(h) = self.world.host_mut(hix) {
+            if !h.copies.is_empty() {
+                h.idle_since_ms = now;
+            }
+            if !h.accounted && via == Via::Beat {
+                self.kick.insert(hix);
+            }
         }
         orders
     }
@@ -871,11 +875,15 @@
         let term = self.term;
         let h = self.world.hosts.get_mut(hix)?.as_mut()?;
         let addr = h.addr?;
-        if h.do_in_flight || h.tenure == 0 || now < h.do_after_ms {
+        if h.do_in_flight || now < h.do_after_ms {
             return None;
         }
+        // A machine that is not accounted for is shown our token, and its tasks
+        // are read from the answer. Its tenure may not be known yet: then the
+        // answer tells it.
+        let probe = probe || !h.accounted;
         let mut orders = Vec::new();
-        for c in h.copies.iter_mut() {
+        for c in h.copies.iter_mut().filter(|_| h.accounted) {
             let id = &self.world.jobs[c.key.job].spec.id;
             match (c.phase, c.stop) {
                 (TaskPhase::Ended(_), _) => {}
@@ -914,11 +922,15 @@
                 if r.host == d.id {
                     self.report(&r, Via::Direct, now);
                 }
-                if self.world.host(d.host).is_some_and(|h| h.copies.iter().any(|c| c.phase == TaskPhase::Sent)) {
+                let again = |h: &Host| !h.accounted || h.copies.iter().any(|c| c.phase == TaskPhase::Sent);
+                if self.world.host(d.host).is_some_and(again) {
                     self.kick.insert(d.host);
                 }
             }
-            DirectResult::NotSent | DirectResult::Unclear => h.do_after_ms = retry,
+            DirectResult::NotSent | DirectResult::Unclear => {
+                h.do_after_ms = retry;
+                h.deaf = true;
+            }
         }
     }
 
@@ -996,10 +1008,14 @@
             }
             let quiet = now.saturating_sub(h.heard_ms);
             // One that has not found us yet may be on its way from node to node.
-            let limit = if h.tenure == 0 { lease * 7 / 10 } else { 4 * report };
+            let limit = match (h.tenure, h.deaf) {
+                (0, false) => lease * 7 / 10,
+                (_, true) => 3 * report,
+                (_, false) => 4 * report,
+            };
             if quiet > limit {
                 silent.push((hix, h.id.clone()));
-            } else if quiet > 2 * report && h.probed_ms == 0 {
+            } else if h.probed_ms == 0 && quiet > if h.tenure == 0 { report } else { 2 * report } {
                 probe.push(hix);
             }
         }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -190,7 +190,7 @@
 pub fn usage(world: &World, staying: bool) -> HashMap<String, Demand> {
     let mut usage: HashMap<String, Demand> = HashMap::new();
     for (_, h) in world.each_host() {
-        for c in h.copies.iter().filter(|c| !c.ended() && !(staying && c.stop.is_some())) {
+        for c in h.copies.iter().filter(|c| !(c.ended() || staying && c.stop.is_some())) {
             let spec = &world.jobs[c.key.job].spec;
             match usage.get_mut(&spec.team) {
                 Some(u) => u.add(&spec.demand),
@@ -451,7 +451,9 @@
         let Some(f) = h.flavor else { return false };
         let fetch = h.fetch_s(&job.spec.image, job.spec.image_gb, self.world.flavors[f].fetch_gb_per_s);
         let left = self.policy.soft_deadline_ms(job) as f64 - self.wall as f64;
-        job.spec.due_s.is_none() && left > 0.0 && fetch * 1000.0 > left
+        // A replica that was lost is down until it is back: each second counts.
+        let left = if left > 0.0 { left } else { self.policy.report_ms as f64 };
+        job.spec.due_s.is_none() && fetch * 1000.0 > left
     }
 
     /// Makes room where the image is ready, or sooner there, if only a little
@@ -670,7 +672,8 @@
                 cost += 0.3;
             } else if self.may_evict(spec, c) {
                 leave.push((*c, None));
-                cost += 1.0;
+                // A gang loses its place whole, and places for gangs are few.
+                cost += if v.shape == Shape::Gang { 2.0 + 2.0 * f64::from(v.tasks) } else { 1.0 };
             } else {
                 continue;
             }
