Parts: teams divided among controllers, one leader, machines that move

Each part has its own key, grant and actor; the leader's round moves free machines to the part whose lowest waiting bin is lowest and rents the rest.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,26 +2,44 @@
 
 use crate::clients::State;
 use crate::clock;
-use crate::holder;
+use crate::doors::Doors;
+use crate::holder::{self, BeatAnswer};
 use crate::http::{Request, Response};
-use crate::membership::{Entitlement, Seat};
 use crate::model::{JobEnd, JobPhase, JobRecord};
-use crate::part::{UserAnswer, job_key};
-use crate::peer::{Ask, Peer, Reply};
+use crate::part::job_key;
+use crate::peer::UserCall;
 use crate::wire::{self, Report};
-use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::timeout;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use tokio::sync::oneshot;
 
 /// What answering needs; cheap to clone.
 #[derive(Clone)]
 pub struct Api {
     pub state: State,
-    pub seat: watch::Receiver<Seat>,
-    pub entitled: Entitlement,
-    pub holder: mpsc::Sender<holder::Msg>,
-    pub peers: Vec<Peer>,
-    pub life_ms: u64,
+    pub doors: Doors,
+    /// Part of each team.
+    pub teams: Arc<HashMap<String, u32>>,
+    pub places: Arc<Mutex<Places>>,
+}
+
+/// Which part a job or machine was last found in: a hint, nothing more.
+#[derive(Default)]
+pub struct Places {
+    jobs: HashMap<String, u32>,
+    hosts: HashMap<String, u32>,
+}
+
+/// Most hints that are kept of a kind.
+const MOST_HINTS: usize = 20_000;
+
+fn remember(hints: &mut HashMap<String, u32>, id: &str, part: u32) {
+    if hints.get(id) != Some(&part) {
+        if hints.len() >= MOST_HINTS {
+            hints.clear();
+        }
+        hints.insert(id.to_string(), part);
+    }
 }
 
 impl Api {
@@ -30,9 +48,9 @@
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         match (req.method.as_str(), parts.as_slice()) {
             ("POST", ["agent", "beat"]) => self.beat(&req.body).await,
-            ("POST", ["v1", "jobs"]) => self.user(Ask::Submit(req.body)).await,
-            ("GET", ["v1", "jobs", id]) => self.user(Ask::Status(id.to_string())).await,
-            ("POST", ["v1", "jobs", id, "withdraw"]) => self.user(Ask::Cancel(id.to_string())).await,
+            ("POST", ["v1", "jobs"]) => self.submit(req.body).await,
+            ("GET", ["v1", "jobs", id]) => self.job(id, UserCall::Status(id.to_string())).await,
+            ("POST", ["v1", "jobs", id, "withdraw"]) => self.job(id, UserCall::Cancel(id.to_string())).await,
             ("GET", ["ready"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics().await,
             (_, ["agent", "beat"] | ["v1", "jobs"] | ["v1", "jobs", _, "withdraw"]) => not_allowed("POST"),
@@ -46,9 +64,11 @@
     fn ready(&self) -> Response {
         let now = clock::now_ms();
         let last = self.state.last_ok_ms();
-        let state_ok = last > 0 && now.saturating_sub(last) < self.life_ms;
-        let seat = self.seat.borrow();
-        let held = if seat.mine { self.entitled.holds(now) } else { seat.holder.is_some() };
+        let state_ok = last > 0 && now.saturating_sub(last) < self.doors.life_ms;
+        let held = self.doors.parts.iter().all(|d| {
+            let seat = d.seat.borrow();
+            if seat.mine { d.entitled.holds(now) } else { seat.holder.is_some() }
+        });
         if state_ok && held {
             Response::json(200, &serde_json::json!({ "ready": true }))
         } else {
@@ -57,9 +77,13 @@
     }
 
     async fn metrics(&self) -> Response {
-        let (tx, rx) = oneshot::channel();
-        let sent = self.holder.try_send(holder::Msg::Metrics(tx)).is_ok();
-        let text = if sent { rx.await.unwrap_or_default() } else { String::new() };
+        let mut text = String::new();
+        for door in self.doors.parts.iter() {
+            let (tx, rx) = oneshot::channel();
+            if door.holder.try_send(holder::Msg::Metrics(tx)).is_ok() {
+                text.push_str(&rx.await.unwrap_or_default());
+            }
+        }
         Response {
             status: 200,
             body: text.into_bytes(),
@@ -73,65 +97,91 @@
         let Ok(report) = serde_json::from_slice::<Report>(body) else {
             return Response::error(400, "not a report");
         };
-        let seat = self.seat.borrow().clone();
-        if !seat.mine {
-            return match seat.holder {
+        let host = report.host.clone();
+        let hint = self.places.lock().ok().and_then(|p| p.hosts.get(&host).copied());
+        // Where it was last, then the other parts of this node; the leader's
+        // knows where a machine belongs.
+        let mut todo: Vec<u32> = (0..self.doors.parts.len() as u32).filter(|p| self.doors.mine(*p)).collect();
+        todo.sort_by_key(|p| (Some(*p) != hint, *p));
+        let mut belongs = 0;
+        for part in todo {
+            let (tx, rx) = oneshot::channel();
+            let m = holder::Msg::Beat(Box::new(report.clone()), tx);
+            if self.doors.parts[part as usize].holder.try_send(m).is_err() {
+                return Response::later("too many reports");
+            }
+            match rx.await {
+                Ok(BeatAnswer::Orders(term, orders)) => {
+                    if let Ok(mut p) = self.places.lock() {
+                        remember(&mut p.hosts, &host, part);
+                    }
+                    return Response::json(200, &wire::orders(term, &orders));
+                }
+                Ok(BeatAnswer::Elsewhere(p)) => belongs = p,
+                Ok(BeatAnswer::Unknown) => {}
+                _ => return Response::later("not entitled to act"),
+            }
+        }
+        if !self.doors.mine(belongs) {
+            return match self.doors.holder(belongs) {
                 Some(h) => Response::json(421, &wire::redirect(Some(&h))),
-                None => Response::later("nobody holds the machines"),
+                None => Response::later("nobody holds the machine"),
             };
         }
-        let (tx, rx) = oneshot::channel();
-        if self.holder.try_send(holder::Msg::Beat(Box::new(report), tx)).is_err() {
-            return Response::later("too many reports");
-        }
-        match rx.await {
-            Ok(Some((term, orders))) => Response::json(200, &wire::orders(term, &orders)),
-            _ => Response::later("not entitled to act"),
-        }
+        Response::later("not entitled to act")
     }
 
-    async fn user(&self, ask: Ask) -> Response {
-        let id = match &ask {
-            Ask::Status(id) | Ask::Cancel(id) => Some(id.clone()),
-            _ => None,
-        };
-        if id.as_ref().is_some_and(|id| !wire::is_job_id(id)) {
-            return Response::error(404, "no such job");
-        }
-        let answer =
-            if self.seat.borrow().mine { Some(self.local(ask.clone()).await) } else { self.forward(ask.clone()).await };
+    async fn submit(&self, body: Vec<u8>) -> Response {
+        let known: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
+        let text = |name: &str| known.as_ref().and_then(|v| v.get(name)?.as_str()).map(str::to_string);
+        let part = text(wire::TEAM).and_then(|t| self.teams.get(&t).copied()).unwrap_or(0);
+        let id = text(wire::ID).filter(|id| wire::is_job_id(id));
+        let answer = self.doors.user(part, UserCall::Submit(body)).await;
         match (answer, id) {
-            // Only a fresh read can say that a job is not there.
-            (Some(r), Some(id)) if r.status == 404 => self.fresh(&id, matches!(ask, Ask::Status(_))).await,
-            (Some(r), Some(id)) if r.status == 503 && matches!(ask, Ask::Status(_)) => self.fresh(&id, true).await,
-            (Some(r), _) => r,
-            (None, Some(id)) => self.fresh(&id, matches!(ask, Ask::Status(_))).await,
-            (None, None) => Response::later("the holder of the jobs can't be reached"),
+            // A known job is answered so even where its content is refused now.
+            (Some(r), Some(id)) if matches!(r.status, 400 | 422) => match self.fresh(&id, true).await {
+                known if known.status == 404 => r,
+                known => known,
+            },
+            (Some(r), id) => {
+                if let (Some(id), 200 | 201, Ok(mut p)) = (id, r.status, self.places.lock()) {
+                    remember(&mut p.jobs, &id, part);
+                }
+                r
+            }
+            (None, _) => Response::later("the holder of the jobs can't be reached"),
         }
     }
 
-    /// Asks the part's actor on this node.
-    pub async fn local(&self, ask: Ask) -> Response {
-        let (tx, rx) = oneshot::channel();
-        if self.holder.try_send(holder::Msg::User(ask, tx)).is_err() {
-            return Response::later("too many requests");
-        }
-        // A commit that takes longer is answered by the retry.
-        match timeout(Duration::from_millis(self.life_ms), rx).await {
-            Ok(Ok(a)) => to_response(a),
-            _ => Response::later("no decision in time"),
+    async fn job(&self, id: &str, call: UserCall) -> Response {
+        if !wire::is_job_id(id) {
+            return Response::error(404, "no such job");
         }
-    }
-
-    async fn forward(&self, ask: Ask) -> Option<Response> {
-        let name = self.seat.borrow().holder.clone()?;
-        let peer = self.peers.iter().find(|p| p.name == name)?;
-        let limit = Duration::from_millis(self.life_ms * 2 / 5);
-        match peer.ask(ask, limit).await? {
-            Reply::User { status, body, retry_after_s } => {
-                Some(Response { status, body, retry_after_s, allow: None, content_type: "application/json" })
+        let status = matches!(call, UserCall::Status(_));
+        let hint = self.places.lock().ok().and_then(|p| p.jobs.get(id).copied());
+        let all = 0..self.doors.parts.len() as u32;
+        let order: Vec<u32> = hint.into_iter().chain(all.filter(|p| Some(*p) != hint)).collect();
+        let mut unclear = None;
+        for part in order {
+            match self.doors.user(part, call.clone()).await {
+                Some(r) if r.status == 404 => {}
+                Some(r) if r.status == 200 => {
+                    if let Ok(mut p) = self.places.lock() {
+                        remember(&mut p.jobs, id, part);
+                    }
+                    return r;
+                }
+                other => unclear = Some(other.unwrap_or_else(|| Response::later("the job's holder can't be reached"))),
+            }
+            if hint == Some(part) {
+                // It was there, and a job stays in its part.
+                break;
             }
-            _ => None,
+        }
+        match unclear {
+            Some(r) if !status => r,
+            // Only a fresh read can say that a job is not there.
+            _ => self.fresh(id, status).await,
         }
     }
 
@@ -164,19 +214,3 @@
 fn not_allowed(allow: &'static str) -> Response {
     Response { allow: Some(allow), ..Response::error(405, "method not allowed") }
 }
-
-fn to_response(a: UserAnswer) -> Response {
-    match a {
-        UserAnswer::Accepted { created, id, phase } => {
-            let status = if created { 201 } else { 200 };
-            Response::json(status, &wire::job_answer(&id, phase, 0, 0))
-        }
-        UserAnswer::Status { id, phase, done, running } => {
-            Response::json(200, &wire::job_answer(&id, phase, done, running))
-        }
-        UserAnswer::Malformed(m) => Response::error(400, &m),
-        UserAnswer::Impossible(m) => Response::error(422, &m),
-        UserAnswer::Unknown => Response::error(404, "no such job"),
-        UserAnswer::Later(m) => Response::later(m),
-    }
-}
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,7 +2,7 @@
 //! operators' optional HCL file (unknown names refused).
 
 use serde::Deserialize;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -113,11 +113,13 @@
     pub idle_keep: f64,
     /// Scales the spare room kept for arrivals during a boot; 0 keeps none.
     pub headroom: f64,
+    /// Parts that the teams are divided into; each is held by one controller.
+    pub parts: u32,
 }
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { bin_width_s: 5.0, default_deadline_s: 600.0, idle_keep: 1.0, headroom: 1.0 }
+        Operator { bin_width_s: 5.0, default_deadline_s: 600.0, idle_keep: 1.0, headroom: 1.0, parts: 1 }
     }
 }
 
@@ -234,7 +236,8 @@
     positive("bin_width_s", o.bin_width_s)?;
     positive("default_deadline_s", o.default_deadline_s)?;
     not_negative("idle_keep", o.idle_keep)?;
-    not_negative("headroom", o.headroom)
+    not_negative("headroom", o.headroom)?;
+    if o.parts == 0 { Err("parts: must be at least 1".into()) } else { Ok(()) }
 }
 
 impl Settings {
@@ -247,6 +250,22 @@
             .and_then(|o| Some((o.within_s?, o.share.unwrap_or(0.9))))
     }
 
+    /// The part that each team belongs to: the teams with the largest guarantees
+    /// first, each to the part that has least so far.
+    pub fn parts_of_teams(&self, parts: u32) -> HashMap<String, u32> {
+        let weight = |t: &Team| t.gpus + t.cpus;
+        let mut teams: Vec<&Team> = self.params.teams.iter().collect();
+        teams.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then_with(|| a.name.cmp(&b.name)));
+        let mut load = vec![0.0; parts.max(1) as usize];
+        let mut out = HashMap::new();
+        for t in teams {
+            let least = (0..load.len()).min_by(|a, b| f64::total_cmp(&load[*a], &load[*b])).unwrap_or(0);
+            load[least] += weight(t).max(1.0);
+            out.insert(t.name.clone(), least as u32);
+        }
+        out
+    }
+
     /// Life of a holder's grant: short enough that a takeover, with the
     /// restart of a controller, ends well within a worker's lease.
     pub fn grant_life_ms(&self) -> u64 {
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -4,12 +4,13 @@
 use crate::clients::{Bucket, Cloud, RentResult, State, Worker};
 use crate::clock;
 use crate::config::{Operator, Settings};
+use crate::doors::Doors;
 use crate::leader::{CloudOp, Leader};
 use crate::membership::{self, Entitlement, Tenancy};
-use crate::model::{Flavor, HostIx};
-use crate::part::{CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
-use crate::peer::Ask;
-use crate::sched::Policy;
+use crate::model::{Flavor, HostIx, HostRecord};
+use crate::part::{self, Claim, CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
+use crate::peer::{Ask, Machines, Needs, Reply, UserCall};
+use crate::sched::{Coming, Policy};
 use crate::wire::{self, Item, Listed, Order, Report};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,9 +23,12 @@
 
 /// Messages to the actor of a part.
 pub enum Msg {
-    /// Answered with the token and orders, or none if the node may not act.
-    Beat(Box<Report>, oneshot::Sender<Option<(u64, Vec<Order>)>>),
-    User(Ask, Waiter),
+    Beat(Box<Report>, oneshot::Sender<BeatAnswer>),
+    User(UserCall, Waiter),
+    Needs(Needs, oneshot::Sender<Reply>),
+    Give(String, u32, oneshot::Sender<Reply>),
+    Coming(u64, Vec<Machines>, Vec<Machines>),
+    Rechecked(u64, String, Option<HostRecord>),
     Metrics(oneshot::Sender<String>),
     Loaded(u64, Option<Loaded>),
     DirectDone(Direct, DirectResult),
@@ -37,6 +41,19 @@
     Flavors(u64, Vec<Flavor>),
 }
 
+/// What becomes of a report.
+#[derive(Debug)]
+pub enum BeatAnswer {
+    /// The token and the orders.
+    Orders(u64, Vec<Order>),
+    /// This node may not act for the machine now.
+    NotEntitled,
+    /// The machine belongs to that part.
+    Elsewhere(u32),
+    /// The machine is not this part's.
+    Unknown,
+}
+
 pub struct Loaded {
     jobs: Vec<Item>,
     hosts: Vec<Item>,
@@ -53,6 +70,7 @@
     pub worker: Worker,
     pub entitled: Entitlement,
     pub superseded: mpsc::Sender<membership::Msg>,
+    pub doors: Doors,
     pub tx: mpsc::Sender<Msg>,
     /// Number of the tenancy under way; 0 if none.
     pub current: Arc<AtomicU64>,
@@ -74,6 +92,8 @@
     next_pass_ms: u64,
     next_upkeep_ms: u64,
     next_plan_ms: u64,
+    /// What the leader says is on its way here.
+    coming: Vec<Coming>,
 }
 
 impl Holder {
@@ -136,7 +156,8 @@
         let now = clock::now_ms();
         let p = &self.settings.params;
         let policy = Policy::new(&self.settings, &self.operator, start_ms);
-        let mut part = Part::new(policy, membership::part_key(self.id), p.state.txn_ops, p.state.value_kb);
+        let teams = self.settings.parts_of_teams(self.operator.parts);
+        let mut part = Part::new(policy, self.id, teams, p.state.txn_ops, p.state.value_kb);
         part.set_term(term, version);
         self.load(n);
         Tenure {
@@ -154,6 +175,7 @@
             next_pass_ms: 0,
             next_upkeep_ms: 0,
             next_plan_ms: 0,
+            coming: Vec::new(),
         }
     }
 
@@ -181,25 +203,42 @@
         let n = h.n;
         match m {
             Msg::Beat(r, reply) => {
-                let answer = entitled.then(|| {
-                    // Leases live on while the records are read.
-                    let orders = if h.loaded { h.part.report(&r, Via::Beat, now) } else { Vec::new() };
-                    (h.part.term, orders)
-                });
+                let answer = if entitled { self.beat(h, &r, now) } else { BeatAnswer::NotEntitled };
                 let _ = reply.send(answer);
             }
-            Msg::User(ask, waiter) => {
+            Msg::Needs(needs, reply) => {
+                let known = entitled && h.loaded && self.id == 0;
+                let _ = reply.send(if known {
+                    let (coming, refused) = h.leader.needs(needs, &h.part, now, self.patience());
+                    Reply::Coming { coming, refused }
+                } else {
+                    Reply::No
+                });
+            }
+            Msg::Give(host, to, reply) => {
+                let given = entitled && h.loaded && h.part.give(&host, to);
+                let _ = reply.send(if given { Reply::Promised } else { Reply::No });
+            }
+            Msg::Coming(of, coming, refused) if of == n => {
+                let world = &h.part.world;
+                h.coming = coming
+                    .into_iter()
+                    .filter_map(|m| Some(Coming { flavor: world.flavor(&m.flavor)?, zone: m.zone, spot: m.spot }))
+                    .collect();
+                h.leader.set_refused(&refused, &h.part, now + self.patience());
+            }
+            Msg::Rechecked(of, id, record) if of == n => h.part.rechecked(&id, record, now),
+            Msg::User(call, waiter) => {
                 if !entitled || !h.loaded {
                     let _ = waiter.send(UserAnswer::Later("the jobs are being taken over"));
                     return;
                 }
-                match ask {
-                    Ask::Submit(body) => h.part.submit(&body, now, clock::wall_ms(), waiter),
-                    Ask::Status(id) => {
+                match call {
+                    UserCall::Submit(body) => h.part.submit(&body, now, clock::wall_ms(), waiter),
+                    UserCall::Status(id) => {
                         let _ = waiter.send(h.part.status(&id));
                     }
-                    Ask::Cancel(id) => h.part.cancel(&id, waiter),
-                    Ask::Promise { .. } => {}
+                    UserCall::Cancel(id) => h.part.cancel(&id, waiter),
                 }
             }
             Msg::Metrics(reply) => {
@@ -284,7 +323,7 @@
     fn handle_idle(&self, m: Msg) {
         match m {
             Msg::Beat(_, reply) => {
-                let _ = reply.send(None);
+                let _ = reply.send(BeatAnswer::NotEntitled);
             }
             Msg::User(_, waiter) => {
                 let _ = waiter.send(UserAnswer::Later("this node does not hold the jobs"));
@@ -292,6 +331,9 @@
             Msg::Metrics(reply) => {
                 let _ = reply.send(String::new());
             }
+            Msg::Needs(_, reply) | Msg::Give(_, _, reply) => {
+                let _ = reply.send(Reply::No);
+            }
             _ => {}
         }
     }
@@ -329,10 +371,59 @@
             h.next_plan_ms = now + report / 2;
             // A waiting task's back-off may have ended, or a hold.
             h.part.stirred = true;
-            let ops = h.leader.plan(&mut h.part, now, clock::wall_ms());
-            for op in ops {
-                self.cloud_op(h, op);
-            }
+            self.plan(h, now);
+        }
+    }
+
+    /// How long what one part told another counts.
+    fn patience(&self) -> u64 {
+        3 * self.settings.report_ms()
+    }
+
+    fn beat(&self, h: &mut Tenure, r: &Report, now: u64) -> BeatAnswer {
+        if !h.loaded {
+            // Leases live on while the records are read; but which machines
+            // are whose is only known for sure if there is one part.
+            let sure = self.operator.parts == 1 && r.fence <= h.part.term;
+            return if sure { BeatAnswer::Orders(h.part.term, Vec::new()) } else { BeatAnswer::NotEntitled };
+        }
+        match h.part.claims(r) {
+            Claim::Mine => BeatAnswer::Orders(h.part.term, h.part.report(r, Via::Beat, now)),
+            Claim::NotYet => BeatAnswer::NotEntitled,
+            Claim::Elsewhere(p) => BeatAnswer::Elsewhere(p),
+            Claim::Unknown => BeatAnswer::Unknown,
+        }
+    }
+
+    /// Plans machines; what is needed goes to the leader.
+    fn plan(&self, h: &mut Tenure, now: u64) {
+        let wall = clock::wall_ms();
+        if self.id == 0 {
+            h.coming = h.leader.coming(0, &h.part, now, self.patience());
+        }
+        let (needs, mut ops) = h.leader.plan(&mut h.part, &h.coming, now, wall);
+        if self.id == 0 {
+            ops.extend(h.leader.lead(needs, &h.part, now, self.patience()));
+            h.part.destined = h.leader.destined(0);
+        } else {
+            let (doors, tx, n) = (self.doors.clone(), self.tx.clone(), h.n);
+            tokio::spawn(async move {
+                if let Some(Reply::Coming { coming, refused }) = doors.ask(0, Ask::Needs(needs)).await {
+                    let _ = tx.send(Msg::Coming(n, coming, refused)).await;
+                }
+            });
+        }
+        for op in ops {
+            self.cloud_op(h, op);
+        }
+        for id in std::mem::take(&mut h.part.recheck) {
+            let (state, tx, n) = (self.state.clone(), self.tx.clone(), h.n);
+            tokio::spawn(async move {
+                if let Ok((item, _)) = state.get(&part::host_key(&id)).await {
+                    let record = item.and_then(|i| serde_json::from_value(i.value).ok());
+                    let _ = tx.send(Msg::Rechecked(n, id, record)).await;
+                }
+            });
         }
     }
 
@@ -400,6 +491,10 @@
                     let _ = tx.send(Msg::Rented(n, name, result)).await;
                 });
             }
+            CloudOp::Give { from, host, to } => {
+                let doors = self.doors.clone();
+                tokio::spawn(async move { doors.ask(from, Ask::Give { part: from, host, to }).await });
+            }
             CloudOp::Release(ids) => {
                 for id in &ids {
                     h.part.mark_releasing(id);
@@ -420,6 +515,7 @@
         let (cloud, state, tx) = (self.cloud.clone(), self.state.clone(), self.tx.clone());
         let pause = Duration::from_secs_f64((self.settings.params.cloud.list_lag_s / 2.0).max(1.0));
         let current = self.current.clone();
+        let leads = self.id == 0;
         tokio::spawn(async move {
             let mut known = known;
             let mut round = 0u32;
@@ -437,7 +533,8 @@
                         return;
                     }
                 }
-                if let Some(list) = cloud.list().await
+                if leads
+                    && let Some(list) = cloud.list().await
                     && tx.send(Msg::Listed(n, list)).await.is_err()
                 {
                     return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod doors;
 pub mod holder;
 pub mod http;
 pub mod leader;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -12,8 +12,9 @@
 use crate::wire;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -37,7 +38,9 @@
 pub struct TermRecord {
     pub n: u64,
     pub start_ms: u64,
-    pub holder: String,
+    /// Who held each part last.
+    #[serde(default)]
+    pub holders: BTreeMap<u32, String>,
 }
 
 /// Until when this node may act for a part, on the steady clock.
@@ -224,6 +227,10 @@
     pub entitled: Entitlement,
     pub seat: watch::Sender<Seat>,
     pub tenancy: mpsc::Sender<Tenancy>,
+    /// Parts that this node holds, so that parts spread over the nodes.
+    pub held: Arc<AtomicUsize>,
+    /// Pause before a first take, for a part that is rather another node's.
+    pub courtesy_ms: u64,
 }
 
 impl Membership {
@@ -235,6 +242,7 @@
     pub async fn run(self, tx: mpsc::Sender<Msg>, mut rx: mpsc::Receiver<Msg>) {
         let mut rules = Rules::new(&self.node, self.life_ms, self.peers.len(), clock::now_ms());
         self.first_look(&mut rules).await;
+        rules.retry_after = clock::now_ms() + self.courtesy_ms;
         tokio::spawn(look_out(self.state.clone(), self.part, self.life_ms, tx.clone()));
         let mut tick = tokio::time::interval(Duration::from_millis(self.life_ms / 5));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -279,7 +287,7 @@
                     rules.unbound();
                 }
             }
-            (None, Some(t)) if t.holder == self.node => rules.unbound(),
+            (None, Some(t)) if t.holders.get(&self.part).is_none_or(|h| *h == self.node) => rules.unbound(),
             (None, None) => rules.unbound(),
             _ => {}
         }
@@ -313,6 +321,11 @@
             Msg::Seen(record) => {
                 // What a holder sees of itself is no news, and may be old.
                 if !matches!(rules.role, Role::Holding { .. }) {
+                    if record.is_none() && rules.record.is_some() {
+                        // Who holds less goes first.
+                        let held = self.held.load(Ordering::Relaxed) as u64;
+                        rules.retry_after = rules.retry_after.max(now + held * self.life_ms / 10);
+                    }
                     rules.record = record;
                 }
             }
@@ -338,6 +351,7 @@
             Msg::Taken { sent, result } => match result {
                 Some(t) => {
                     tracing::info!(part = self.part, term = t.term, "part taken");
+                    self.held.fetch_add(1, Ordering::Relaxed);
                     rules.begin(&t, sent);
                     rules.record = Some(PartRecord { holder: rules.node.clone(), term: t.term, grant: t.grant });
                     let (term, version, grant, start_ms) = (t.term, t.version, t.grant, t.start_ms);
@@ -353,6 +367,7 @@
 
     async fn step_down(&self, rules: &mut Rules, why: &str) {
         tracing::warn!(part = self.part, why, "part lost");
+        self.held.fetch_sub(1, Ordering::Relaxed);
         if let Role::Holding { grant, .. } = rules.role {
             let state = self.state.clone();
             tokio::spawn(async move { state.end_grant(grant).await });
@@ -376,7 +391,7 @@
     let (item, _) = state.get(TERM_KEY).await.ok()?;
     let (last, version) = match item {
         Some(i) => (serde_json::from_value::<TermRecord>(i.value).ok()?, i.version),
-        None => (TermRecord { n: 0, start_ms: clock::wall_ms(), holder: String::new() }, 0),
+        None => (TermRecord { n: 0, start_ms: clock::wall_ms(), holders: BTreeMap::new() }, 0),
     };
     let grant = state.new_grant(life_ms).await.ok()?;
     match next_term(state, part, node, (0, grant), (&last, version)).await {
@@ -417,7 +432,9 @@
 ) -> Result<Taken, CommitResult> {
     let term = last.n + 1;
     let record = json!({ "holder": node, "term": term, "grant": grant });
-    let next = json!({ "n": term, "start_ms": last.start_ms, "holder": node });
+    let mut holders = last.holders.clone();
+    holders.insert(part, node.to_string());
+    let next = json!({ "n": term, "start_ms": last.start_ms, "holders": holders });
     let key = part_key(part);
     let guards = [wire::guard(&key, part_version), wire::guard(TERM_KEY, term_version)];
     let apply = [wire::put(&key, &record, Some(grant)), wire::put(TERM_KEY, &next, None)];
--- a/src/model.rs
+++ b/src/model.rs
@@ -211,6 +211,10 @@
     pub tenure: u64,
     pub serial: u64,
     pub fence: u64,
+    /// Tasks may be placed once the worker has seen this token.
+    pub min_fence: u64,
+    /// The part that it is being given to.
+    pub giving: Option<u32>,
     /// Steady time of the last report, and of the last answer that may have renewed the lease.
     pub heard_ms: u64,
     pub answered_ms: u64,
@@ -250,6 +254,8 @@
             tenure: 0,
             serial: 0,
             fence: 0,
+            min_fence: 0,
+            giving: None,
             heard_ms: now,
             answered_ms: now,
             registered: false,
@@ -539,6 +545,9 @@
     pub flavor: String,
     pub zone: String,
     pub spot: bool,
+    /// The part that it belongs to.
+    #[serde(default)]
+    pub part: u32,
 }
 
 /// Numbers of done tasks as ranges, first and one past the last.
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,15 +3,16 @@
 use crate::api::Api;
 use crate::clients::{Cloud, State, Worker};
 use crate::config::{Operator, Settings};
+use crate::doors::{Door, Doors};
 use crate::holder::Holder;
-use crate::membership::{self, Entitlement, Membership, Seat};
-use crate::peer::{self, Ask, Peer, Reply};
+use crate::membership::{Entitlement, Membership, Seat};
+use crate::peer::{self, Peer};
 use crate::{clock, http};
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 /// Serves for ever; an error means that a port can't be opened.
 pub async fn run(settings: Settings, operator: Operator) -> std::io::Result<()> {
@@ -27,59 +28,70 @@
     let peers: Vec<Peer> =
         settings.seeds.iter().map(|s| Peer::start(s.node.clone(), s.endpoint, connect_limit)).collect();
 
-    let entitled = Entitlement::default();
-    let (seat_tx, seat) = watch::channel(Seat::default());
-    let (tenancy_tx, tenancy) = mpsc::channel(8);
-    let (members_tx, members_rx) = mpsc::channel(256);
-    let (holder_tx, holder_rx) = mpsc::channel(1024);
-    let membership = Membership {
-        part: 0,
-        node: settings.node.clone(),
-        life_ms,
-        state: state.clone(),
-        peers: peers.clone(),
-        entitled: entitled.clone(),
-        seat: seat_tx,
-        tenancy: tenancy_tx,
-    };
-    tokio::spawn(membership.run(members_tx.clone(), members_rx));
-    let holder = Holder {
-        id: 0,
-        settings: settings.clone(),
-        operator,
-        state: state.clone(),
-        cloud,
-        worker: Worker::new(&settings),
-        entitled: entitled.clone(),
-        superseded: members_tx.clone(),
-        tx: holder_tx.clone(),
-        current: Arc::new(AtomicU64::new(0)),
-    };
-    tokio::spawn(holder.run(tenancy, holder_rx));
+    let held = Arc::new(AtomicUsize::new(0));
+    let mut nodes: Vec<&str> = settings.seeds.iter().map(|s| s.node.as_str()).collect();
+    nodes.push(&settings.node);
+    nodes.sort_unstable();
+    let own = nodes.iter().position(|n| *n == settings.node).unwrap_or(0);
 
-    let api = Api { state, seat, entitled, holder: holder_tx, peers, life_ms };
-    let for_peers = api.clone();
-    tokio::spawn(peer::serve(internal, move |ask| answer_peer(for_peers.clone(), members_tx.clone(), ask)));
+    let mut doors = Vec::new();
+    let mut members = Vec::new();
+    let mut holders = Vec::new();
+    for part in 0..operator.parts {
+        let entitled = Entitlement::default();
+        let (seat_tx, seat) = watch::channel(Seat::default());
+        let (tenancy_tx, tenancy) = mpsc::channel(8);
+        let (members_tx, members_rx) = mpsc::channel(256);
+        let (holder_tx, holder_rx) = mpsc::channel(1024);
+        let ours = part as usize % nodes.len() == own;
+        let membership = Membership {
+            part,
+            node: settings.node.clone(),
+            life_ms,
+            state: state.clone(),
+            peers: peers.clone(),
+            entitled: entitled.clone(),
+            seat: seat_tx,
+            tenancy: tenancy_tx,
+            held: held.clone(),
+            courtesy_ms: if operator.parts > 1 && !ours { life_ms / 5 } else { 0 },
+        };
+        members.push((membership, members_tx.clone(), members_rx));
+        holders.push((tenancy, holder_rx));
+        doors.push(Door { seat, entitled, holder: holder_tx, members: members_tx });
+    }
+    let doors = Doors { parts: Arc::new(doors), peers: Arc::new(peers), life_ms };
+    for (membership, tx, rx) in members {
+        tokio::spawn(membership.run(tx, rx));
+    }
+    for (id, (tenancy, rx)) in (0..).zip(holders) {
+        let door = &doors.parts[id as usize];
+        let holder = Holder {
+            id,
+            settings: settings.clone(),
+            operator: operator.clone(),
+            state: state.clone(),
+            cloud: cloud.clone(),
+            worker: Worker::new(&settings),
+            entitled: door.entitled.clone(),
+            superseded: door.members.clone(),
+            doors: doors.clone(),
+            tx: door.holder.clone(),
+            current: Arc::new(AtomicU64::new(0)),
+        };
+        tokio::spawn(holder.run(tenancy, rx));
+    }
+
+    let for_peers = doors.clone();
+    tokio::spawn(peer::serve(internal, move |ask| {
+        let doors = for_peers.clone();
+        async move { doors.answer(ask).await }
+    }));
+    let teams = Arc::new(settings.parts_of_teams(operator.parts));
+    let api = Api { state, doors, teams, places: Default::default() };
     // A quarter of the sockets is for what this node opens itself.
     let max_open = settings.params.limits.max_sockets * 3 / 4;
     let patience = Duration::from_millis(settings.lease_ms() / 2);
     http::serve(users, max_open, patience, move |req| api.clone().handle(req)).await;
     Ok(())
 }
-
-async fn answer_peer(api: Api, members: mpsc::Sender<membership::Msg>, ask: Ask) -> Reply {
-    match ask {
-        Ask::Promise { term, for_ms, state_ok, .. } => {
-            let (tx, rx) = oneshot::channel();
-            let m = membership::Msg::Promise { term, for_ms, state_ok, reply: tx };
-            if members.try_send(m).is_err() {
-                return Reply::No;
-            }
-            if rx.await == Ok(true) { Reply::Promised } else { Reply::No }
-        }
-        ask => {
-            let r = api.local(ask).await;
-            Reply::User { status: r.status, body: r.body, retry_after_s: r.retry_after_s }
-        }
-    }
-}
--- a/src/part.rs
+++ b/src/part.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::DRIFT;
 use crate::metrics::Metrics;
-use crate::model::*;
+use crate::model::{Claim as Hold, *};
 use crate::sched::{self, Policy};
 use crate::wire::{self, Item, Order, Report};
 use serde_json::Value;
@@ -53,6 +53,7 @@
 pub enum Saved {
     Job(JobIx, Unsaved),
     Host(HostIx),
+    Given(HostIx, u32),
     HostGone(String),
 }
 
@@ -72,6 +73,16 @@
     Unclear,
 }
 
+/// Whether a part takes a machine's reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Claim {
+    Mine,
+    /// Ours, but only under a term that is still to come.
+    NotYet,
+    Elsewhere(u32),
+    Unknown,
+}
+
 /// The part has another holder, or none: its key is not as it was.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Superseded;
@@ -95,6 +106,15 @@
     pub policy: Policy,
     pub metrics: Metrics,
     pub term: u64,
+    /// This part's number, and whether its holder leads.
+    pub id: u32,
+    teams: HashMap<String, u32>,
+    /// Machines of other parts, as far as the leader knows.
+    pub elsewhere: HashMap<String, u32>,
+    /// Machines whose record is to be read again.
+    pub recheck: BTreeSet<String>,
+    /// Where machines go that are on their way, by name; others stay here.
+    pub destined: HashMap<String, u32>,
     part_key: String,
     part_version: u64,
     begun_ms: u64,
@@ -126,13 +146,18 @@
 const REPLY_ORDERS: usize = 400;
 
 impl Part {
-    pub fn new(policy: Policy, part_key: String, txn_ops: usize, value_kb: f64) -> Part {
+    pub fn new(policy: Policy, id: u32, teams: HashMap<String, u32>, txn_ops: usize, value_kb: f64) -> Part {
         Part {
             world: World { all_accounted: true, ..World::default() },
             policy,
             metrics: Metrics::default(),
             term: 0,
-            part_key,
+            id,
+            teams,
+            elsewhere: HashMap::new(),
+            recheck: BTreeSet::new(),
+            destined: HashMap::new(),
+            part_key: crate::membership::part_key(id),
             part_version: 0,
             begun_ms: 0,
             next_attempt: 0,
@@ -170,7 +195,9 @@
         for item in jobs {
             match serde_json::from_value::<JobRecord>(item.value) {
                 Ok(r) => {
-                    self.world.add_job(r.into_job(item.version, now));
+                    if self.teams.get(&r.spec.team).is_none_or(|p| *p == self.id) {
+                        self.world.add_job(r.into_job(item.version, now));
+                    }
                 }
                 Err(e) => tracing::error!(key = item.key, error = %e, "unreadable job record"),
             }
@@ -178,12 +205,11 @@
         for item in hosts {
             let Some(id) = item.key.strip_prefix("host/") else { continue };
             match serde_json::from_value::<HostRecord>(item.value) {
+                Ok(r) if r.part == self.id => {
+                    self.add_registered(id.to_string(), r, now);
+                }
                 Ok(r) => {
-                    let flavor = self.world.flavor(&r.flavor);
-                    let mut h = Host::new(id.to_string(), r.zone, r.spot, flavor, now);
-                    h.addr = r.addr;
-                    h.registered = true;
-                    self.world.add_host(h);
+                    self.elsewhere.insert(id.to_string(), r.part);
                 }
                 Err(e) => tracing::error!(key = item.key, error = %e, "unreadable machine record"),
             }
@@ -191,6 +217,14 @@
         self.recount();
     }
 
+    fn add_registered(&mut self, id: String, r: HostRecord, now: u64) -> HostIx {
+        let flavor = self.world.flavor(&r.flavor);
+        let mut h = Host::new(id, r.zone, r.spot, flavor, now);
+        h.addr = r.addr;
+        h.registered = true;
+        self.world.add_host(h)
+    }
+
     /// A new term: attempts count on from it, so that none repeats.
     pub fn set_term(&mut self, term: u64, version: u64) {
         self.term = term;
@@ -376,10 +410,11 @@
             self.new_hosts.remove(&hix);
             let Some(h) = self.world.host(hix) else { continue };
             let flavor = h.flavor.map_or(String::new(), |f| self.world.flavors[f].name.clone());
-            let record = HostRecord { addr: h.addr, flavor, zone: h.zone.clone(), spot: h.spot };
+            let part = h.giving.unwrap_or(self.id);
+            let record = HostRecord { addr: h.addr, flavor, zone: h.zone.clone(), spot: h.spot, part };
             let Ok(value) = serde_json::to_value(record) else { continue };
             commit.apply.push(wire::put(&host_key(&h.id), &value, None));
-            saved.push(Saved::Host(hix));
+            saved.push(h.giving.map_or(Saved::Host(hix), |to| Saved::Given(hix, to)));
         }
         jobs(self, &picked[hosts_at..], &mut commit, &mut saved, &mut bytes);
         while commit.apply.len() < ops {
@@ -414,6 +449,12 @@
                                 self.stirred = true;
                             }
                         }
+                        Saved::Given(hix, to) => {
+                            if let Some(h) = self.world.remove_host(hix) {
+                                tracing::info!(host = h.id, to, "machine given to another part");
+                                self.elsewhere.insert(h.id, to);
+                            }
+                        }
                         Saved::HostGone(_) => {}
                     }
                 }
@@ -438,7 +479,7 @@
                     }
                     self.dirty.insert(ix);
                 }
-                Saved::Host(hix) => {
+                Saved::Host(hix) | Saved::Given(hix, _) => {
                     self.new_hosts.insert(hix);
                 }
                 Saved::HostGone(id) => {
@@ -513,6 +554,64 @@
 
     // ---- reports ----
 
+    /// Does this part take the machine's reports?
+    pub fn claims(&mut self, r: &Report) -> Claim {
+        if self.world.host_ix.contains_key(&r.host) || self.released.contains(&r.host) {
+            // A worker drops what carries a lower token than it has seen: a
+            // higher term first.
+            if let Some(h) = self.world.host_ix.get(&r.host).copied().and_then(|ix| self.world.host_mut(ix)) {
+                h.fence = h.fence.max(r.fence);
+            }
+            return if r.fence > self.term { Claim::NotYet } else { Claim::Mine };
+        }
+        if self.id == 0 && !self.elsewhere.contains_key(&r.host) {
+            return if r.fence > self.term { Claim::NotYet } else { Claim::Mine };
+        }
+        self.recheck.insert(r.host.clone());
+        match self.elsewhere.get(&r.host) {
+            Some(p) => Claim::Elsewhere(*p),
+            None => Claim::Unknown,
+        }
+    }
+
+    /// What the registry says now of a machine that reported here.
+    pub fn rechecked(&mut self, id: &str, record: Option<HostRecord>, now: u64) {
+        match record {
+            Some(r) if r.part == self.id => {
+                self.elsewhere.remove(id);
+                if !self.world.host_ix.contains_key(id) {
+                    // The giver made sure that nothing is left on it.
+                    let term = self.term;
+                    let hix = self.add_registered(id.to_string(), r, now);
+                    if let Some(h) = self.world.host_mut(hix) {
+                        h.accounted = true;
+                        h.min_fence = term;
+                        tracing::info!(host = h.id, "machine joins this part");
+                    }
+                }
+            }
+            Some(r) => {
+                self.elsewhere.insert(id.to_string(), r.part);
+            }
+            None => {
+                self.elsewhere.remove(id);
+            }
+        }
+    }
+
+    /// Gives a free machine to another part; false if it is not free.
+    pub fn give(&mut self, id: &str, to: u32) -> bool {
+        let Some(&hix) = self.world.host_ix.get(id) else { return false };
+        let Some(h) = self.world.host_mut(hix) else { return false };
+        let free = h.copies.is_empty() && h.claims.is_empty() && !h.do_in_flight && !h.strays;
+        if !free || !h.registered || !h.accounted || h.releasing || h.notice || h.giving.is_some() {
+            return false;
+        }
+        h.giving = Some(to);
+        self.new_hosts.insert(hix);
+        true
+    }
+
     /// Takes a report and returns the orders of its reply.
     pub fn report(&mut self, r: &Report, via: Via, now: u64) -> Vec<Order> {
         if self.released.contains(&r.host) {
@@ -525,6 +624,8 @@
                 let mut h = Host::new(r.host.clone(), r.zone.clone(), r.spot, flavor, now);
                 // Not in the registry: no holder before us placed anything on it.
                 h.accounted = true;
+                // Rented for another part: it is given away once it is registered.
+                h.giving = self.destined.remove(&r.host).filter(|p| *p != self.id);
                 let hix = self.world.add_host(h);
                 self.new_hosts.insert(hix);
                 tracing::info!(host = r.host, flavor = r.flavor, zone = r.zone, spot = r.spot, "machine is up");
@@ -546,6 +647,10 @@
         }
         let term = self.term;
         let Some(h) = self.world.host_mut(hix) else { return Vec::new() };
+        if r.tenure > h.tenure {
+            // A session's lease counts from its beginning, whenever we answered.
+            h.answered_ms = h.answered_ms.max(now);
+        }
         h.tenure = r.tenure;
         h.serial = r.serial;
         h.fence = h.fence.max(r.fence);
@@ -936,9 +1041,10 @@
 
     /// True if a copy can only be settled by a higher token.
     pub fn needs_new_term(&self) -> bool {
-        self.world.each_host().any(|(_, h)| {
-            h.copies.iter().any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
-        })
+        self.world.each_host().any(|(_, h)| h.fence > self.term)
+            || self.world.each_host().any(|(_, h)| {
+                h.copies.iter().any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
+            })
     }
 
     // ---- decisions ----
@@ -1063,7 +1169,7 @@
         for (key, _, to) in &d.moves {
             let demand = self.world.jobs[key.job].spec.demand;
             if let Some(h) = self.world.host_mut(*to) {
-                h.claims.push(Claim { job: key.job, demand, until_ms });
+                h.claims.push(Hold { job: key.job, demand, until_ms });
             }
         }
     }
@@ -1082,6 +1188,12 @@
         self.world.host_mut(hix).is_some_and(|h| !std::mem::replace(&mut h.releasing, true))
     }
 
+    /// The lowest bin that waits for room.
+    pub fn lowest_bin(&self, wall: u64) -> Option<u64> {
+        let bin = |ix: &JobIx| self.policy.bin(self.policy.effective_deadline_ms(&self.world.jobs[*ix], wall));
+        self.unplaced.iter().map(bin).min()
+    }
+
     /// The cloud has confirmed: the machine and all on it are gone.
     pub fn host_gone(&mut self, id: &str, now: u64) {
         self.released.insert(id.to_string());
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -19,23 +19,57 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
     /// Promise not to act for this part for a while.
-    Promise {
-        part: u32,
-        term: u64,
-        for_ms: u64,
-        state_ok: bool,
-    },
-    /// A user's request for the holder of the parts.
+    Promise { part: u32, term: u64, for_ms: u64, state_ok: bool },
+    /// A user's request for the holder of a part.
+    User { part: u32, call: UserCall },
+    /// To the leader: what a part needs, and could do without.
+    Needs(Needs),
+    /// From the leader: give this machine, if it is free, to another part.
+    Give { part: u32, host: String, to: u32 },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum UserCall {
     Submit(Vec<u8>),
     Status(String),
     Cancel(String),
 }
 
+/// Machines of one kind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Machines {
+    pub flavor: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: usize,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Needs {
+    pub part: u32,
+    /// The lowest bin that waits for room, if any does.
+    pub lowest_bin: Option<u64>,
+    /// How many machines it believes to be on their way to it.
+    pub assumed: usize,
+    pub wanted: Vec<Machines>,
+    /// Free machines that nothing here needs.
+    pub spare: Vec<String>,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     Promised,
     No,
-    User { status: u16, body: Vec<u8>, retry_after_s: Option<u64> },
+    /// Machines that are on their way to the part.
+    Coming {
+        coming: Vec<Machines>,
+        refused: Vec<Machines>,
+    },
+    User {
+        status: u16,
+        body: Vec<u8>,
+        retry_after_s: Option<u64>,
+    },
 }
 
 #[derive(Serialize, Deserialize)]
@@ -213,7 +247,7 @@
         let addr = listener.local_addr().unwrap();
         tokio::spawn(serve(listener, |ask| async move {
             match ask {
-                Ask::Status(_) => std::future::pending().await,
+                Ask::Give { .. } => std::future::pending().await,
                 Ask::Promise { term: 3, .. } => Reply::Promised,
                 _ => Reply::No,
             }
@@ -222,7 +256,7 @@
         let ask = |term| Ask::Promise { part: 0, term, for_ms: 5, state_ok: true };
         let limit = Duration::from_millis(500);
         assert_eq!(p.ask(ask(3), limit).await, Some(Reply::Promised));
-        assert_eq!(p.ask(Ask::Status("x".into()), Duration::from_millis(30)).await, None);
+        assert_eq!(p.ask(Ask::Give { part: 0, host: "x".into(), to: 1 }, Duration::from_millis(30)).await, None);
         assert_eq!(p.ask(ask(4), limit).await, Some(Reply::No));
     }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -754,6 +754,8 @@
         && !h.notice
         && !h.releasing
         && !h.draining
+        && h.giving.is_none()
+        && h.fence >= h.min_fence
         && h.blocked_until_ms <= now
         && h.failed_jobs.len() < SHUNNED
         && h.addr.is_some()
