--- /dev/null
+++ b/tests/stand_ins/mod.rs
@@ -0,0 +1,373 @@
+//! Stand-ins for the outside world, written from the protocol: a state service,
+//! a cloud whose machines are up at once, and their workers.
+
+use badgerdrift::http::{self, Client, Request, Response};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+pub const LEASE: Duration = Duration::from_secs(3);
+pub const REPORT: Duration = Duration::from_millis(100);
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let a = l.local_addr().unwrap();
+    (l, a)
+}
+
+fn query(path: &str) -> HashMap<String, String> {
+    let q = path.split_once('?').map_or("", |p| p.1);
+    q.split('&').filter_map(|kv| kv.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
+}
+
+#[derive(Default)]
+pub struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    grants: HashMap<u64, (Instant, Duration)>,
+    next_grant: u64,
+    log: Vec<Value>,
+    pub down: bool,
+}
+
+impl Store {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self.grants.iter().filter(|(_, g)| g.0 + g.1 < now).map(|(id, _)| *id).collect();
+        ended.into_iter().for_each(|id| self.end(id));
+    }
+
+    fn end(&mut self, id: u64) {
+        self.grants.remove(&id);
+        let keys: Vec<String> = self.keys.iter().filter(|(_, v)| v.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for k in keys {
+            self.keys.remove(&k);
+            self.log.push(json!({"delete": k, "stamp": self.revision}));
+        }
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn set_down(&mut self, down: bool) {
+        self.down = down;
+        let now = Instant::now();
+        self.grants.values_mut().for_each(|g| g.0 = now);
+    }
+
+    fn commit(&mut self, body: &Value) -> Response {
+        let failed: Vec<&Value> = body["guards"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .filter(|g| self.keys.get(g["path"].as_str().unwrap()).map_or(0, |k| k.1) != g["stamp"].as_u64().unwrap())
+            .map(|g| &g["path"])
+            .collect();
+        if !failed.is_empty() {
+            return Response::json(409, &json!({"failed": failed, "epoch": self.revision}));
+        }
+        let apply = body["apply"].as_array().unwrap();
+        if apply.iter().filter_map(|a| a["grant"].as_u64()).any(|g| !self.grants.contains_key(&g)) {
+            return Response::json(400, &json!({"error": "no such lease"}));
+        }
+        self.revision += 1;
+        for a in apply {
+            if let Some(k) = a["put"].as_str() {
+                self.keys.insert(k.into(), (a["data"].clone(), self.revision, a["grant"].as_u64()));
+                self.log.push(json!({"put": k, "data": a["data"], "stamp": self.revision}));
+            } else if let Some(k) = a["delete"].as_str() {
+                self.keys.remove(k);
+                self.log.push(json!({"delete": k, "stamp": self.revision}));
+            }
+        }
+        Response::json(200, &json!({"epoch": self.revision}))
+    }
+
+    fn handle(&mut self, req: &Request) -> Response {
+        if self.down {
+            return Response::error(503, "outage");
+        }
+        self.expire();
+        let path = req.path.split('?').next().unwrap();
+        let q = query(&req.path);
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        if path == "/commit" {
+            return self.commit(&body);
+        }
+        if path == "/store" {
+            let (under, from) = (&q["under"], q.get("from").cloned().unwrap_or_default());
+            let items: Vec<Value> = self
+                .keys
+                .iter()
+                .filter(|(k, _)| k.starts_with(under) && **k > from)
+                .map(|(k, v)| json!({"path": k, "data": v.0, "stamp": v.1}))
+                .collect();
+            return Response::json(200, &json!({"items": items, "more": false, "epoch": self.revision}));
+        }
+        if let Some(k) = path.strip_prefix("/store/") {
+            return match self.keys.get(k) {
+                Some(v) => Response::json(200, &json!({"path": k, "data": v.0, "stamp": v.1})),
+                None => Response::json(404, &json!({"epoch": self.revision})),
+            };
+        }
+        if path == "/grants" {
+            self.next_grant += 1;
+            let life = Duration::from_millis(body["life_ms"].as_u64().unwrap());
+            self.grants.insert(self.next_grant, (Instant::now(), life));
+            return Response::json(200, &json!({"grant": self.next_grant}));
+        }
+        let id: u64 = path.split('/').nth(2).and_then(|s| s.parse().ok()).unwrap();
+        if req.method == "DELETE" {
+            self.end(id);
+            return Response::json(200, &json!({}));
+        }
+        match self.grants.get_mut(&id) {
+            Some(g) => {
+                g.0 = Instant::now();
+                Response::json(200, &json!({"grant": id}))
+            }
+            None => Response::error(404, "no such lease"),
+        }
+    }
+
+    fn changes(&self, q: &HashMap<String, String>) -> Option<Response> {
+        let from: u64 = q["from"].parse().unwrap();
+        let hit = |e: &&Value| {
+            let k = e["put"].as_str().or(e["delete"].as_str()).unwrap();
+            e["stamp"].as_u64().unwrap() > from && k.starts_with(&q["under"])
+        };
+        let log: Vec<&Value> = self.log.iter().filter(hit).collect();
+        (!log.is_empty()).then(|| Response::json(200, &json!({"epoch": self.revision, "log": log})))
+    }
+}
+
+struct Machine {
+    addr: SocketAddr,
+    flavor: String,
+    region: String,
+    spot: bool,
+}
+
+#[derive(Default)]
+pub struct World {
+    pub store: Store,
+    machines: BTreeMap<String, Machine>,
+    rentals: HashMap<String, Vec<String>>,
+    /// Tasks that are on machines now, and rules that were seen broken.
+    pub on: BTreeMap<(String, String), &'static str>,
+    pub broken: Vec<String>,
+    /// Tasks that may end with success.
+    pub finish: bool,
+}
+
+pub type Shared = Arc<Mutex<World>>;
+
+async fn state(w: Shared, req: Request) -> Response {
+    if !req.path.starts_with("/changes") {
+        return w.lock().unwrap().store.handle(&req);
+    }
+    let q = query(&req.path);
+    let until = Instant::now() + Duration::from_millis(q["hold_ms"].parse().unwrap());
+    loop {
+        {
+            let mut w = w.lock().unwrap();
+            w.store.expire();
+            if let Some(r) = w.store.changes(&q) {
+                return r;
+            }
+            if Instant::now() > until {
+                return Response::json(200, &json!({"epoch": w.store.revision, "log": []}));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn cloud(w: Shared, nodes: Vec<SocketAddr>, req: Request) -> Response {
+    let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+    match (req.method.as_str(), req.path.split('?').next().unwrap()) {
+        ("GET", "/flavors") => Response::json(
+            200,
+            &json!({"flavors": [{"sku": "g8", "cores": 32.0, "cards": 8.0, "mem_gb": 256.0, "cache_gb": 100.0,
+                "fetch_gb_per_s": 50.0, "rate": 10.0, "low_price": 4.0, "startup_s": 1.0, "regions": ["a"]}]}),
+        ),
+        ("GET", _) => {
+            let w = w.lock().unwrap();
+            let hosts: Vec<Value> = w
+                .machines
+                .iter()
+                .map(|(id, m)| {
+                    json!({"id": id, "addr": m.addr, "flavor": m.flavor, "region": m.region,
+                    "preemptible": m.spot, "phase": "running", "held_s": 1.0})
+                })
+                .collect();
+            Response::json(200, &json!({"hosts": hosts, "more": false}))
+        }
+        (_, "/hosts") => {
+            let name = body["rental"].as_str().unwrap().to_string();
+            if let Some(known) = w.lock().unwrap().rentals.get(&name) {
+                return Response::json(200, &json!({"hosts": known}));
+            }
+            let mut ids = Vec::new();
+            for _ in 0..body["number"].as_u64().unwrap().min(2) {
+                let (listener, addr) = listen().await;
+                let id = {
+                    let mut w = w.lock().unwrap();
+                    let id = format!("host-{:06}", w.machines.len());
+                    let (flavor, region) = (body["flavor"].as_str().unwrap(), body["region"].as_str().unwrap());
+                    let spot = body["preemptible"].as_bool().unwrap();
+                    let m = Machine { addr, flavor: flavor.into(), region: region.into(), spot };
+                    w.machines.insert(id.clone(), m);
+                    id
+                };
+                worker(w.clone(), id.clone(), listener, nodes.clone());
+                ids.push(id);
+            }
+            w.lock().unwrap().rentals.insert(name, ids.clone());
+            Response::json(200, &json!({"hosts": ids}))
+        }
+        _ => {
+            let mut w = w.lock().unwrap();
+            for id in body["hosts"].as_array().unwrap().iter().filter_map(Value::as_str) {
+                w.machines.remove(id);
+                w.on.retain(|(_, h), _| h != id);
+            }
+            Response::json(200, &json!({}))
+        }
+    }
+}
+
+/// What one worker knows.
+struct Worker {
+    id: String,
+    serial: u64,
+    tenure: u64,
+    fence: u64,
+    began: Instant,
+    tasks: BTreeMap<(String, u64), (&'static str, Option<&'static str>)>,
+}
+
+impl Worker {
+    fn report(&mut self, w: &World) -> Value {
+        self.serial += 1;
+        let m = &w.machines[&self.id];
+        let tasks: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|((t, a), (p, why))| json!({"shard": t, "try_no": a, "phase": p, "exit_reason": why}))
+            .collect();
+        json!({"host": self.id, "addr": m.addr, "flavor": m.flavor, "region": m.region, "preemptible": m.spot,
+            "tenure": self.tenure, "serial": self.serial, "fence": self.fence, "warning_s": null, "shards": tasks})
+    }
+
+    fn execute(&mut self, w: &mut World, orders: &Value) {
+        for o in orders.as_array().into_iter().flatten() {
+            let task = o["shard"].as_str().unwrap().to_string();
+            let key = (task.clone(), o["try_no"].as_u64().unwrap());
+            match o["verb"].as_str().unwrap() {
+                "run" if !self.tasks.contains_key(&key) => {
+                    if w.on.keys().any(|(t, _)| *t == task) {
+                        w.broken.push(format!("{task} runs twice"));
+                    }
+                    w.on.insert((task, self.id.clone()), "running");
+                    self.tasks.insert(key, ("running", None));
+                }
+                "stop" => {
+                    if let Some(t) = self.tasks.get_mut(&key).filter(|t| t.0 == "running") {
+                        *t = ("ended", Some("halted"));
+                        w.on.remove(&(task, self.id.clone()));
+                    }
+                }
+                "reap" => {
+                    self.tasks.remove(&key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn end_all(&mut self, w: &mut World) {
+        self.tasks.clear();
+        w.on.retain(|(_, h), _| *h != self.id);
+        self.tenure += 1;
+        self.began = Instant::now();
+    }
+}
+
+fn worker(w: Shared, id: String, listener: TcpListener, nodes: Vec<SocketAddr>) {
+    let me = Worker { id, serial: 0, tenure: 1, fence: 0, began: Instant::now(), tasks: BTreeMap::new() };
+    let me = Arc::new(Mutex::new(me));
+    let (w2, me2) = (w.clone(), me.clone());
+    tokio::spawn(http::serve(listener, 100, Duration::from_secs(5), move |req| {
+        let (w, me) = (w2.clone(), me2.clone());
+        async move {
+            let body: Value = serde_json::from_slice(&req.body).unwrap();
+            let (mut w, mut me) = (w.lock().unwrap(), me.lock().unwrap());
+            if !w.machines.contains_key(&me.id) {
+                return Response::error(503, "gone");
+            }
+            let fence = body["fence"].as_u64().unwrap();
+            let ok = fence >= me.fence && body["tenure"].as_u64() == Some(me.tenure);
+            if ok {
+                me.fence = fence;
+                me.execute(&mut w, &body["orders"]);
+            }
+            Response::json(if ok { 200 } else { 409 }, &me.report(&w))
+        }
+    }));
+    tokio::spawn(async move {
+        let client = Client::default();
+        let mut at = 0;
+        loop {
+            tokio::time::sleep(REPORT).await;
+            let (sent, body) = {
+                let (mut w, mut me) = (w.lock().unwrap(), me.lock().unwrap());
+                if !w.machines.contains_key(&me.id) {
+                    return;
+                }
+                if me.began.elapsed() > LEASE {
+                    me.end_all(&mut w);
+                }
+                if w.finish {
+                    let id = me.id.clone();
+                    for ((task, _), t) in me.tasks.iter_mut().filter(|(_, t)| t.0 == "running") {
+                        *t = ("ended", Some("done"));
+                        w.on.remove(&(task.clone(), id.clone()));
+                    }
+                }
+                (Instant::now(), me.report(&w).to_string())
+            };
+            let r = client.call(nodes[at], "POST", "/agent/beat", Some(body.as_bytes()), Duration::from_secs(1)).await;
+            match r {
+                Ok((200, body)) => {
+                    let v: Value = serde_json::from_slice(&body).unwrap();
+                    let (mut w, mut me) = (w.lock().unwrap(), me.lock().unwrap());
+                    let fence = v["fence"].as_u64().unwrap();
+                    if fence >= me.fence && w.machines.contains_key(&me.id) {
+                        me.fence = fence;
+                        me.began = sent;
+                        me.execute(&mut w, &v["orders"]);
+                    }
+                }
+                _ => at = (at + 1) % nodes.len(),
+            }
+        }
+    });
+}
+
+/// Starts the state service and the cloud; returns their addresses.
+pub async fn start(nodes: Vec<SocketAddr>) -> (Shared, SocketAddr, SocketAddr) {
+    let w: Shared = Arc::default();
+    let patience = Duration::from_secs(5);
+    let (l, state_addr) = listen().await;
+    let w2 = w.clone();
+    tokio::spawn(http::serve(l, 500, patience, move |req| state(w2.clone(), req)));
+    let (l, cloud_addr) = listen().await;
+    let w2 = w.clone();
+    tokio::spawn(http::serve(l, 500, patience, move |req| cloud(w2.clone(), nodes.clone(), req)));
+    (w, state_addr, cloud_addr)
+}
