--- a/src/sched.rs
+++ b/src/sched.rs
@@ -15,6 +15,8 @@
     pub teams: HashMap<String, TeamRule>,
     /// By class: start objective and the share that must meet it.
     pub waits: HashMap<String, (f64, f64)>,
+    /// Within how long work within a guarantee is to start, if that is an aim.
+    pub guarantee_s: Option<f64>,
     /// How long room is held for a gang or a preempting job.
     pub hold_ms: u64,
     pub lease_ms: u64,
@@ -51,6 +53,7 @@
             idle_keep: o.idle_keep,
             teams: teams.collect(),
             waits: waits.filter_map(|o| Some((o.class.clone()?, (o.within_s?, o.share.unwrap_or(0.9))))).collect(),
+            guarantee_s: s.params.objectives.iter().find(|o| o.kind == "guarantee").and_then(|o| o.within_s),
             hold_ms: (s.params.workers.gang_wait_s * 1000.0) as u64,
             lease_ms: s.lease_ms(),
             report_ms: s.report_ms(),
@@ -350,7 +353,8 @@
         let fetch = h.fetch_s(&spec.image, spec.image_gb, flavor.fetch_gb_per_s);
         let deadline = self.policy.soft_deadline_ms(job);
         let slack = deadline.saturating_sub(self.wall) as f64 / 1000.0 - spec.expected_s;
-        let within = self.policy.waits.get(&spec.class).map_or(self.policy.default_deadline_s.min(60.0), |w| w.0);
+        let within = self.policy.waits.get(&spec.class).map(|w| w.0).or(self.policy.guarantee_s);
+        let within = within.unwrap_or(self.policy.default_deadline_s);
         let mut cost = fetch / within.max(0.1);
         if fetch > slack.max(0.0) {
             cost += 3.0;
