--- a/src/api.rs
+++ b/src/api.rs
@@ -5,9 +5,10 @@
 use crate::doors::Doors;
 use crate::holder::{self, BeatAnswer};
 use crate::http::{Request, Response};
-use crate::model::{JobEnd, JobPhase, JobRecord};
-use crate::part::job_key;
+use crate::model::{Flavor, JobEnd, JobPhase, JobRecord};
+use crate::part::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
+use crate::sched::{self, Policy};
 use crate::wire::{self, Report};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -20,6 +21,8 @@
     pub doors: Doors,
     /// Part of each team.
     pub teams: Arc<HashMap<String, u32>>,
+    pub policy: Arc<Policy>,
+    pub value_bytes: usize,
     pub places: Arc<Mutex<Places>>,
 }
 
@@ -136,7 +139,11 @@
         let text = |name: &str| known.as_ref().and_then(|v| v.get(name)?.as_str()).map(str::to_string);
         let part = text(wire::TEAM).and_then(|t| self.teams.get(&t).copied()).unwrap_or(0);
         let id = text(wire::ID).filter(|id| wire::is_job_id(id));
-        let answer = self.doors.user(part, UserCall::Submit(body)).await;
+        let answer = match self.doors.user(part, UserCall::Submit(body.clone())).await {
+            Some(r) if r.status != 503 => Some(r),
+            // Nobody holds the part now, or can't be reached.
+            other => self.accept(part, &body).await.or(other),
+        };
         match (answer, id) {
             // A known job is answered so even where its content is refused now.
             (Some(r), Some(id)) if matches!(r.status, 400 | 422) => match self.fresh(&id, true).await {
@@ -153,6 +160,30 @@
         }
     }
 
+    /// Accepts a job without its part's holder: the record is what counts. The
+    /// next holder reads it; a present one is told by a key in its inbox.
+    async fn accept(&self, part: u32, body: &[u8]) -> Option<Response> {
+        let spec = wire::parse_submission(body).ok()?;
+        if !self.state.within_budget() {
+            return None;
+        }
+        let flavors = self.state.get(holder::FLAVORS_KEY).await.ok()?.0?;
+        let flavors: Vec<Flavor> = serde_json::from_value(flavors.value).ok()?;
+        if sched::impossible(&spec, &self.policy, &flavors).is_some() || !crate::part::fits(&spec, self.value_bytes) {
+            return None;
+        }
+        let id = spec.id.clone();
+        let record = JobRecord { spec, accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
+        let value = serde_json::to_value(&record).ok()?;
+        let apply =
+            [wire::put(&job_key(&id), &value, None), wire::put(&inbox_key(part, &id), &serde_json::json!({}), None)];
+        match self.state.commit(&[wire::guard(&job_key(&id), 0)], &apply).await {
+            CommitResult::Done { .. } => Some(Response::json(201, &wire::job_answer(&id, JobPhase::Pending, 0, 0))),
+            CommitResult::Conflict { .. } => Some(self.fresh(&id, true).await),
+            _ => None,
+        }
+    }
+
     async fn job(&self, id: &str, call: UserCall) -> Response {
         if !wire::is_job_id(id) {
             return Response::error(404, "no such job");
--- a/src/doors.rs
+++ b/src/doors.rs
@@ -46,7 +46,10 @@
         }
         let name = self.holder(part)?;
         let peer = self.peers.iter().find(|p| p.name == name)?;
-        peer.ask(ask, Duration::from_millis(self.life_ms * 2 / 5)).await
+        // A submission can be accepted without the holder: it need not wait.
+        let submits = matches!(ask, Ask::User { call: UserCall::Submit(_), .. });
+        let limit = if submits { self.life_ms / 10 } else { self.life_ms * 2 / 5 };
+        peer.ask(ask, Duration::from_millis(limit)).await
     }
 
     /// Asks the holder of a part on behalf of a user.
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -19,7 +19,7 @@
 use tokio::time::sleep;
 
 /// Key under which the machine types are kept for a restart in a cloud outage.
-const FLAVORS_KEY: &str = "flavors";
+pub const FLAVORS_KEY: &str = "flavors";
 
 /// Messages to the actor of a part.
 pub enum Msg {
@@ -34,6 +34,8 @@
     DirectDone(Direct, DirectResult),
     Committed(u64, CommitResult),
     Reread(u64, Vec<Item>),
+    /// Jobs that other nodes accepted.
+    Inbox(u64, Vec<Item>),
     Raised(u64, Option<(u64, u64)>),
     Rented(u64, String, RentResult),
     Released(u64, Vec<String>, bool),
@@ -251,6 +253,7 @@
                     h.loaded = true;
                     tracing::info!(term, jobs = h.part.world.live.len(), hosts = h.part.world.host_ix.len(), "loaded");
                     self.watch_cloud(n, h.part.world.flavors.clone());
+                    self.watch_inbox(n);
                 }
                 None => {
                     let again = (self.tx.clone(), self.settings.report_ms() / 4);
@@ -281,6 +284,11 @@
                     h.part.reread(i, now);
                 }
             }
+            Msg::Inbox(of, items) if of == n => {
+                for i in items {
+                    h.part.adopt_job(i, now);
+                }
+            }
             Msg::Raised(of, result) if of == n => {
                 h.raising = false;
                 h.raise_after_ms = now + self.settings.report_ms();
@@ -510,6 +518,32 @@
         }
     }
 
+    /// Reads the jobs that other nodes accept, for as long as the tenancy lasts.
+    fn watch_inbox(&self, n: u64) {
+        let (state, tx, current) = (self.state.clone(), self.tx.clone(), self.current.clone());
+        let prefix = part::inbox_key(self.id, "");
+        let (wait_ms, pause) = (self.settings.lease_ms(), Duration::from_millis(self.settings.report_ms()));
+        tokio::spawn(async move {
+            while current.load(Ordering::Relaxed) == n {
+                let round = async {
+                    let (_, revision) = state.get(&prefix).await.ok()?;
+                    let mut items = Vec::new();
+                    for i in state.list(&prefix).await.ok()? {
+                        let id = i.key.strip_prefix(&prefix)?;
+                        items.extend(state.get(&part::job_key(id)).await.ok()?.0);
+                    }
+                    let any = !items.is_empty();
+                    tx.send(Msg::Inbox(n, items)).await.ok()?;
+                    // What was read stays listed until it is deleted.
+                    if any { None } else { state.changes(&prefix, revision, wait_ms).await.ok() }
+                };
+                if round.await.is_none() {
+                    sleep(pause).await;
+                }
+            }
+        });
+    }
+
     /// Reads the machine types and the list for as long as the tenancy lasts.
     fn watch_cloud(&self, n: u64, known: Vec<Flavor>) {
         let (cloud, state, tx) = (self.cloud.clone(), self.state.clone(), self.tx.clone());
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 use crate::holder::Holder;
 use crate::membership::{Entitlement, Membership, Seat};
 use crate::peer::{self, Peer};
+use crate::sched::Policy;
 use crate::{clock, http};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
@@ -88,7 +89,9 @@
         async move { doors.answer(ask).await }
     }));
     let teams = Arc::new(settings.parts_of_teams(operator.parts));
-    let api = Api { state, doors, teams, places: Default::default() };
+    let policy = Arc::new(Policy::new(&settings, &operator, 0));
+    let value_bytes = (settings.params.state.value_kb * 1024.0) as usize;
+    let api = Api { state, doors, teams, policy, value_bytes, places: Default::default() };
     // A quarter of the sockets is for what this node opens itself.
     let max_open = settings.params.limits.max_sockets * 3 / 4;
     let patience = Duration::from_millis(settings.lease_ms() / 2);
--- a/src/part.rs
+++ b/src/part.rs
@@ -20,6 +20,16 @@
     format!("host/{id}")
 }
 
+/// Does the record of such a job fit into a value, with room for its progress?
+pub fn fits(spec: &Spec, value_bytes: usize) -> bool {
+    serde_json::to_vec(spec).is_ok_and(|v| v.len() <= value_bytes / 3)
+}
+
+/// Key that tells the holder of a part of a job that another node accepted.
+pub fn inbox_key(part: u32, id: &str) -> String {
+    format!("in/{part}/{id}")
+}
+
 /// How a report came. Only a reply to a beat proves that the replies before
 /// it are over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,7 +64,7 @@
     Job(JobIx, Unsaved),
     Host(HostIx),
     Given(HostIx, u32),
-    HostGone(String),
+    KeyGone(String),
 }
 
 /// A commit to be sent.
@@ -121,7 +131,8 @@
     next_attempt: u64,
     dirty: BTreeSet<JobIx>,
     new_hosts: BTreeSet<HostIx>,
-    gone_hosts: BTreeSet<String>,
+    /// Keys that are of no more use.
+    gone_keys: BTreeSet<String>,
     /// Names of machines that were released: late copies of their reports mean nothing.
     released: HashSet<String>,
     in_flight: Option<Vec<Saved>>,
@@ -163,7 +174,7 @@
             next_attempt: 0,
             dirty: BTreeSet::new(),
             new_hosts: BTreeSet::new(),
-            gone_hosts: BTreeSet::new(),
+            gone_keys: BTreeSet::new(),
             released: HashSet::new(),
             in_flight: None,
             waiters: HashMap::new(),
@@ -225,6 +236,21 @@
         self.world.add_host(h)
     }
 
+    /// A job that another node accepted while it could not reach this one. It
+    /// was not there when the records were read, so no earlier holder has
+    /// started any of it.
+    pub fn adopt_job(&mut self, item: Item, now: u64) {
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else { return };
+        self.gone_keys.insert(inbox_key(self.id, &record.spec.id));
+        if !self.world.job_ix.contains_key(&record.spec.id) {
+            tracing::info!(job = record.spec.id, "job accepted by another node");
+            let mut job = record.into_job(item.version, now);
+            job.fresh = true;
+            self.world.add_job(job);
+            self.stirred = true;
+        }
+    }
+
     /// A new term: attempts count on from it, so that none repeats.
     pub fn set_term(&mut self, term: u64, version: u64) {
         self.term = term;
@@ -285,7 +311,7 @@
             Ok(_) if self.world.flavors.is_empty() => UserAnswer::Later("the machine types are not known yet"),
             Ok(spec) => match sched::impossible(&spec, &self.policy, &self.world.flavors) {
                 Some(message) => UserAnswer::Impossible(message),
-                None if serde_json::to_vec(&spec).map_or(usize::MAX, |v| v.len()) > self.value_bytes / 3 => {
+                None if !fits(&spec, self.value_bytes) => {
                     UserAnswer::Malformed("bundle: the job's texts are too long".into())
                 }
                 None => {
@@ -418,9 +444,9 @@
         }
         jobs(self, &picked[hosts_at..], &mut commit, &mut saved, &mut bytes);
         while commit.apply.len() < ops {
-            let Some(id) = self.gone_hosts.pop_first() else { break };
-            commit.apply.push(wire::delete(&host_key(&id)));
-            saved.push(Saved::HostGone(id));
+            let Some(key) = self.gone_keys.pop_first() else { break };
+            commit.apply.push(wire::delete(&key));
+            saved.push(Saved::KeyGone(key));
         }
         if commit.apply.is_empty() {
             return None;
@@ -455,7 +481,7 @@
                                 self.elsewhere.insert(h.id, to);
                             }
                         }
-                        Saved::HostGone(_) => {}
+                        Saved::KeyGone(_) => {}
                     }
                 }
                 return Ok(reread);
@@ -482,8 +508,8 @@
                 Saved::Host(hix) | Saved::Given(hix, _) => {
                     self.new_hosts.insert(hix);
                 }
-                Saved::HostGone(id) => {
-                    self.gone_hosts.insert(id);
+                Saved::KeyGone(key) => {
+                    self.gone_keys.insert(key);
                 }
             }
         }
@@ -1201,7 +1227,7 @@
         self.lose_all(hix, now);
         self.new_hosts.remove(&hix);
         if self.world.remove_host(hix).is_some_and(|h| h.registered) {
-            self.gone_hosts.insert(id.to_string());
+            self.gone_keys.insert(host_key(id));
         }
         self.recount();
     }
@@ -1309,6 +1335,23 @@
         assert_eq!(p.status("run-000009"), UserAnswer::Unknown);
     }
 
+    #[test]
+    fn a_job_that_another_node_accepted_is_placed_and_its_notice_deleted() {
+        let mut p = part();
+        p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+        commit(&mut p, 1000, 99);
+        let spec = wire::parse_submission(&body("run-000005", "batch", 1)).unwrap();
+        let record = JobRecord { spec, accepted_ms: 900, end: None, done: vec![] };
+        let value = serde_json::to_value(record).unwrap();
+        for _ in 0..2 {
+            p.adopt_job(Item { key: "job/run-000005".into(), value: value.clone(), version: 50 }, 1000);
+        }
+        p.pass(1000, 1000);
+        assert_eq!((p.kick.len(), p.world.jobs.len()), (1, 1));
+        let c = p.next_commit(1000, 32).unwrap();
+        assert_eq!(c.apply, [wire::delete("in/0/run-000005")]);
+    }
+
     #[test]
     fn an_unclear_creation_is_written_again_and_found() {
         let mut p = part();
