A holder that hears its workers no more leaves the part to another

It now ends its grant and releases its promises once two thirds of the machines it heard are silent.

--- a/src/doors.rs
+++ b/src/doors.rs
@@ -71,6 +71,12 @@
                 let m = membership::Msg::Promise { term, for_ms, state_ok, reply };
                 if door.members.try_send(m).is_ok() && rx.await == Ok(true) { Reply::Promised } else { Reply::No }
             }
+            Ask::Release { part, term } => {
+                if let Some(door) = self.parts.get(part as usize) {
+                    let _ = door.members.try_send(membership::Msg::Release { term });
+                }
+                Reply::Promised
+            }
             Ask::User { part, call } => {
                 let r = self.local(part, call).await;
                 Reply::User { status: r.status, body: r.body, retry_after_s: r.retry_after_s }
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -71,7 +71,7 @@
     pub cloud: Cloud,
     pub worker: Worker,
     pub entitled: Entitlement,
-    pub superseded: mpsc::Sender<membership::Msg>,
+    pub members: mpsc::Sender<membership::Msg>,
     pub doors: Doors,
     pub tx: mpsc::Sender<Msg>,
     /// Number of the tenancy under way; 0 if none.
@@ -93,6 +93,7 @@
     commit_after_ms: u64,
     next_pass_ms: u64,
     next_upkeep_ms: u64,
+    upkeep_ms: u64,
     next_plan_ms: u64,
     /// What the leader says is on its way here.
     coming: Vec<Coming>,
@@ -176,6 +177,7 @@
             commit_after_ms: 0,
             next_pass_ms: 0,
             next_upkeep_ms: 0,
+            upkeep_ms: now,
             next_plan_ms: 0,
             coming: Vec::new(),
         }
@@ -275,7 +277,7 @@
                     Err(Superseded) => {
                         h.loaded = false;
                         self.entitled.set(0);
-                        let _ = self.superseded.try_send(membership::Msg::Superseded);
+                        let _ = self.members.try_send(membership::Msg::Superseded);
                     }
                 }
             }
@@ -355,6 +357,11 @@
         let report = self.settings.report_ms();
         if now >= h.next_upkeep_ms {
             h.next_upkeep_ms = now + report / 4;
+            let stalled = now > h.upkeep_ms + report;
+            h.upkeep_ms = now;
+            if !stalled && h.part.cut_off(now) {
+                let _ = self.members.try_send(membership::Msg::Abdicate);
+            }
             let (release, probe) = h.part.upkeep(now);
             for op in h.leader.release(release) {
                 self.cloud_op(h, op);
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -79,8 +79,14 @@
         state_ok: bool,
         reply: oneshot::Sender<bool>,
     },
+    /// The asker of a promise has stopped acting.
+    Release {
+        term: u64,
+    },
     /// The part's actor found its commits superseded.
     Superseded,
+    /// The part's actor hears its workers no more, and others may.
+    Abdicate,
     Seen(Option<PartRecord>),
     Extended {
         grant: u64,
@@ -120,8 +126,11 @@
     life_ms: u64,
     peers: usize,
     role: Role,
-    /// Promises that this node has given end then.
+    /// Promises that this node has given end then, and the term they were for.
     promised_until: u64,
+    promised_term: u64,
+    /// Not again before then: if nobody hears the workers, it is not our fault.
+    abdicate_after: u64,
     /// A restarted node waits out the promises of its earlier life.
     act_after: u64,
     record: Option<PartRecord>,
@@ -145,6 +154,8 @@
             peers,
             role: Role::Idle,
             promised_until: 0,
+            promised_term: 0,
+            abdicate_after: 0,
             act_after: now + longer(life_ms),
             record: None,
             retry_after: 0,
@@ -169,10 +180,28 @@
     /// A holder asks not to be superseded for a while. Refused while this node
     /// itself takes or holds the part, or sees that only the asker has lost
     /// the state service.
-    pub fn promise(&mut self, now: u64, for_ms: u64, asker_state_ok: bool, own_state_ok: bool) -> bool {
+    pub fn promise(&mut self, now: u64, term: u64, for_ms: u64, asker_state_ok: bool, own_state_ok: bool) -> bool {
         let ok = matches!(self.role, Role::Idle) && (asker_state_ok || !own_state_ok) && for_ms <= self.life_ms;
         if ok {
             self.promised_until = self.promised_until.max(now + longer(for_ms));
+            self.promised_term = self.promised_term.max(term);
+        }
+        ok
+    }
+
+    /// A release counts for the latest promise only: a late copy of an older
+    /// one must not undo what binds this node to another holder.
+    pub fn release(&mut self, now: u64, term: u64) {
+        if self.promised_term == term {
+            self.promised_until = self.promised_until.min(now);
+        }
+    }
+
+    /// May a holder that hears its workers no more leave the part to others?
+    pub fn may_abdicate(&mut self, now: u64, pause_ms: u64) -> bool {
+        let ok = self.peers > 0 && matches!(self.role, Role::Holding { .. }) && now >= self.abdicate_after;
+        if ok {
+            self.abdicate_after = now + 2 * pause_ms;
         }
         ok
     }
@@ -315,8 +344,8 @@
     async fn handle(&self, rules: &mut Rules, m: Msg) {
         let now = clock::now_ms();
         match m {
-            Msg::Promise { for_ms, state_ok, reply, .. } => {
-                let _ = reply.send(rules.promise(now, for_ms, state_ok, self.state_ok(now)));
+            Msg::Promise { term, for_ms, state_ok, reply } => {
+                let _ = reply.send(rules.promise(now, term, for_ms, state_ok, self.state_ok(now)));
             }
             Msg::Seen(record) => {
                 // What a holder sees of itself is no news, and may be old.
@@ -343,6 +372,21 @@
                     rules.promised(peer, sent);
                 }
             }
+            Msg::Release { term } => rules.release(now, term),
+            Msg::Abdicate => {
+                // Twice a worker's lease, which is four of our lives.
+                let pause_ms = 8 * self.life_ms;
+                let Role::Holding { term, .. } = rules.role else { return };
+                if rules.may_abdicate(now, pause_ms) {
+                    self.step_down(rules, "its workers are not heard").await;
+                    rules.retry_after = now + pause_ms;
+                    for p in &self.peers {
+                        let (p, ask) = (p.clone(), Ask::Release { part: self.part, term });
+                        let limit = Duration::from_millis(self.life_ms / 2);
+                        tokio::spawn(async move { p.ask(ask, limit).await });
+                    }
+                }
+            }
             Msg::Superseded => {
                 if matches!(rules.role, Role::Holding { .. }) {
                     self.step_down(rules, "superseded").await;
@@ -499,3 +543,90 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIFE: u64 = 2500;
+
+    fn holding(peers: usize) -> Rules {
+        let mut r = Rules::new("a", LIFE, peers, 0);
+        r.begin(&Taken { grant: 1, term: 7, version: 3, start_ms: 0 }, 1000);
+        r
+    }
+
+    #[test]
+    fn entitlement_counts_from_when_the_renewal_was_sent() {
+        let mut r = holding(2);
+        let first = r.entitled_until();
+        assert!(first < 1000 + LIFE && first > 1000 + LIFE - 10, "less drift");
+        r.extended(1, 2000);
+        assert_eq!(r.entitled_until(), first + 1000);
+        r.extended(1, 1500);
+        assert_eq!(r.entitled_until(), first + 1000, "a late answer takes nothing back");
+        r.extended(2, 9000);
+        assert_eq!(r.entitled_until(), first + 1000, "another grant is another's");
+    }
+
+    #[test]
+    fn promises_count_only_if_all_others_gave_them() {
+        let mut r = holding(2);
+        let first = r.entitled_until();
+        r.promised(0, 5000);
+        assert_eq!(r.entitled_until(), first);
+        r.promised(1, 4000);
+        assert!(r.entitled_until() > 4000 && r.entitled_until() < 4000 + LIFE, "the earliest one counts");
+    }
+
+    #[test]
+    fn a_promise_binds_longer_than_the_asker_counts_it() {
+        let mut r = Rules::new("b", LIFE, 2, 0);
+        r.unbound();
+        assert!(r.may_take(10));
+        assert!(r.promise(1000, 7, LIFE, true, true));
+        let mut asker = holding(1);
+        asker.promised(0, 1000);
+        assert!(!r.may_take(asker.entitled_until()));
+        assert!(r.may_take(1000 + LIFE + 10));
+    }
+
+    #[test]
+    fn only_the_one_without_the_state_service_gets_no_promise() {
+        let mut r = Rules::new("b", LIFE, 2, 0);
+        assert!(!r.promise(1000, 7, LIFE, false, true), "others have it");
+        assert!(r.promise(1000, 7, LIFE, false, false), "an outage");
+        assert!(!holding(2).promise(1000, 7, LIFE, true, true), "a holder promises nothing");
+    }
+
+    #[test]
+    fn a_restarted_node_waits_out_promises_it_has_forgotten() {
+        let mut r = Rules::new("b", LIFE, 2, 10_000);
+        assert!(!r.may_take(10_000 + LIFE));
+        assert!(r.may_take(10_000 + LIFE + 10));
+        r = Rules::new("b", LIFE, 2, 10_000);
+        r.unbound();
+        assert!(r.may_take(10_000), "nobody relied on them");
+    }
+
+    #[test]
+    fn a_late_release_does_not_undo_a_later_promise() {
+        let mut r = Rules::new("b", LIFE, 2, 0);
+        r.unbound();
+        assert!(r.promise(1000, 7, LIFE, true, true));
+        r.release(1100, 7);
+        assert!(r.may_take(1100));
+        assert!(r.promise(1200, 8, LIFE, true, true));
+        r.release(1300, 7);
+        assert!(!r.may_take(1300));
+    }
+
+    #[test]
+    fn a_holder_does_not_abdicate_again_and_again() {
+        let mut r = holding(2);
+        assert!(r.may_abdicate(1000, 20_000));
+        assert!(!r.may_abdicate(30_000, 20_000));
+        assert!(r.may_abdicate(50_000, 20_000));
+        assert!(!holding(0).may_abdicate(1000, 20_000), "there is nobody else");
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -75,7 +75,7 @@
             cloud: cloud.clone(),
             worker: Worker::new(&settings),
             entitled: door.entitled.clone(),
-            superseded: door.members.clone(),
+            members: door.members.clone(),
             doors: doors.clone(),
             tx: door.holder.clone(),
             current: Arc::new(AtomicU64::new(0)),
--- a/src/part.rs
+++ b/src/part.rs
@@ -1208,6 +1208,18 @@
         }
     }
 
+    /// True if most machines that were heard before are silent at once: then it
+    /// is this node that is cut off from them, and another may not be.
+    pub fn cut_off(&self, now: u64) -> bool {
+        let known = self.world.each_host().filter(|(_, h)| h.tenure > 0 && !h.releasing);
+        let (mut all, mut silent) = (0, 0);
+        for (_, h) in known {
+            all += 1;
+            silent += usize::from(now.saturating_sub(h.heard_ms) > self.policy.report_ms * 5 / 2);
+        }
+        all >= 3 && silent * 3 >= all * 2
+    }
+
     /// Marks a machine for release; true if it was not marked yet.
     pub fn mark_releasing(&mut self, id: &str) -> bool {
         let Some(&hix) = self.world.host_ix.get(id) else { return true };
@@ -1581,6 +1593,27 @@
         }
     }
 
+    // Found on a day of cuts: the holder kept the part while no report reached
+    // it, and every lease ran out.
+    #[test]
+    fn a_holder_that_hears_no_worker_any_more_is_cut_off() {
+        let mut p = part();
+        for i in 0..4 {
+            p.report(&report(&format!("h{i}"), 1, 1, 1, vec![]), Via::Beat, 1000);
+        }
+        assert!(!p.cut_off(2500));
+        assert!(p.cut_off(4000));
+        for i in 0..2 {
+            p.report(&report(&format!("h{i}"), 1, 2, 1, vec![]), Via::Beat, 3900);
+        }
+        assert!(!p.cut_off(4000), "only some are silent");
+        let host = |i| HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: i };
+        let item =
+            |n: u64| Item { key: format!("host/h{n}"), value: serde_json::to_value(host(0)).unwrap(), version: n };
+        let p = part_of(5, vec![], (1..6).map(item).collect());
+        assert!(!p.cut_off(9000), "after a takeover they may still be on their way here");
+    }
+
     #[test]
     fn a_task_that_fails_everywhere_backs_off_and_blames_no_machine() {
         let mut p = part();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -20,6 +20,8 @@
 pub enum Ask {
     /// Promise not to act for this part for a while.
     Promise { part: u32, term: u64, for_ms: u64, state_ok: bool },
+    /// The asker has stopped acting under this term: its promise binds no more.
+    Release { part: u32, term: u64 },
     /// A user's request for the holder of a part.
     User { part: u32, call: UserCall },
     /// To the leader: what a part needs, and could do without.
