--- a/src/sched.rs
+++ b/src/sched.rs
@@ -965,7 +965,7 @@
 
 /// A machine is worth emptying while its work would cost less than this share
 /// of its price elsewhere.
-const WASTEFUL: f64 = 0.5;
+const WASTEFUL: f64 = 0.75;
 
 /// The most wasteful machine whose replicas all fit, with their images ready,
 /// on machines that are used better. `bins` holds what is free beyond all that
