--- a/src/config.rs
+++ b/src/config.rs
@@ -119,7 +119,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { bin_width_s: 5.0, default_deadline_s: 600.0, idle_keep: 2.5, headroom: 1.0, parts: 1 }
+        Operator { bin_width_s: 5.0, default_deadline_s: 600.0, idle_keep: 1.5, headroom: 1.0, parts: 1 }
     }
 }
 
