--- a/src/holder.rs
+++ b/src/holder.rs
@@ -8,7 +8,7 @@
 use crate::leader::{CloudOp, Leader};
 use crate::membership::{self, Entitlement, Tenancy};
 use crate::model::{Flavor, HostIx, HostRecord};
-use crate::part::{self, Claim, CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
+use crate::part::{self, Belongs, CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
 use crate::peer::{Ask, Machines, Needs, Reply, UserCall};
 use crate::sched::{Coming, Policy};
 use crate::wire::{self, Item, Listed, Order, Report};
@@ -271,7 +271,7 @@
                 if matches!(result, CommitResult::Refused | CommitResult::Unclear) {
                     h.commit_after_ms = now + self.settings.report_ms() / 5;
                 }
-                match h.part.committed(result, now) {
+                match h.part.committed(result) {
                     Ok(keys) if !keys.is_empty() => self.reread(n, keys),
                     Ok(_) => {}
                     Err(Superseded) => {
@@ -283,7 +283,7 @@
             }
             Msg::Reread(of, items) if of == n => {
                 for i in items {
-                    h.part.reread(i, now);
+                    h.part.reread(i);
                 }
             }
             Msg::Inbox(of, items) if of == n => {
@@ -312,7 +312,7 @@
                         if let Some(addr) = h.part.world.host_ix.get(id).and_then(|ix| h.part.world.host(*ix)?.addr) {
                             self.worker.forget(addr);
                         }
-                        h.part.host_gone(id, now);
+                        h.part.host_gone(id);
                     }
                 } else {
                     self.cloud_op(h, CloudOp::Release(ids));
@@ -402,11 +402,11 @@
             let sure = self.operator.parts == 1 && r.fence <= h.part.term;
             return if sure { BeatAnswer::Orders(h.part.term, Vec::new()) } else { BeatAnswer::NotEntitled };
         }
-        match h.part.claims(r) {
-            Claim::Mine => BeatAnswer::Orders(h.part.term, h.part.report(r, Via::Beat, now)),
-            Claim::NotYet => BeatAnswer::NotEntitled,
-            Claim::Elsewhere(p) => BeatAnswer::Elsewhere(p),
-            Claim::Unknown => BeatAnswer::Unknown,
+        match h.part.belongs(r) {
+            Belongs::Mine => BeatAnswer::Orders(h.part.term, h.part.report(r, Via::Beat, now)),
+            Belongs::NotYet => BeatAnswer::NotEntitled,
+            Belongs::Elsewhere(p) => BeatAnswer::Elsewhere(p),
+            Belongs::Unknown => BeatAnswer::Unknown,
         }
     }
 
--- a/src/model.rs
+++ b/src/model.rs
@@ -171,8 +171,6 @@
     pub risk: Option<u64>,
     /// Its `run` is in a direct command under way.
     pub in_flight: bool,
-    /// When a first stop with grace was ordered.
-    pub stopped_ms: u64,
 }
 
 impl Copy {
--- a/src/part.rs
+++ b/src/part.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::DRIFT;
 use crate::metrics::Metrics;
-use crate::model::{Claim as Hold, *};
+use crate::model::*;
 use crate::sched::{self, Policy};
 use crate::wire::{self, Item, Order, Report};
 use serde_json::Value;
@@ -85,7 +85,7 @@
 
 /// Whether a part takes a machine's reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Claim {
+pub enum Belongs {
     Mine,
     /// Ours, but only under a term that is still to come.
     NotYet,
@@ -145,7 +145,6 @@
     txn_ops: usize,
     value_bytes: usize,
     last_upkeep_ms: u64,
-    gone_copies: u64,
 }
 
 /// Ranges that certainly fit into half of a value: two numbers of six digits
@@ -184,7 +183,6 @@
             txn_ops,
             value_bytes: (value_kb * 1024.0) as usize,
             last_upkeep_ms: 0,
-            gone_copies: 0,
         }
     }
 
@@ -461,14 +459,14 @@
 
     /// Takes the result of the commit under way; returns the keys of jobs
     /// whose records must be read again, or `Err` if the part is lost.
-    pub fn committed(&mut self, result: CommitResult, now: u64) -> Result<Vec<String>, Superseded> {
+    pub fn committed(&mut self, result: CommitResult) -> Result<Vec<String>, Superseded> {
         let saved = self.in_flight.take().unwrap_or_default();
         let mut reread = Vec::new();
         match result {
             CommitResult::Done { revision } => {
                 for s in saved {
                     match s {
-                        Saved::Job(ix, what) => self.job_saved(ix, what, revision, now),
+                        Saved::Job(ix, what) => self.job_saved(ix, what, revision),
                         Saved::Host(hix) => {
                             if let Some(h) = self.world.host_mut(hix) {
                                 h.registered = true;
@@ -516,12 +514,12 @@
         Ok(reread)
     }
 
-    fn job_saved(&mut self, ix: JobIx, what: Unsaved, version: u64, now: u64) {
+    fn job_saved(&mut self, ix: JobIx, what: Unsaved, version: u64) {
         let job = &mut self.world.jobs[ix];
         job.saving = false;
         job.version = version;
         match what {
-            Unsaved::End(end) => self.ended(ix, end, now),
+            Unsaved::End(end) => self.ended(ix, end),
             Unsaved::Creation => {
                 self.stirred = true;
                 let answer = self.accepted(ix, true);
@@ -532,14 +530,14 @@
     }
 
     /// The job's record says that it is over.
-    fn ended(&mut self, ix: JobIx, end: JobEnd, now: u64) {
+    fn ended(&mut self, ix: JobIx, end: JobEnd) {
         let job = &mut self.world.jobs[ix];
         job.end = Some(end);
         job.unsaved = Unsaved::Nothing;
         job.retire();
         self.dirty.remove(&ix);
         self.world.live.retain(|l| *l != ix);
-        self.stop_all(ix, 0.0, now);
+        self.stop_all(ix);
         let answer = self.status_of(ix);
         self.answer(ix, &answer);
         self.stirred = true;
@@ -553,7 +551,7 @@
 
     /// A record as read again after a conflict: what it holds is true, what it
     /// lacks stays to be written.
-    pub fn reread(&mut self, item: Item, now: u64) {
+    pub fn reread(&mut self, item: Item) {
         let Some(&ix) = item.key.strip_prefix("job/").and_then(|id| self.world.job_ix.get(id)) else { return };
         let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else { return };
         let job = &mut self.world.jobs[ix];
@@ -561,7 +559,7 @@
         job.version = item.version;
         if let Some(end) = record.end {
             if job.end.is_none() {
-                self.ended(ix, end, now);
+                self.ended(ix, end);
             }
             return;
         }
@@ -581,22 +579,22 @@
     // ---- reports ----
 
     /// Does this part take the machine's reports?
-    pub fn claims(&mut self, r: &Report) -> Claim {
+    pub fn belongs(&mut self, r: &Report) -> Belongs {
         if self.world.host_ix.contains_key(&r.host) || self.released.contains(&r.host) {
             // A worker drops what carries a lower token than it has seen: a
             // higher term first.
             if let Some(h) = self.world.host_ix.get(&r.host).copied().and_then(|ix| self.world.host_mut(ix)) {
                 h.fence = h.fence.max(r.fence);
             }
-            return if r.fence > self.term { Claim::NotYet } else { Claim::Mine };
+            return if r.fence > self.term { Belongs::NotYet } else { Belongs::Mine };
         }
         if self.id == 0 && !self.elsewhere.contains_key(&r.host) {
-            return if r.fence > self.term { Claim::NotYet } else { Claim::Mine };
+            return if r.fence > self.term { Belongs::NotYet } else { Belongs::Mine };
         }
         self.recheck.insert(r.host.clone());
         match self.elsewhere.get(&r.host) {
-            Some(p) => Claim::Elsewhere(*p),
-            None => Claim::Unknown,
+            Some(p) => Belongs::Elsewhere(*p),
+            None => Belongs::Unknown,
         }
     }
 
@@ -669,7 +667,7 @@
         }
         if r.tenure > h.tenure && h.tenure > 0 {
             tracing::info!(host = h.id, tenure = r.tenure, "machine lost its lease");
-            self.lose_all(hix, now);
+            self.lose_all(hix);
         }
         let term = self.term;
         let Some(h) = self.world.host_mut(hix) else { return Vec::new() };
@@ -701,7 +699,7 @@
         }
         let mut orders = Vec::new();
         self.reported_tasks(hix, r, &mut orders, now);
-        self.missing_tasks(hix, r, via, now);
+        self.missing_tasks(hix, r, via);
         if via == Via::Beat {
             self.orders_for(hix, &mut orders);
         }
@@ -778,7 +776,6 @@
                 stop,
                 risk: None,
                 in_flight: false,
-                stopped_ms: now,
             });
         }
     }
@@ -855,7 +852,7 @@
             _ => {}
         }
         if shape == Shape::Gang {
-            self.gang_broken(key.job, now);
+            self.stop_all(key.job);
         }
     }
 
@@ -895,19 +892,14 @@
         }
     }
 
-    /// A gang that lost a task: the rest must go before the next attempt.
-    fn gang_broken(&mut self, ix: JobIx, now: u64) {
-        self.stop_all(ix, 0.0, now);
-    }
-
-    /// Stops all copies of a job.
-    fn stop_all(&mut self, ix: JobIx, grace_s: f64, now: u64) {
+    /// Stops all copies of a job at once: it is over, or a gang that lost a
+    /// task, whose rest must go before the next attempt.
+    fn stop_all(&mut self, ix: JobIx) {
         for (hix, h) in self.world.hosts.iter_mut().enumerate() {
             let Some(h) = h else { continue };
             for c in h.copies.iter_mut().filter(|c| c.key.job == ix && !c.ended()) {
-                if c.stop.is_none_or(|g| g > grace_s) {
-                    c.stop = Some(grace_s);
-                    c.stopped_ms = now;
+                if c.stop.is_none_or(|g| g > 0.0) {
+                    c.stop = Some(0.0);
                     self.kick.insert(hix);
                 }
             }
@@ -915,7 +907,7 @@
     }
 
     /// Copies that we know of and the report does not.
-    fn missing_tasks(&mut self, hix: HostIx, r: &Report, via: Via, now: u64) {
+    fn missing_tasks(&mut self, hix: HostIx, r: &Report, via: Via) {
         let Some(h) = self.world.host(hix) else { return };
         let listed: HashSet<(&str, u64)> = r.tasks.iter().map(|t| (t.task.as_str(), t.attempt)).collect();
         let gone: Vec<(TaskKey, u64)> = h
@@ -936,38 +928,38 @@
             .map(|c| (c.key, c.attempt))
             .collect();
         for (key, attempt) in gone {
-            self.lose(hix, key, attempt, now);
+            self.lose(hix, key, attempt);
         }
     }
 
     /// The copy is certainly not on the machine any more.
-    fn lose(&mut self, hix: HostIx, key: TaskKey, attempt: u64, now: u64) {
+    fn lose(&mut self, hix: HostIx, key: TaskKey, attempt: u64) {
         let Some(h) = self.world.host_mut(hix) else { return };
         let ended = h.copy_mut(key, attempt).is_some_and(|c| c.ended());
         h.copies.retain(|c| c.key != key || c.attempt != attempt);
         self.stirred = true;
-        self.copy_lost(hix, key, attempt, ended, now);
+        self.copy_lost(hix, key, attempt, ended);
     }
 
-    fn copy_lost(&mut self, hix: HostIx, key: TaskKey, attempt: u64, ended: bool, now: u64) {
+    fn copy_lost(&mut self, hix: HostIx, key: TaskKey, attempt: u64, ended: bool) {
         let job = &mut self.world.jobs[key.job];
         let task = &mut job.tasks[key.task as usize];
         if task.place == Place::On(hix, attempt) {
             task.place = Place::Idle;
-            self.gone_copies += 1;
+            self.metrics.count("tasks_lost", &job.spec.class);
             if !ended && job.spec.shape == Shape::Gang {
-                self.gang_broken(key.job, now);
+                self.stop_all(key.job);
             }
         }
     }
 
     /// All copies are gone: the machine, or its lease, ended.
-    fn lose_all(&mut self, hix: HostIx, now: u64) {
+    fn lose_all(&mut self, hix: HostIx) {
         let Some(h) = self.world.host_mut(hix) else { return };
         let copies = std::mem::take(&mut h.copies);
         h.strays = false;
         for c in copies {
-            self.copy_lost(hix, c.key, c.attempt, c.ended(), now);
+            self.copy_lost(hix, c.key, c.attempt, c.ended());
         }
         self.stirred = true;
     }
@@ -1110,6 +1102,7 @@
         for s in &out.stops {
             let job = &self.world.jobs[s.key.job];
             tracing::info!(job = job.spec.id, task = s.key.task, attempt = s.attempt, "preempted");
+            self.metrics.count("tasks_preempted", &job.spec.class);
             self.kick.insert(s.host);
         }
         self.unplaced = out.unplaced;
@@ -1154,7 +1147,7 @@
             }
         }
         for hix in lapsed {
-            self.lose_all(hix, now);
+            self.lose_all(hix);
             if let Some(h) = self.world.host_mut(hix) {
                 tracing::info!(host = h.id, "lease surely outlived");
                 h.accounted = true;
@@ -1191,14 +1184,13 @@
         for (key, attempt, _) in &d.moves {
             if let Some(c) = h.copy_mut(*key, *attempt) {
                 c.stop = Some(0.0);
-                c.stopped_ms = now;
             }
         }
         self.kick.insert(d.host);
         for (key, _, to) in &d.moves {
             let demand = self.world.jobs[key.job].spec.demand;
             if let Some(h) = self.world.host_mut(*to) {
-                h.claims.push(Hold { job: key.job, demand, until_ms });
+                h.claims.push(Claim { job: key.job, demand, until_ms });
             }
         }
     }
@@ -1236,10 +1228,10 @@
     }
 
     /// The cloud has confirmed: the machine and all on it are gone.
-    pub fn host_gone(&mut self, id: &str, now: u64) {
+    pub fn host_gone(&mut self, id: &str) {
         self.released.insert(id.to_string());
         let Some(&hix) = self.world.host_ix.get(id) else { return };
-        self.lose_all(hix, now);
+        self.lose_all(hix);
         self.new_hosts.remove(&hix);
         if self.world.remove_host(hix).is_some_and(|h| h.registered) {
             self.gone_keys.insert(host_key(id));
@@ -1308,7 +1300,7 @@
 
     fn commit(p: &mut Part, now: u64, revision: u64) {
         assert!(p.next_commit(now, 32).is_some());
-        assert_eq!(p.committed(CommitResult::Done { revision }, now), Ok(vec![]));
+        assert_eq!(p.committed(CommitResult::Done { revision }), Ok(vec![]));
     }
 
     /// A part with one machine in use and one accepted job, placed.
@@ -1372,13 +1364,13 @@
         let mut p = part();
         let mut rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
         let first = p.next_commit(1000, 32).unwrap();
-        p.committed(CommitResult::Unclear, 1000).unwrap();
+        p.committed(CommitResult::Unclear).unwrap();
         assert!(rx.try_recv().is_err());
         p.next_commit(1100, 32).unwrap();
-        let keys = p.committed(CommitResult::Conflict { failed: vec!["job/run-000001".into()] }, 1100).unwrap();
+        let keys = p.committed(CommitResult::Conflict { failed: vec!["job/run-000001".into()] }).unwrap();
         assert_eq!(keys, ["job/run-000001"]);
         let value = first.apply[0]["data"].clone();
-        p.reread(Item { key: "job/run-000001".into(), value, version: 99 }, 1100);
+        p.reread(Item { key: "job/run-000001".into(), value, version: 99 });
         assert!(matches!(rx.try_recv(), Ok(UserAnswer::Accepted { .. })));
         assert!(p.next_commit(1200, 32).is_none(), "nothing is left to write");
     }
@@ -1389,7 +1381,7 @@
         let _rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
         let c = p.next_commit(1000, 32).unwrap();
         assert_eq!(c.guards[0], wire::guard("part/0", 77), "every commit guards on the part's key");
-        assert_eq!(p.committed(CommitResult::Conflict { failed: vec!["part/0".into()] }, 1000), Err(Superseded));
+        assert_eq!(p.committed(CommitResult::Conflict { failed: vec!["part/0".into()] }), Err(Superseded));
     }
 
     #[test]
@@ -1437,7 +1429,6 @@
     #[test]
     fn a_direct_command_without_an_answer_binds_its_tasks_until_a_higher_token() {
         let mut p = running("service", 1);
-        let a = attempt(&p, 0);
         let d = p.direct(0, 1001, false).unwrap();
         p.direct_done(&d, DirectResult::Unclear, 2000);
         // The machine does not list it, and it may still come.
@@ -1453,7 +1444,6 @@
         p.set_term(2, 78);
         p.report(&report("h1", 1, 4, 2, vec![]), Via::Beat, 2400);
         assert!(p.world.host(0).unwrap().copies.is_empty());
-        let _ = a;
     }
 
     #[test]
@@ -1533,7 +1523,7 @@
             p.upkeep(1000 + LEASE);
             assert!(!p.world.all_accounted, "its lease may still live");
             if gone {
-                p.host_gone("h1", 2000);
+                p.host_gone("h1");
             } else {
                 p.upkeep(1000 + LEASE + 1000);
             }
@@ -1565,7 +1555,7 @@
         }
         assert_eq!(released, ["h1"], "a silent machine is released early");
         assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a), "its tasks are there until the cloud confirms");
-        p.host_gone("h1", 7100);
+        p.host_gone("h1");
         assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
         // What it still had to say comes too late.
         assert!(p.report(&report("h1", 1, 3, 1, vec![]), Via::Beat, 7200).is_empty());
@@ -1682,11 +1672,11 @@
         commit(&mut p, 1100, 101);
         assert!(p.give("h2", 1));
         commit(&mut p, 1200, 102);
-        assert_eq!(p.claims(&report("h2", 1, 2, 1, vec![])), Claim::Elsewhere(1));
+        assert_eq!(p.belongs(&report("h2", 1, 2, 1, vec![])), Belongs::Elsewhere(1));
         // One that comes from a part with a higher term needs a higher one here.
         let record = HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: 0 };
         p.rechecked("h3", Some(record), 1300);
-        assert_eq!(p.claims(&report("h3", 1, 5, 4, vec![])), Claim::NotYet);
+        assert_eq!(p.belongs(&report("h3", 1, 5, 4, vec![])), Belongs::NotYet);
         assert!(p.needs_new_term());
     }
 
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -419,7 +419,6 @@
                 stop: None,
                 risk: None,
                 in_flight: false,
-                stopped_ms: 0,
             });
         }
         self.out.starts.push(Assignment { key, host, attempt });
@@ -719,14 +718,12 @@
     /// Orders a stop; a gang stops whole.
     fn stop_job_part(&mut self, hix: HostIx, key: TaskKey, attempt: u64, grace_s: f64) {
         let whole = self.world.jobs[key.job].spec.shape == Shape::Gang;
-        let now = self.now;
         for i in 0..self.world.hosts.len() {
             let Some(h) = self.world.hosts[i].as_mut() else { continue };
             for c in h.copies.iter_mut().filter(|c| !c.ended() && c.stop.is_none()) {
                 let same = i == hix && c.key == key && c.attempt == attempt;
                 if same || (whole && c.key.job == key.job) {
                     c.stop = Some(grace_s);
-                    c.stopped_ms = now;
                     let spec = &self.world.jobs[c.key.job].spec;
                     if let Some(u) = self.staying.get_mut(&spec.team) {
                         u.sub(&spec.demand);
@@ -1197,28 +1194,27 @@
 
     #[test]
     fn a_replica_moves_out_of_a_gangs_way() {
+        // Two machines with room for two, one replica on each.
         let mut w = world(&[("a", false), ("a", false)]);
         w.flavors[0].cap.gpus = 2.0;
-        let ix = add(&mut w, spec("run-000001", Shape::Service, 1, 1.0), 0);
+        for id in ["run-000001", "run-000003"] {
+            add(&mut w, spec(id, Shape::Service, 1, 1.0), 0);
+        }
+        w.host_mut(0).unwrap().blocked_until_ms = 10;
         run(&mut w, 1);
-        let Place::On(at, _) = w.jobs[ix].tasks[0].place else { panic!("not placed") };
+        w.host_mut(1).unwrap().copies.truncate(1);
+        w.jobs[1].tasks[0].place = Place::Idle;
+        w.host_mut(0).unwrap().blocked_until_ms = 0;
+        w.host_mut(1).unwrap().blocked_until_ms = 10;
+        run(&mut w, 2);
         for h in w.hosts.iter_mut().flatten() {
-            h.use_image("i", 10.0, 100.0, 1);
+            h.blocked_until_ms = 0;
             h.image_ready("i");
-            h.copies.iter_mut().for_each(|c| c.phase = TaskPhase::Running);
+            assert_eq!(h.copies.len(), 1);
+            h.copies[0].phase = TaskPhase::Running;
         }
-        let other = 1 - at;
-        let ix = add(&mut w, spec("run-000003", Shape::Service, 1, 1.0), 0);
-        let a = run(&mut w, 2).starts[0];
-        // Both machines hold one replica; a gang task needs one whole.
-        if a.host == at {
-            return;
-        }
-        assert_eq!(a.host, other);
-        w.host_mut(other).unwrap().copies[0].phase = TaskPhase::Running;
         add(&mut w, spec("run-000002", Shape::Gang, 1, 2.0), 0);
-        assert_eq!(run(&mut w, 3).stops.len(), 1);
-        let _ = ix;
+        assert_eq!(run(&mut w, 3).stops.len(), 1, "a replica moves, as its image is ready on the other");
     }
 
     #[test]
@@ -1274,7 +1270,6 @@
                     stop: None,
                     risk: None,
                     in_flight: false,
-                    stopped_ms: 0,
                 };
                 w.jobs[ix].tasks[t as usize].place = Place::On(host, 1);
                 let h = w.host_mut(host).unwrap();
