--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,102 @@
+//! The clients against scripted peers that page, refuse, forget and babble.
+
+use badgerdrift::clients::{Cloud, Fail, RentResult, State};
+use badgerdrift::config::{Settings, load_settings};
+use badgerdrift::http::{self, Request, Response};
+use badgerdrift::part::CommitResult;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+async fn scripted(script: fn(Request) -> Response) -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = l.local_addr().unwrap();
+    tokio::spawn(http::serve(l, 10, Duration::from_secs(5), move |r| async move { script(r) }));
+    addr
+}
+
+fn settings(state: SocketAddr, cloud: SocketAddr) -> Settings {
+    let text = format!(
+        "node = \"n\"\nsite = \"a\"\nserve_on = \"127.0.0.1:1\"\ninternal_addr = \"127.0.0.1:2\"\n\
+         [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[params]\nzones = [\"a\"]\n\
+         [[params.teams]]\nname = \"red\"\n[params.workers]\nreport_s = 1.0\nlease_s = 10.0\n\
+         gang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n[params.state]\nrps = 100.0\nwrite_rps = 20.0\n\
+         value_kb = 8.0\ntxn_ops = 12\n[params.cloud]\nrps = 50.0\nlist_lag_s = 4.0\n[params.limits]\nmax_sockets = 100\n"
+    );
+    let file = std::env::temp_dir().join(format!("badgerdrift-{}-{}.toml", std::process::id(), state.port()));
+    std::fs::write(&file, text).unwrap();
+    let s = load_settings(&file).unwrap();
+    std::fs::remove_file(file).unwrap();
+    s
+}
+
+fn state_script(r: Request) -> Response {
+    let item = |k: &str| json!({"path": k, "data": {}, "stamp": 3});
+    match r.path.as_str() {
+        p if p.starts_with("/store?") && !p.contains("from=") => {
+            Response::json(200, &json!({"items": [item("a/1"), item("a/2")], "more": true, "epoch": 9}))
+        }
+        p if p.starts_with("/store?") && p.contains("from=a/2") => {
+            Response::json(200, &json!({"items": [item("a/3")], "more": false, "epoch": 9}))
+        }
+        "/store/a/1" => Response::json(200, &item("a/1")),
+        "/store/none" => Response::json(404, &json!({"epoch": 9})),
+        "/store/babble" => Response { body: b"{\"path\":".to_vec(), ..Response::json(200, &0) },
+        "/store/busy" => Response::error(429, "too many"),
+        p if p.starts_with("/changes") => Response::error(410, "too old"),
+        "/commit" => Response::json(409, &json!({"failed": ["a/1"], "epoch": 9})),
+        "/grants/4/extend" => Response::error(404, "no such lease"),
+        _ => Response::error(503, "trouble"),
+    }
+}
+
+#[tokio::test]
+async fn the_state_client_pages_and_tells_refusals_apart() {
+    let addr = scripted(state_script).await;
+    let state = State::new(&settings(addr, addr));
+    let keys: Vec<String> = state.list("a/").await.unwrap().into_iter().map(|i| i.key).collect();
+    assert_eq!(keys, ["a/1", "a/2", "a/3"]);
+    assert_eq!(state.get("a/1").await.unwrap().0.unwrap().version, 3);
+    let (none, revision) = state.get("none").await.unwrap();
+    assert!(none.is_none() && revision == 9);
+    assert_eq!(state.get("babble").await.err(), Some(Fail::Refused), "what can't be read is no answer");
+    assert_eq!(state.get("busy").await.err(), Some(Fail::Refused));
+    assert_eq!(state.changes("a/", 1, 0).await.err(), Some(Fail::Missing), "the keys must be read again");
+    assert_eq!(state.extend_grant(4, 2500).await, Err(Fail::Missing));
+    assert_eq!(state.new_grant(2500).await, Err(Fail::Refused));
+    assert!(matches!(state.commit(&[], &[]).await, CommitResult::Conflict { failed } if failed == ["a/1"]));
+}
+
+fn cloud_script(r: Request) -> Response {
+    let body: serde_json::Value = serde_json::from_slice(&r.body).unwrap_or_default();
+    match (r.path.as_str(), body["rental"].as_str()) {
+        ("/hosts", Some("full")) => Response::error(503, "no capacity"),
+        ("/hosts", Some("trouble")) => Response::error(503, "trouble"),
+        ("/hosts", Some("bad")) => Response::error(400, "malformed"),
+        ("/hosts", Some(_)) => Response::json(200, &json!({"hosts": ["host-000001"]})),
+        ("/hosts?most=500", _) => Response::json(
+            200,
+            &json!({"hosts": [{"id": "host-000001", "flavor": "g8", "region": "a", "phase": "starting"}], "more": true}),
+        ),
+        ("/hosts?from=host-000001&most=500", _) => Response::json(
+            200,
+            &json!({"hosts": [{"id": "host-000002", "flavor": "g8", "region": "a", "phase": "failed"}], "more": false}),
+        ),
+        _ => Response::error(503, "trouble"),
+    }
+}
+
+#[tokio::test]
+async fn the_cloud_client_asks_again_only_where_the_outcome_is_open() {
+    let addr = scripted(cloud_script).await;
+    let cloud = Cloud::new(&settings(addr, addr));
+    assert_eq!(cloud.rent("r-1-1", "g8", "a", false, 3).await, RentResult::Rented(vec!["host-000001".into()]));
+    assert_eq!(cloud.rent("full", "g8", "a", false, 3).await, RentResult::NoCapacity);
+    assert_eq!(cloud.rent("bad", "g8", "a", false, 3).await, RentResult::Malformed);
+    assert_eq!(cloud.rent("trouble", "g8", "a", false, 3).await, RentResult::Again);
+    let list = cloud.list().await.unwrap();
+    assert!(list.len() == 2 && list[0].booting() && list[1].failed());
+    assert!(!cloud.release(&["host-000001".into()]).await, "not confirmed");
+    assert!(cloud.flavors().await.is_none());
+}
