--- a/src/membership.rs
+++ b/src/membership.rs
@@ -569,6 +569,17 @@
         assert_eq!(r.entitled_until(), first + 1000, "another grant is another's");
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn entitlement_ends_by_itself_on_the_steady_clock() {
+        let (e, now) = (Entitlement::default(), clock::now_ms());
+        assert!(!e.holds(now), "none before the first grant");
+        e.set(now + LIFE);
+        tokio::time::advance(Duration::from_millis(LIFE - 10)).await;
+        assert!(e.holds(clock::now_ms()));
+        tokio::time::advance(Duration::from_millis(20)).await;
+        assert!(!e.holds(clock::now_ms()), "no message is needed for it to end");
+    }
+
     #[test]
     fn promises_count_only_if_all_others_gave_them() {
         let mut r = holding(2);
