--- a/src/model.rs
+++ b/src/model.rs
@@ -67,6 +67,10 @@
             .filter(|(_, c)| *c > 0.0)
             .map(|(f, c)| f / c)
     }
+    /// How many tasks like `d` fit in.
+    pub fn slots(&self, d: &Demand) -> f64 {
+        self.shares(d).fold(f64::INFINITY, f64::min).max(0.0).floor()
+    }
 }
 
 /// A job as its user described it.
@@ -163,6 +167,8 @@
 pub struct Copy {
     pub key: TaskKey,
     pub attempt: u64,
+    /// What it takes of its machine.
+    pub demand: Demand,
     pub phase: TaskPhase,
     pub since_ms: u64,
     /// Told to stop, with this grace.
@@ -174,6 +180,12 @@
 }
 
 impl Copy {
+    /// An attempt that is to be ordered, or was and is seen first.
+    pub fn sent(key: TaskKey, attempt: u64, demand: Demand, now: u64) -> Copy {
+        let phase = TaskPhase::Sent;
+        Copy { key, attempt, demand, phase, since_ms: now, stop: None, risk: None, in_flight: false }
+    }
+
     pub fn ended(&self) -> bool {
         matches!(self.phase, TaskPhase::Ended(_))
     }
@@ -414,15 +426,27 @@
     }
 }
 
-/// Room on a machine type that a class can't do without.
+/// Room that a class is expected to need.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reserve {
     pub class: String,
-    pub flavor: usize,
+    /// Where it can run, by machine type.
+    pub flavors: Vec<bool>,
     pub demand: Demand,
     pub tasks: f64,
 }
 
+impl Reserve {
+    /// It can do without none of its machine types, having one alone.
+    pub fn sole(&self) -> bool {
+        self.flavors.iter().filter(|f| **f).count() == 1
+    }
+    /// Is its room lost when that of a machine of this type shrinks so?
+    pub fn loses(&self, flavor: usize, before: &Demand, after: &Demand) -> bool {
+        self.flavors[flavor] && before.slots(&self.demand) > after.slots(&self.demand)
+    }
+}
+
 /// Everything that one part knows.
 #[derive(Debug, Default)]
 pub struct World {
@@ -433,8 +457,10 @@
     pub flavors: Vec<Flavor>,
     /// Jobs that are not over.
     pub live: Vec<JobIx>,
-    /// Room that classes with one machine type alone are expected to need.
+    /// Room that classes are expected to need.
     pub reserves: Vec<Reserve>,
+    /// Work with accelerators found no room in the last pass, and may not wait long.
+    pub hungry: bool,
     /// What machines that are not accounted for may hold.
     pub unaccounted: Demand,
     /// False until every machine of the last holder is accounted for.
@@ -486,7 +512,7 @@
         let Some(f) = host.flavor else { return Demand::default() };
         let mut free = self.flavors[f].cap;
         for c in host.copies.iter().filter(|c| !c.ended()) {
-            free.sub(&self.jobs[c.key.job].spec.demand);
+            free.sub(&c.demand);
         }
         free
     }
--- a/src/part.rs
+++ b/src/part.rs
@@ -332,7 +332,15 @@
     }
 
     fn running(&self, ix: JobIx) -> u32 {
-        self.world.each_host().flat_map(|(_, h)| &h.copies).filter(|c| c.key.job == ix && c.running()).count() as u32
+        let runs = |n: usize, t: &Task| match t.place {
+            Place::On(hix, attempt) => self.world.host(hix).is_some_and(|h| {
+                h.copies
+                    .iter()
+                    .any(|c| c.key.job == ix && c.key.task as usize == n && c.attempt == attempt && c.running())
+            }),
+            _ => false,
+        };
+        self.world.jobs[ix].tasks.iter().enumerate().filter(|(n, t)| runs(*n, t)).count() as u32
     }
 
     pub fn status(&self, id: &str) -> UserAnswer {
@@ -763,20 +771,12 @@
             job.tasks[key.task as usize].place = Place::On(hix, attempt);
         }
         let spec = &self.world.jobs[key.job].spec;
-        let (image, gb) = (spec.image.clone(), spec.image_gb);
+        let (image, gb, demand) = (spec.image.clone(), spec.image_gb, spec.demand);
         let cache = self.world.host(hix).and_then(|h| h.flavor).map_or(0.0, |f| self.world.flavors[f].cache_gb);
         if let Some(h) = self.world.host_mut(hix) {
             h.use_image(&image, gb, cache, now);
             let stop = (!wanted && !ended).then_some(0.0);
-            h.copies.push(Copy {
-                key,
-                attempt,
-                phase: TaskPhase::Sent,
-                since_ms: now,
-                stop,
-                risk: None,
-                in_flight: false,
-            });
+            h.copies.push(Copy { stop, ..Copy::sent(key, attempt, demand, now) });
         }
     }
 
--- /dev/null
+++ b/src/sched/index.rs
@@ -0,0 +1,263 @@
+//! What decisions look up again and again: room by machine, where each job's
+//! copies are, which machines have an image. Counted once for a pass or plan
+//! and kept up to date while it places, so that a decision costs what it looks
+//! at, and not machines times running tasks.
+
+use super::usable;
+use crate::model::*;
+use std::cell::OnceCell;
+use std::collections::HashMap;
+
+/// A machine as placement sees it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Slot {
+    pub usable: bool,
+    pub flavor: usize,
+    pub zone: usize,
+    pub spot: bool,
+    pub free: Demand,
+    /// Room that is held for jobs.
+    pub claimed: Demand,
+    pub claims: usize,
+}
+
+/// Tasks of a job by zone.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Counts {
+    by_zone: Vec<u32>,
+    total: u32,
+}
+
+impl Counts {
+    pub fn add(&mut self, zone: usize) {
+        if self.by_zone.len() <= zone {
+            self.by_zone.resize(zone + 1, 0);
+        }
+        self.by_zone[zone] += 1;
+        self.total += 1;
+    }
+
+    pub fn sub(&mut self, zone: usize) {
+        if let Some(n) = self.by_zone.get_mut(zone).filter(|n| **n > 0) {
+            *n -= 1;
+            self.total -= 1;
+        }
+    }
+
+    pub fn of(&self, zone: usize) -> u32 {
+        self.by_zone.get(zone).copied().unwrap_or(0)
+    }
+}
+
+/// Where a job's tasks may be, with names resolved.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Want {
+    /// By machine type; a type that is too small is not allowed.
+    flavors: Vec<bool>,
+    pub demand: Demand,
+    pub spot: bool,
+    /// The only allowed zone; one without machines has no place.
+    zone: Option<Option<usize>>,
+    one_zone: bool,
+    limit: u32,
+}
+
+impl Want {
+    /// May the tasks be on such a machine, as far as zone counts allow?
+    pub fn allows(&self, flavor: usize, zone: usize, spot: bool, counts: &Counts) -> bool {
+        self.flavors[flavor]
+            && (self.spot || !spot)
+            && self.zone.is_none_or(|z| z == Some(zone))
+            && counts.of(zone) < self.limit
+            && (!self.one_zone || counts.total == 0 || counts.of(zone) > 0)
+    }
+
+    /// The same for a machine that is up.
+    pub fn takes(&self, s: &Slot, counts: &Counts) -> bool {
+        s.usable && self.allows(s.flavor, s.zone, s.spot, counts)
+    }
+
+    /// The same for any number of tasks that are already there.
+    pub fn like(&self, other: &Want) -> bool {
+        self.flavors == other.flavors
+            && self.demand == other.demand
+            && self.spot == other.spot
+            && self.zone == other.zone
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Index {
+    pub slots: Vec<Slot>,
+    zones: Vec<String>,
+    /// Job and machine of each copy that has not ended, sorted.
+    at: Vec<(JobIx, HostIx)>,
+    /// The same for what was placed since.
+    placed: HashMap<JobIx, Vec<HostIx>>,
+    /// How many machines hold room for each job.
+    claims: HashMap<JobIx, usize>,
+    /// What each team's copies take, fetching ones included.
+    pub usage: HashMap<String, Demand>,
+    /// The same once all that is being stopped is gone.
+    pub staying: HashMap<String, Demand>,
+    warm: OnceCell<HashMap<String, Vec<HostIx>>>,
+}
+
+impl Index {
+    pub fn new(world: &World, now: u64) -> Index {
+        let mut index = Index { slots: Vec::with_capacity(world.hosts.len()), ..Index::default() };
+        for z in world.flavors.iter().flat_map(|f| &f.zones) {
+            if !index.zones.contains(z) {
+                index.zones.push(z.clone());
+            }
+        }
+        for (hix, host) in world.hosts.iter().enumerate() {
+            let Some(h) = host else {
+                index.slots.push(Slot::default());
+                continue;
+            };
+            let zone = index.zones.iter().position(|z| *z == h.zone).unwrap_or_else(|| {
+                index.zones.push(h.zone.clone());
+                index.zones.len() - 1
+            });
+            let mut slot = Slot {
+                usable: h.flavor.is_some() && usable(h, now),
+                flavor: h.flavor.unwrap_or(0),
+                zone,
+                spot: h.spot,
+                free: h.flavor.map_or(Demand::default(), |f| world.flavors[f].cap),
+                claimed: Demand::default(),
+                claims: h.claims.len(),
+            };
+            for c in h.copies.iter().filter(|c| !c.ended()) {
+                slot.free.sub(&c.demand);
+                index.at.push((c.key.job, hix));
+                if c.stop.is_some() {
+                    sum(&mut index.staying, &world.jobs[c.key.job].spec.team, &c.demand.times(-1.0));
+                }
+            }
+            for c in &h.claims {
+                slot.claimed.add(&c.demand);
+                *index.claims.entry(c.job).or_default() += 1;
+            }
+            index.slots.push(slot);
+        }
+        index.at.sort_unstable();
+        for copies in index.at.chunk_by(|a, b| a.0 == b.0) {
+            let spec = &world.jobs[copies[0].0].spec;
+            let all = spec.demand.times(copies.len() as f64);
+            sum(&mut index.usage, &spec.team, &all);
+            sum(&mut index.staying, &spec.team, &all);
+        }
+        index
+    }
+
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+
+    pub fn zone_name(&self, zone: usize) -> &str {
+        &self.zones[zone]
+    }
+
+    pub fn zones(&self) -> std::ops::Range<usize> {
+        0..self.zones.len()
+    }
+
+    pub fn want(&self, world: &World, spec: &Spec) -> Want {
+        Want {
+            flavors: world.flavors.iter().map(|f| spec.allows_flavor(f)).collect(),
+            demand: spec.demand,
+            spot: spec.spot,
+            zone: spec.zone.as_deref().map(|z| self.zone(z)),
+            one_zone: spec.one_zone,
+            limit: spec.zone_limit(),
+        }
+    }
+
+    /// The machines of a job's copies that have not ended, one entry a copy.
+    pub fn hosts_of(&self, job: JobIx) -> impl Iterator<Item = HostIx> + '_ {
+        let first = self.at.partition_point(|a| a.0 < job);
+        let before = self.at[first..].iter().take_while(move |a| a.0 == job).map(|a| a.1);
+        before.chain(self.placed.get(&job).into_iter().flatten().copied())
+    }
+
+    pub fn counts(&self, job: JobIx) -> Counts {
+        let mut counts = Counts::default();
+        self.hosts_of(job).for_each(|h| counts.add(self.slots[h].zone));
+        counts
+    }
+
+    /// How many machines hold room for the job.
+    pub fn claims_of(&self, job: JobIx) -> usize {
+        self.claims.get(&job).copied().unwrap_or(0)
+    }
+
+    /// What a machine has free for a job, less what is held for others.
+    pub fn free_for(&self, world: &World, hix: HostIx, job: JobIx) -> Demand {
+        let slot = &self.slots[hix];
+        let mut free = slot.free;
+        if slot.claims > 0 {
+            let claims = world.host(hix).map_or(&[][..], |h| &h.claims);
+            claims.iter().filter(|c| c.job != job).for_each(|c| free.sub(&c.demand));
+        }
+        free
+    }
+
+    /// A task was placed.
+    pub fn start(&mut self, spec: &Spec, job: JobIx, hix: HostIx) {
+        self.slots[hix].free.sub(&spec.demand);
+        self.placed.entry(job).or_default().push(hix);
+        sum(&mut self.usage, &spec.team, &spec.demand);
+        sum(&mut self.staying, &spec.team, &spec.demand);
+    }
+
+    /// A copy is being stopped.
+    pub fn stop(&mut self, spec: &Spec) {
+        sum(&mut self.staying, &spec.team, &spec.demand.times(-1.0));
+    }
+
+    /// The claims on a machine changed from `before`.
+    pub fn reclaim(&mut self, before: &[Claim], after: &[Claim], hix: HostIx) {
+        for c in before {
+            if let Some(n) = self.claims.get_mut(&c.job) {
+                *n = n.saturating_sub(1);
+            }
+        }
+        let slot = &mut self.slots[hix];
+        slot.claims = after.len();
+        slot.claimed = Demand::default();
+        for c in after {
+            slot.claimed.add(&c.demand);
+            *self.claims.entry(c.job).or_default() += 1;
+        }
+    }
+
+    /// Machines that had the image ready when first asked.
+    pub fn warm(&self, world: &World, image: &str) -> &[HostIx] {
+        let warm = self.warm.get_or_init(|| {
+            let mut warm: HashMap<String, Vec<HostIx>> = HashMap::new();
+            for (hix, h) in world.each_host() {
+                for i in h.images.iter().filter(|i| i.ready) {
+                    match warm.get_mut(&i.name) {
+                        Some(hosts) => hosts.push(hix),
+                        None => {
+                            warm.insert(i.name.clone(), vec![hix]);
+                        }
+                    }
+                }
+            }
+            warm
+        });
+        warm.get(image).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn sum(sums: &mut HashMap<String, Demand>, team: &str, d: &Demand) {
+    match sums.get_mut(team) {
+        Some(u) => u.add(d),
+        None => {
+            sums.insert(team.to_string(), *d);
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/pass.rs
@@ -0,0 +1,698 @@
+//! The pass over the bins: placement, gangs, preemption.
+
+use super::Policy;
+use super::index::{Counts, Index, Slot, Want};
+use super::plan::strands;
+use crate::model::*;
+use std::collections::HashSet;
+
+/// Start this attempt on that machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Assignment {
+    pub key: TaskKey,
+    pub host: HostIx,
+    pub attempt: u64,
+}
+
+/// Stop this attempt, to make room.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Eviction {
+    pub host: HostIx,
+    pub key: TaskKey,
+    pub attempt: u64,
+    pub grace_s: f64,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub starts: Vec<Assignment>,
+    pub stops: Vec<Eviction>,
+    /// Jobs with tasks that found no room.
+    pub unplaced: Vec<JobIx>,
+}
+
+/// Copies that would leave a machine, and where those go that are moved.
+type Leavers = Vec<(Copy, Option<HostIx>)>;
+
+/// What a pass needs to know of the job that it places, worked out once.
+struct Need {
+    ix: JobIx,
+    want: Want,
+    image: String,
+    image_gb: f64,
+    service: bool,
+    /// Seconds until the job can't be in time any more.
+    slack_s: f64,
+    /// Within how long its tasks are to start.
+    within_s: f64,
+    /// Milliseconds in which the image is wanted; none for work with a deadline.
+    image_ms: Option<f64>,
+    /// What taking another class's room costs.
+    trespass: Vec<(Reserve, f64)>,
+    held: bool,
+    /// Without accelerators, and not to take the places of work with them:
+    /// there is too little room for that, and machines may still come.
+    modest: bool,
+}
+
+/// Scratch values of one pass.
+struct Pass<'a> {
+    world: &'a mut World,
+    policy: &'a Policy,
+    now: u64,
+    wall: u64,
+    index: Index,
+    /// Classes whose one machine type has no more room than is expected to be needed.
+    scarce: HashSet<String>,
+    /// Kinds of tasks for which no machine has room any more.
+    full: Vec<Want>,
+    /// The same even if all lesser work left, for an urgency and team.
+    walled: Vec<(Want, Urgency, String)>,
+    out: Outcome,
+}
+
+/// One pass over the bins, lowest first. `attempt` yields numbers that never
+/// repeat.
+pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, mut attempt: impl FnMut() -> u64) -> Outcome {
+    for host in world.hosts.iter_mut().flatten() {
+        host.claims.retain(|c| c.until_ms > now);
+    }
+    let index = Index::new(world, now);
+    let mut p = Pass {
+        scarce: scarce(world, &index),
+        index,
+        world,
+        policy,
+        now,
+        wall,
+        full: Vec::new(),
+        walled: Vec::new(),
+        out: Outcome::default(),
+    };
+    let mut leading_gang = None;
+    for ix in p.queue() {
+        let need = p.need(ix);
+        let placed = match p.world.jobs[ix].spec.shape {
+            Shape::Gang => p.place_gang(&need, &mut attempt),
+            _ => p.place_tasks(&need, &mut attempt),
+        };
+        if !placed {
+            p.out.unplaced.push(ix);
+            if p.world.jobs[ix].spec.shape == Shape::Gang && leading_gang.is_none() {
+                leading_gang = Some(ix);
+                p.hold_for_gang(&need);
+            } else {
+                p.make_room(&need);
+            }
+        }
+    }
+    let waits = |ix: &JobIx| {
+        let spec = &p.world.jobs[*ix].spec;
+        spec.demand.gpus > 0.0 && spec.urgency >= Urgency::High
+    };
+    p.world.hungry = p.out.unplaced.iter().any(waits);
+    p.out
+}
+
+/// Classes that can run on one machine type alone and have hardly room there.
+fn scarce(world: &World, index: &Index) -> HashSet<String> {
+    let slots = |r: &Reserve| -> f64 {
+        let hosts = index.slots.iter().filter(|s| s.usable && r.flavors[s.flavor]);
+        hosts.map(|s| s.free.slots(&r.demand)).sum()
+    };
+    world.reserves.iter().filter(|r| slots(r) <= r.tasks).map(|r| r.class.clone()).collect()
+}
+
+impl Pass<'_> {
+    /// Jobs with tasks to place: of those that may preempt one another the more
+    /// urgent first, as preemption would turn any other order round; then the
+    /// lowest bin, then the older.
+    fn queue(&self) -> Vec<JobIx> {
+        let mut queue: Vec<_> = self
+            .world
+            .live
+            .iter()
+            .copied()
+            .filter(|ix| {
+                let j = &self.world.jobs[*ix];
+                j.active()
+                    && (self.world.all_accounted || j.fresh)
+                    && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now)
+            })
+            .map(|ix| {
+                let j = &self.world.jobs[ix];
+                let bin = self.policy.bin(self.policy.effective_deadline_ms(j, self.wall));
+                (std::cmp::Reverse(j.spec.urgency), bin, j.accepted_ms, ix)
+            })
+            .collect();
+        queue.sort_unstable();
+        queue.into_iter().map(|q| q.3).collect()
+    }
+
+    fn need(&self, ix: JobIx) -> Need {
+        let job = &self.world.jobs[ix];
+        let spec = &job.spec;
+        let left_ms = self.policy.soft_deadline_ms(job) as f64 - self.wall as f64;
+        let within = self.policy.waits.get(&spec.class).map(|w| w.0).or(self.policy.guarantee_s);
+        let modest = spec.demand.gpus <= 0.0;
+        let theirs = self.world.reserves.iter();
+        let theirs = theirs.filter(|r| r.class != spec.class && (r.sole() || (modest && r.demand.gpus > 0.0)));
+        Need {
+            ix,
+            want: self.index.want(self.world, spec),
+            image: spec.image.clone(),
+            image_gb: spec.image_gb,
+            service: spec.shape == Shape::Service,
+            slack_s: left_ms.max(0.0) / 1000.0 - spec.expected_s,
+            within_s: within.unwrap_or(self.policy.default_deadline_s).max(0.1),
+            // A replica that was lost is down until it is back: each second counts.
+            image_ms: spec.due_s.is_none().then(|| if left_ms > 0.0 { left_ms } else { self.policy.report_ms as f64 }),
+            trespass: theirs.map(|r| (r.clone(), if self.scarce.contains(&r.class) { 5.0 } else { 1.0 })).collect(),
+            held: self.index.claims_of(ix) > 0,
+            modest: modest && self.world.hungry && self.wall < job.accepted_ms + self.boot_ms(spec),
+        }
+    }
+
+    /// How long the machine takes to boot on which the work costs least.
+    fn boot_ms(&self, spec: &Spec) -> u64 {
+        let allowed = self.world.flavors.iter().filter(|f| spec.allows_flavor(f));
+        let cost = |f: &Flavor| f.price / f.cap.slots(&spec.demand).max(1.0);
+        allowed.min_by(|a, b| cost(a).total_cmp(&cost(b))).map_or(0, |f| (f.boot_s * 1000.0) as u64)
+    }
+
+    fn within_limit(&self, spec: &Spec, n: f64) -> bool {
+        let Some(team) = self.policy.teams.get(&spec.team) else { return false };
+        let mut total = self.index.usage.get(&spec.team).copied().unwrap_or_default();
+        total.add(&spec.demand.times(n));
+        // A machine that is not accounted for may be full of this team's tasks.
+        total.add(&self.world.unaccounted);
+        total.fits(&team.limit)
+    }
+
+    /// Would the job's team be within its guarantee with one more task?
+    fn within_guarantee(&self, spec: &Spec) -> bool {
+        let Some(team) = self.policy.teams.get(&spec.team) else { return false };
+        let mut total = self.index.staying.get(&spec.team).copied().unwrap_or_default();
+        total.add(&spec.demand);
+        total.gpus <= team.guarantee.gpus + 1e-6
+            && (team.guarantee.cpus <= 0.0 || total.cpus <= team.guarantee.cpus + 1e-6)
+    }
+
+    /// Would the victim's team be beyond its guarantee even without it? Else
+    /// two teams would go on taking the same room from each other.
+    fn beyond_guarantee(&self, victim: &Spec) -> bool {
+        let used = self.index.staying.get(&victim.team).copied().unwrap_or_default();
+        self.policy.teams.get(&victim.team).is_some_and(|t| used.gpus - victim.demand.gpus >= t.guarantee.gpus - 1e-6)
+    }
+
+    /// The machines that have room for a task of the job, with their costs.
+    fn candidates(&mut self, need: &Need) -> Vec<(f64, HostIx)> {
+        if !need.held && self.full.iter().any(|w| w.like(&need.want)) {
+            return Vec::new();
+        }
+        let none = Counts::default();
+        let mut found = Vec::new();
+        for (hix, s) in self.index.slots.iter().enumerate() {
+            if need.want.demand.fits(&s.free)
+                && need.want.takes(s, &none)
+                && !(need.modest && self.strands(need, s))
+                && (s.claims == 0 || need.want.demand.fits(&self.index.free_for(self.world, hix, need.ix)))
+            {
+                found.push((self.cost(need, hix), hix));
+            }
+        }
+        if found.is_empty() && !need.held && !need.modest {
+            self.full.push(need.want.clone());
+        }
+        found
+    }
+
+    fn strands(&self, need: &Need, s: &Slot) -> bool {
+        strands(self.world, &self.world.jobs[need.ix].spec, s.flavor, &s.free)
+    }
+
+    /// The best of the candidates that the zones allow; the least cost wins.
+    fn best(&self, need: &Need, candidates: &[(f64, HostIx)], counts: &Counts) -> Option<HostIx> {
+        let mut best: Option<(f64, HostIx)> = None;
+        for (cost, hix) in candidates {
+            if best.is_none_or(|(c, _)| *cost < c) && need.want.takes(&self.index.slots[*hix], counts) {
+                best = Some((*cost, *hix));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    /// Looks again at a candidate that took a task.
+    fn renew(&self, need: &Need, candidates: &mut Vec<(f64, HostIx)>, hix: HostIx) {
+        let Some(i) = candidates.iter().position(|c| c.1 == hix) else { return };
+        let fits = need.want.demand.fits(&self.index.free_for(self.world, hix, need.ix));
+        if fits && !(need.modest && self.strands(need, &self.index.slots[hix])) {
+            candidates[i].0 = self.cost(need, hix);
+        } else {
+            candidates.remove(i);
+        }
+    }
+
+    fn fetch_s(&self, need: &Need, hix: HostIx) -> f64 {
+        let rate = self.world.flavors[self.index.slots[hix].flavor].fetch_gb_per_s;
+        self.world.host(hix).map_or(f64::INFINITY, |h| h.fetch_s(&need.image, need.image_gb, rate))
+    }
+
+    fn cost(&self, need: &Need, hix: HostIx) -> f64 {
+        let Some(h) = self.world.host(hix) else { return f64::INFINITY };
+        let slot = &self.index.slots[hix];
+        let cap = &self.world.flavors[slot.flavor].cap;
+        let fetch = self.fetch_s(need, hix);
+        let mut cost = fetch / need.within_s;
+        if fetch > need.slack_s.max(0.0) {
+            cost += 3.0;
+        }
+        // Room of one resource that is stranded by lack of another.
+        let spread_of = |free: &Demand| {
+            let (lo, hi) = free.shares(cap).fold((1.0f64, 0.0f64), |(l, h), s| (l.min(s), h.max(s)));
+            hi - lo
+        };
+        let before = slot.free;
+        let mut after = before;
+        after.sub(&need.want.demand);
+        cost += 4.0 * (spread_of(&after) - spread_of(&before));
+        // Room that other work can find on this type alone costs little while
+        // there is plenty, much when what is expected needs the rest.
+        let lost = need.trespass.iter().filter(|t| t.0.loses(slot.flavor, &before, &after));
+        cost += lost.map(|t| t.1).fold(0.0, f64::max);
+        if need.want.spot && !h.spot {
+            cost += 1.0;
+        }
+        if need.service {
+            cost += 2.0 * self.index.hosts_of(need.ix).filter(|o| *o == hix).count() as f64;
+        }
+        // Room that is held for this very job.
+        if need.held && h.claims.iter().any(|c| c.job == need.ix) {
+            cost -= 8.0;
+        }
+        // Fuller machines first, so that others can be returned.
+        let used = 1.0 - before.shares(cap).fold(1.0f64, f64::min);
+        cost - 0.5 * used
+    }
+
+    fn start(&mut self, key: TaskKey, host: HostIx, attempt: u64) {
+        let job = &mut self.world.jobs[key.job];
+        job.tasks[key.task as usize].place = Place::On(host, attempt);
+        self.index.start(&job.spec, key.job, host);
+        let (image, gb, demand) = (job.spec.image.clone(), job.spec.image_gb, job.spec.demand);
+        let now = self.now;
+        let cache = self.world.flavors[self.index.slots[host].flavor].cache_gb;
+        if let Some(h) = self.world.host_mut(host) {
+            // Room held for this job is used up by its tasks.
+            if let Some(i) = h.claims.iter().position(|c| c.job == key.job) {
+                let before = h.claims.clone();
+                h.claims[i].demand.sub(&demand);
+                if !demand.fits(&h.claims[i].demand) {
+                    h.claims.remove(i);
+                }
+                self.index.reclaim(&before, &h.claims, host);
+            }
+            h.use_image(&image, gb, cache, now);
+            h.copies.push(Copy::sent(key, attempt, demand, now));
+        }
+        self.out.starts.push(Assignment { key, host, attempt });
+    }
+
+    /// Places the idle tasks of an array or service; false if room lacked.
+    fn place_tasks(&mut self, need: &Need, attempt: &mut impl FnMut() -> u64) -> bool {
+        let ix = need.ix;
+        let mut counts = self.index.counts(ix);
+        let mut candidates = None;
+        for n in 0..self.world.jobs[ix].tasks.len() {
+            let t = self.world.jobs[ix].tasks[n];
+            if t.place != Place::Idle || t.retry_ms > self.now {
+                continue;
+            }
+            if !self.within_limit(&self.world.jobs[ix].spec, 1.0) {
+                return true; // waits for its own team, not for room
+            }
+            let mut found = candidates.take().unwrap_or_else(|| self.candidates(need));
+            let Some(host) = self.best(need, &found, &counts) else { return false };
+            if self.image_late(need, host) && self.better_soon(need, &counts) {
+                candidates = None;
+                continue;
+            }
+            counts.add(self.index.slots[host].zone);
+            self.start(TaskKey { job: ix, task: n as u32 }, host, attempt());
+            self.renew(need, &mut found, host);
+            candidates = Some(found);
+        }
+        true
+    }
+
+    /// Would the image come too late for the class's start objective?
+    fn image_late(&self, need: &Need, hix: HostIx) -> bool {
+        need.image_ms.is_some_and(|ms| self.fetch_s(need, hix) * 1000.0 > ms)
+    }
+
+    /// Makes room where the image is ready, or sooner there, if only a little
+    /// lesser work stands in the way; the task then waits for that room.
+    fn better_soon(&mut self, need: &Need, counts: &Counts) -> bool {
+        // One claim for each task that waits; if it lapses, any room will do.
+        if self.index.claims_of(need.ix) > 0 {
+            return true;
+        }
+        let demand = need.want.demand;
+        let mut best: Option<(f64, HostIx, Leavers)> = None;
+        for (hix, s) in self.index.slots.iter().enumerate() {
+            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix) {
+                continue;
+            }
+            let Some((lost, leave)) = self.vacate(need.ix, hix, &demand) else { continue };
+            if lost <= demand.gpus.max(1.0) && best.as_ref().is_none_or(|b| lost < b.0) {
+                best = Some((lost, hix, leave));
+            }
+        }
+        let Some((_, hix, leave)) = best else { return false };
+        self.clear(hix, &leave);
+        self.claim(hix, Claim { job: need.ix, demand, until_ms: self.now + self.policy.report_ms });
+        true
+    }
+
+    /// Holds room on a machine.
+    fn claim(&mut self, hix: HostIx, claim: Claim) {
+        if let Some(h) = self.world.host_mut(hix) {
+            let before = h.claims.clone();
+            h.claims.push(claim);
+            self.index.reclaim(&before, &h.claims, hix);
+        }
+    }
+
+    /// Gives up the room that is held for a job.
+    fn unclaim(&mut self, ix: JobIx) {
+        if self.index.claims_of(ix) == 0 {
+            return;
+        }
+        for (hix, h) in self.world.hosts.iter_mut().enumerate() {
+            let Some(h) = h.as_mut().filter(|h| h.claims.iter().any(|c| c.job == ix)) else { continue };
+            let before = h.claims.clone();
+            h.claims.retain(|c| c.job != ix);
+            self.index.reclaim(&before, &h.claims, hix);
+        }
+    }
+
+    /// Starts a gang whole or not at all; false if room lacked.
+    fn place_gang(&mut self, need: &Need, attempt: &mut impl FnMut() -> u64) -> bool {
+        let ix = need.ix;
+        let job = &self.world.jobs[ix];
+        // The next attempt waits until every task of the last one is gone.
+        let waits = job.tasks.iter().any(|t| t.place != Place::Idle || t.retry_ms > self.now);
+        if waits || self.index.hosts_of(ix).next().is_some() {
+            return true;
+        }
+        if !self.within_limit(&job.spec, f64::from(job.spec.tasks)) {
+            return true;
+        }
+        let zones: Vec<Option<usize>> =
+            if job.spec.one_zone { self.index.zones().map(Some).collect() } else { vec![None] };
+        let n = job.spec.tasks as usize;
+        let all = self.candidates(need);
+        for zone in zones {
+            let saved = self.index.slots.clone();
+            let mut left: Vec<_> =
+                all.iter().copied().filter(|c| zone.is_none_or(|z| z == self.index.slots[c.1].zone)).collect();
+            let mut counts = Counts::default();
+            let mut hosts = Vec::new();
+            while hosts.len() < n {
+                let Some(h) = self.best(need, &left, &counts) else { break };
+                self.index.slots[h].free.sub(&need.want.demand);
+                counts.add(self.index.slots[h].zone);
+                self.renew(need, &mut left, h);
+                hosts.push(h);
+            }
+            self.index.slots = saved;
+            if hosts.len() == n {
+                let a = attempt();
+                self.world.jobs[ix].gang_attempt = a;
+                for (task, host) in hosts.into_iter().enumerate() {
+                    self.start(TaskKey { job: ix, task: task as u32 }, host, a);
+                }
+                self.unclaim(ix);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Holds room for the leading gang on the machines that are nearest to
+    /// having it, for a bounded time; then others have their turn as long.
+    fn hold_for_gang(&mut self, need: &Need) {
+        let hold = self.policy.hold_ms;
+        let (now, ix) = (self.now, need.ix);
+        let job = &mut self.world.jobs[ix];
+        if now < job.no_hold_until_ms {
+            return;
+        }
+        if job.hold_until_ms == 0 {
+            job.hold_until_ms = now + hold;
+        } else if now >= job.hold_until_ms {
+            job.hold_until_ms = 0;
+            job.no_hold_until_ms = now + hold;
+            self.unclaim(ix);
+            return;
+        }
+        let until_ms = job.hold_until_ms;
+        let (tasks, one_zone) = (job.spec.tasks, job.spec.one_zone);
+        let demand = need.want.demand;
+        let none = Counts::default();
+        // How many tasks each machine could take if all lesser work left it.
+        let mut by_zone: Vec<Vec<(f64, u32, HostIx)>> = vec![Vec::new(); self.index.zones().len().max(1)];
+        for (hix, s) in self.index.slots.iter().enumerate() {
+            let Some(h) = self.world.host(hix) else { continue };
+            if !need.want.takes(s, &none) || h.claims.iter().any(|c| c.job != ix) {
+                continue;
+            }
+            let mut n = 0;
+            let mut cost = 0.0;
+            while n < tasks {
+                let Some((c, _)) = self.vacate(ix, hix, &demand.times(f64::from(n + 1))) else { break };
+                cost = c;
+                n += 1;
+            }
+            let sure = n;
+            // Work that may not be stopped ends some time, unless it is a
+            // replica: room that frees then is held as well.
+            let mut room = self.world.flavors[s.flavor].cap;
+            for c in h.copies.iter().filter(|c| !c.ended()) {
+                if self.world.jobs[c.key.job].spec.shape == Shape::Service {
+                    room.sub(&c.demand);
+                }
+            }
+            while n < tasks && demand.times(f64::from(n + 1)).fits(&room) {
+                n += 1;
+            }
+            cost += 10.0 * f64::from(n - sure);
+            if n > 0 {
+                by_zone[if one_zone { s.zone } else { 0 }].push((cost / f64::from(n), n, hix));
+            }
+        }
+        for mut hosts in by_zone {
+            if hosts.iter().map(|h| h.1).sum::<u32>() < tasks {
+                continue;
+            }
+            hosts.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let sure = hosts.iter().filter(|h| h.0 < 10.0 / f64::from(tasks)).map(|h| h.1).sum::<u32>() >= tasks;
+            let mut left = tasks;
+            self.unclaim(ix);
+            for (_, n, hix) in hosts {
+                let n = n.min(left);
+                left -= n;
+                let demand = demand.times(f64::from(n));
+                self.claim(hix, Claim { job: ix, demand, until_ms });
+                // Nothing is stopped unless the whole gang can start then.
+                if sure && let Some((_, leave)) = self.vacate(ix, hix, &demand) {
+                    self.clear(hix, &leave);
+                }
+                if left == 0 {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// May a task of `spec` push this copy off its machine? `guaranteed`: its
+    /// team would be within its guarantee.
+    fn may_evict(&self, spec: &Spec, guaranteed: bool, c: &Copy) -> bool {
+        let victim = &self.world.jobs[c.key.job].spec;
+        if c.stop.is_some() || c.ended() {
+            return false;
+        }
+        if victim.urgency < spec.urgency {
+            return true;
+        }
+        guaranteed
+            && victim.team != spec.team
+            && victim.shape != Shape::Service
+            && victim.urgency <= spec.urgency.max(Urgency::Normal)
+            && self.beyond_guarantee(victim)
+    }
+
+    /// A machine with free room and the image for a running replica, so that
+    /// moving it there costs it next to nothing. `taken` is promised already.
+    fn refuge(&self, from: HostIx, c: &Copy, taken: &[(HostIx, Demand)]) -> Option<HostIx> {
+        let spec = &self.world.jobs[c.key.job].spec;
+        if spec.shape != Shape::Service || !c.running() || c.stop.is_some() {
+            return None;
+        }
+        let room_for = |hix: HostIx| {
+            let s = &self.index.slots[hix];
+            let mut room = s.free;
+            room.sub(&s.claimed);
+            taken.iter().filter(|t| t.0 == hix).for_each(|t| room.sub(&t.1));
+            s.usable && hix != from && spec.demand.fits(&room)
+        };
+        let warm = self.index.warm(self.world, &spec.image);
+        let mut open = warm.iter().copied().filter(|h| room_for(*h)).peekable();
+        open.peek()?;
+        let need = self.need(c.key.job);
+        let mut counts = self.index.counts(c.key.job);
+        counts.sub(self.index.slots[from].zone);
+        let mut best: Option<(f64, HostIx)> = None;
+        for hix in open {
+            let ready = |h: &Host| h.images.iter().any(|i| i.ready && i.name == spec.image);
+            if !need.want.takes(&self.index.slots[hix], &counts) || !self.world.host(hix).is_some_and(ready) {
+                continue;
+            }
+            let cost = self.cost(&need, hix);
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, hix));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    /// What would have to leave the machine so that `demand` fits, and where
+    /// to, if it is moved; with a measure of what that costs.
+    fn vacate(&self, ix: JobIx, hix: HostIx, demand: &Demand) -> Option<(f64, Leavers)> {
+        let spec = &self.world.jobs[ix].spec;
+        let h = self.world.host(hix)?;
+        let mut room = self.index.slots[hix].free;
+        for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_some()) {
+            room.add(&c.demand);
+        }
+        if demand.fits(&room) {
+            return Some((0.0, Vec::new()));
+        }
+        let guaranteed = self.within_guarantee(spec);
+        // Most is settled by a look at what could leave at best.
+        let mut most = room;
+        let mut victims: Vec<(&Copy, bool)> = Vec::new();
+        for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_none()) {
+            let evict = self.may_evict(spec, guaranteed, c);
+            let moves = c.running() && self.world.jobs[c.key.job].spec.shape == Shape::Service;
+            if evict || moves {
+                most.add(&c.demand);
+                victims.push((c, evict));
+            }
+        }
+        if !demand.fits(&most) {
+            return None;
+        }
+        // The least urgent first; of those, the ones that lose least.
+        victims.sort_by_key(|(c, _)| (self.world.jobs[c.key.job].spec.urgency, std::cmp::Reverse(c.since_ms)));
+        let mut leave = Vec::new();
+        let mut taken = Vec::new();
+        let mut cost = 0.0;
+        for (c, evict) in victims {
+            if demand.fits(&room) {
+                break;
+            }
+            if let Some(to) = self.refuge(hix, c, &taken) {
+                taken.push((to, c.demand));
+                leave.push((*c, Some(to)));
+                cost += 0.3;
+            } else if evict {
+                leave.push((*c, None));
+                let v = &self.world.jobs[c.key.job].spec;
+                // A gang loses its place whole, and places for gangs are few.
+                cost += if v.shape == Shape::Gang { 2.0 + 2.0 * f64::from(v.tasks) } else { 1.0 };
+            } else {
+                continue;
+            }
+            room.add(&c.demand);
+        }
+        demand.fits(&room).then_some((cost, leave))
+    }
+
+    /// Carries out what `vacate` found.
+    fn clear(&mut self, hix: HostIx, leave: &[(Copy, Option<HostIx>)]) {
+        let until_ms = self.now + self.policy.lease_ms;
+        for (c, to) in leave {
+            if let Some(to) = to {
+                self.claim(*to, Claim { job: c.key.job, demand: c.demand, until_ms });
+            }
+            let grace_s = self.world.jobs[c.key.job].spec.grace_s();
+            self.stop_job_part(hix, c.key, c.attempt, grace_s);
+        }
+    }
+
+    /// Orders a stop; a gang stops whole.
+    fn stop_job_part(&mut self, hix: HostIx, key: TaskKey, attempt: u64, grace_s: f64) {
+        let spec = &self.world.jobs[key.job].spec;
+        let whole = spec.shape == Shape::Gang;
+        let mut hosts: Vec<HostIx> = if whole { self.index.hosts_of(key.job).collect() } else { vec![hix] };
+        hosts.sort_unstable();
+        hosts.dedup();
+        for i in hosts {
+            let Some(h) = self.world.hosts[i].as_mut() else { continue };
+            for c in h.copies.iter_mut().filter(|c| !c.ended() && c.stop.is_none()) {
+                let same = i == hix && c.key == key && c.attempt == attempt;
+                if same || (whole && c.key.job == key.job) {
+                    c.stop = Some(grace_s);
+                    self.index.stop(&self.world.jobs[key.job].spec);
+                    self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s });
+                }
+            }
+        }
+    }
+
+    /// Preempts lesser work for a job that found no room, on the machine where
+    /// that costs least, and holds the room for it.
+    fn make_room(&mut self, need: &Need) {
+        let ix = need.ix;
+        let job = &self.world.jobs[ix];
+        let (urgency, team) = (job.spec.urgency, job.spec.team.clone());
+        // What was in vain for a job like this one is so again.
+        if self.walled.iter().any(|w| w.1 >= urgency && w.2 == team && w.0.like(&need.want)) {
+            return;
+        }
+        let waiting = job.tasks.iter().filter(|t| t.place == Place::Idle && t.retry_ms <= self.now).count();
+        let counts = self.index.counts(ix);
+        let none = Counts::default();
+        for _ in self.index.claims_of(ix)..waiting {
+            let mut best: Option<(f64, HostIx, Leavers)> = None;
+            let mut walled = true;
+            for (hix, s) in self.index.slots.iter().enumerate() {
+                if !need.want.takes(s, &none) || (need.modest && self.world.flavors[s.flavor].cap.gpus > 0.0) {
+                    continue;
+                }
+                let allowed = need.want.takes(s, &counts);
+                if s.claims > 0 && self.world.host(hix).is_some_and(|h| h.claims.iter().any(|c| c.job != ix)) {
+                    continue;
+                }
+                let mut demand = need.want.demand;
+                demand.add(&s.claimed);
+                let Some((lost, leave)) = self.vacate(ix, hix, &demand) else { continue };
+                walled = false;
+                let cost = lost + 0.2 * self.cost(need, hix);
+                if allowed && best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, hix, leave));
+                }
+            }
+            let Some((_, hix, leave)) = best else {
+                if walled && !need.modest {
+                    self.walled.push((need.want.clone(), urgency, team));
+                }
+                return;
+            };
+            self.clear(hix, &leave);
+            let until_ms = self.now + self.policy.lease_ms;
+            self.claim(hix, Claim { job: ix, demand: need.want.demand, until_ms });
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/tests.rs
@@ -0,0 +1,311 @@
+use super::*;
+use crate::config::tests::settings;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn policy() -> Policy {
+    Policy::new(&settings(), &Operator::default(), 0)
+}
+
+fn flavor(name: &str, gpus: f64, zones: &[&str]) -> Flavor {
+    Flavor {
+        name: name.into(),
+        cap: Demand { cpus: 32.0, gpus, mem: 128.0 },
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 10.0,
+        spot_price: 3.0,
+        boot_s: 30.0,
+        zones: zones.iter().map(|z| z.to_string()).collect(),
+    }
+}
+
+fn spec(id: &str, shape: Shape, tasks: u32, gpus: f64) -> Spec {
+    Spec {
+        id: id.into(),
+        class: "chat".into(),
+        team: "red".into(),
+        shape,
+        urgency: Urgency::Normal,
+        tasks,
+        demand: Demand { cpus: 2.0, gpus, mem: 8.0 },
+        image: "i".into(),
+        image_gb: 10.0,
+        flavors: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        expected_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
+fn world(hosts: &[(&str, bool)]) -> World {
+    let mut w = World { all_accounted: true, flavors: vec![flavor("g8", 8.0, &["a", "b"])], ..World::default() };
+    for (i, (zone, spot)) in hosts.iter().enumerate() {
+        let mut h = Host::new(format!("h{i}"), zone.to_string(), *spot, Some(0), 0);
+        h.registered = true;
+        h.accounted = true;
+        h.addr = Some("10.0.0.1:9000".parse().unwrap());
+        w.add_host(h);
+    }
+    w
+}
+
+fn add(w: &mut World, spec: Spec, accepted_ms: u64) -> JobIx {
+    let mut j = Job::new(spec, accepted_ms, 0);
+    j.version = 1;
+    w.add_job(j)
+}
+
+fn run(w: &mut World, now: u64) -> Outcome {
+    let mut n = 1000 * now;
+    pass(w, &policy(), now, now, || {
+        n += 1;
+        n
+    })
+}
+
+#[test]
+fn bins_count_from_the_start_in_their_width() {
+    let p = policy();
+    assert_eq!((p.bin(0), p.bin(4999), p.bin(5000), p.bin(12_000)), (0, 0, 1, 2));
+    let mut s = spec("run-000001", Shape::Batch, 1, 1.0);
+    let deadline = |s: &Spec| p.soft_deadline_ms(&Job::new(s.clone(), 1000, 0));
+    assert_eq!(deadline(&s), 3000, "the class's start objective");
+    s.class = "other".into();
+    assert_eq!(deadline(&s), 601_000, "ten minutes by default");
+    s.due_s = Some(50.0);
+    assert_eq!(deadline(&s), 51_000);
+    // What can't be in time any more does not starve what can.
+    let job = Job::new(s, 1000, 0);
+    assert_eq!(p.effective_deadline_ms(&job, 10_000), 51_000);
+    assert!(p.effective_deadline_ms(&job, 50_000) > 51_000);
+    assert!(p.effective_deadline_ms(&job, 80_000) > 600_000);
+}
+
+#[test]
+fn the_lowest_bin_goes_first() {
+    let mut w = world(&[("a", false)]);
+    for (id, due) in [("run-000001", 500.0), ("run-000002", 100.0), ("run-000003", 300.0)] {
+        let mut s = spec(id, Shape::Batch, 4, 1.0);
+        s.due_s = Some(due);
+        add(&mut w, s, 0);
+    }
+    let out = run(&mut w, 1);
+    let placed: Vec<JobIx> = out.starts.iter().map(|s| s.key.job).collect();
+    assert_eq!(placed, [1, 1, 1, 1, 2, 2, 2, 2]);
+    assert_eq!(out.unplaced, [0]);
+}
+
+#[test]
+fn a_gang_starts_whole_and_room_is_held_for_the_leading_one() {
+    let mut w = world(&[("a", false), ("a", false)]);
+    add(&mut w, spec("run-000001", Shape::Batch, 6, 1.0), 0);
+    run(&mut w, 1);
+    let mut gang = spec("run-000002", Shape::Gang, 2, 8.0);
+    gang.team = "blue".into();
+    add(&mut w, gang, 0);
+    let out = run(&mut w, 2);
+    assert!(out.starts.is_empty() && out.stops.is_empty(), "one of two places is no place");
+    // The held room is not given to others meanwhile, nor what frees.
+    add(&mut w, spec("run-000003", Shape::Batch, 4, 1.0), 5000);
+    assert!(run(&mut w, 3).starts.is_empty());
+    // The hold is bounded, so that nobody starves.
+    let hold = policy().hold_ms;
+    assert!(run(&mut w, 4 + hold).starts.iter().any(|s| s.key.job == 2));
+}
+
+#[test]
+fn the_more_urgent_preempts_and_equals_do_not() {
+    let mut w = world(&[("a", false)]);
+    add(&mut w, spec("run-000001", Shape::Batch, 8, 1.0), 0);
+    run(&mut w, 1);
+    add(&mut w, spec("run-000002", Shape::Batch, 1, 1.0), 0);
+    assert!(run(&mut w, 2).stops.is_empty());
+    let mut s = spec("run-000003", Shape::Service, 1, 1.0);
+    s.urgency = Urgency::High;
+    add(&mut w, s, 0);
+    assert_eq!(run(&mut w, 3).stops.len(), 1);
+    assert!(run(&mut w, 4).stops.is_empty(), "room is on its way");
+}
+
+#[test]
+fn guarantees_are_given_back_without_two_teams_taking_turns() {
+    let mut w = world(&[("a", false)]);
+    add(&mut w, spec("run-000001", Shape::Batch, 8, 1.0), 0);
+    run(&mut w, 1); // red: 8 of 8 guaranteed
+    let mut s = spec("run-000002", Shape::Batch, 8, 1.0);
+    s.team = "blue".into();
+    add(&mut w, s, 0);
+    assert!(run(&mut w, 2).stops.is_empty(), "red is within its guarantee");
+    let mut w = world(&[("a", false)]);
+    let mut s = spec("run-000001", Shape::Batch, 8, 1.0);
+    s.team = "blue".into(); // 8 of 4 guaranteed
+    add(&mut w, s, 0);
+    run(&mut w, 1);
+    add(&mut w, spec("run-000002", Shape::Batch, 8, 1.0), 0);
+    assert_eq!(run(&mut w, 2).stops.len(), 4, "blue keeps its own four");
+    assert!(run(&mut w, 3).stops.is_empty());
+}
+
+#[test]
+fn a_replica_moves_out_of_a_gangs_way() {
+    // Two machines with room for two, one replica on each.
+    let mut w = world(&[("a", false), ("a", false)]);
+    w.flavors[0].cap.gpus = 2.0;
+    for id in ["run-000001", "run-000003"] {
+        add(&mut w, spec(id, Shape::Service, 1, 1.0), 0);
+    }
+    w.host_mut(0).unwrap().blocked_until_ms = 10;
+    run(&mut w, 1);
+    w.host_mut(1).unwrap().copies.truncate(1);
+    w.jobs[1].tasks[0].place = Place::Idle;
+    w.host_mut(0).unwrap().blocked_until_ms = 0;
+    w.host_mut(1).unwrap().blocked_until_ms = 10;
+    run(&mut w, 2);
+    for h in w.hosts.iter_mut().flatten() {
+        h.blocked_until_ms = 0;
+        h.image_ready("i");
+        assert_eq!(h.copies.len(), 1);
+        h.copies[0].phase = TaskPhase::Running;
+    }
+    add(&mut w, spec("run-000002", Shape::Gang, 1, 2.0), 0);
+    assert_eq!(run(&mut w, 3).stops.len(), 1, "a replica moves, as its image is ready on the other");
+}
+
+#[test]
+fn impossible_jobs_are_told_apart() {
+    let p = policy();
+    let f = [flavor("g8", 8.0, &["a"])];
+    let ok = spec("run-000001", Shape::Batch, 100, 8.0);
+    assert_eq!(impossible(&ok, &p, &f), None);
+    let with = |change: fn(&mut Spec)| {
+        let mut s = ok.clone();
+        change(&mut s);
+        impossible(&s, &p, &f)
+    };
+    assert!(with(|s| s.team = "green".into()).unwrap().starts_with("owner"));
+    assert!(with(|s| s.demand.gpus = 9.0).is_some());
+    assert!(with(|s| s.flavors = Some(vec!["x".into()])).is_some());
+    assert!(with(|s| s.zone = Some("b".into())).is_some());
+    assert!(with(|s| s.shape = Shape::Gang).unwrap().contains("limit"));
+    assert!(with(|s| s.team = "blue".into()).is_none(), "0 means no limit");
+}
+
+#[test]
+fn the_plan_rents_what_waits_where_it_is_cheapest_and_may_be_had() {
+    let w = {
+        let mut w = world(&[]);
+        let mut s = spec("run-000001", Shape::Batch, 16, 1.0);
+        s.spot = true;
+        add(&mut w, s, 0);
+        w
+    };
+    let rent = |refused: &dyn Fn(usize, &str, bool) -> bool| plan(&w, &policy(), 0, &[0], &[], &[], refused).rent;
+    let r = rent(&|_, _, _| false);
+    assert!(r.iter().all(|r| r.spot) && r.iter().map(|r| r.count).sum::<usize>() == 2, "{r:?}");
+    let r = rent(&|_, _, spot| spot);
+    assert!(r.iter().all(|r| !r.spot) && r.iter().map(|r| r.count).sum::<usize>() == 2, "{r:?}");
+    assert!(rent(&|_, _, _| true).is_empty());
+    let coming = vec![Coming { flavor: 0, zone: "a".into(), spot: true }; 2];
+    assert!(plan(&w, &policy(), 0, &[0], &[], &coming, &|_, _, _| false).rent.is_empty(), "they are on their way");
+}
+
+#[test]
+fn a_wasteful_machine_is_emptied_where_its_replicas_fit() {
+    let mut w = world(&[("a", false), ("a", false)]);
+    for (host, n) in [(0, 4), (1, 1)] {
+        let ix = add(&mut w, spec(&format!("run-00000{host}"), Shape::Service, n, 1.0), 0);
+        for t in 0..n {
+            let key = TaskKey { job: ix, task: t };
+            let demand = w.jobs[ix].spec.demand;
+            let copy = Copy { phase: TaskPhase::Running, ..Copy::sent(key, 1, demand, 0) };
+            w.jobs[ix].tasks[t as usize].place = Place::On(host, 1);
+            let h = w.host_mut(host).unwrap();
+            h.copies.push(copy);
+            h.use_image("i", 10.0, 100.0, 1);
+            h.image_ready("i");
+        }
+    }
+    let d = plan(&w, &policy(), 0, &[], &[], &[], &|_, _, _| true).drain.unwrap();
+    assert_eq!((d.host, d.moves.len(), d.moves[0].2), (1, 1, 0));
+    w.host_mut(0).unwrap().images.clear();
+    assert!(plan(&w, &policy(), 0, &[], &[], &[], &|_, _, _| true).drain.is_none(), "no image there");
+}
+
+fn any_spec(n: usize) -> impl Strategy<Value = Spec> {
+    let shape = prop_oneof![Just(Shape::Batch), Just(Shape::Gang), Just(Shape::Service)];
+    let urgency =
+        prop_oneof![Just(Urgency::Low), Just(Urgency::Normal), Just(Urgency::High), Just(Urgency::Production)];
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    (shape, urgency, 1u32..6, 0u32..5, flags, 1.0f64..90.0).prop_map(move |(shape, urgency, tasks, gpus, f, due)| {
+        let mut s = spec(&format!("run-{n:06}"), shape, tasks, f64::from(gpus));
+        s.urgency = urgency;
+        (s.one_zone, s.spread, s.spot) = (f.0, f.1 && !f.0, f.2);
+        s.team = if f.3 { "red" } else { "blue" }.into();
+        s.zone = f.4.then(|| "a".to_string());
+        s.due_s = Some(due);
+        s
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn whatever_is_asked_the_rules_hold(
+        specs in prop::collection::vec(any_spec(0), 1..14),
+        hosts in prop::collection::vec((any::<bool>(), any::<bool>()), 1..6),
+        gone in prop::collection::vec((0usize..40, any::<bool>()), 0..12),
+    ) {
+        let hosts: Vec<(&str, bool)> = hosts.iter().map(|(z, s)| (if *z { "a" } else { "b" }, *s)).collect();
+        let mut w = world(&hosts);
+        for (i, mut s) in specs.into_iter().enumerate() {
+            s.id = format!("run-{i:06}");
+            add(&mut w, s, i as u64 * 700);
+        }
+        let p = policy();
+        let mut gone = gone.into_iter();
+        for round in 1..8u64 {
+            let out = run(&mut w, round * 2000);
+            for s in &out.starts {
+                let spec = &w.jobs[s.key.job].spec;
+                let h = w.host(s.host).unwrap();
+                prop_assert!(spec.spot || !h.spot);
+                prop_assert!(spec.allows_zone(&h.zone));
+            }
+            for (_, h) in w.each_host() {
+                let free = w.free(h);
+                prop_assert!(free.cpus > -1e-6 && free.gpus > -1e-6 && free.mem > -1e-6);
+            }
+            for (team, used) in Index::new(&w, 0).usage {
+                prop_assert!(used.fits(&p.teams[&team].limit), "{} uses {:?}", team, used);
+            }
+            for (ix, job) in w.jobs.iter().enumerate() {
+                let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+                for (_, h) in w.each_host() {
+                    let n = h.copies.iter().filter(|c| c.key.job == ix).count() as u32;
+                    if n > 0 {
+                        *zones.entry(&h.zone).or_default() += n;
+                    }
+                }
+                prop_assert!(zones.values().all(|n| *n <= job.spec.zone_limit()));
+                prop_assert!(!job.spec.one_zone || zones.len() < 2);
+                let started = out.starts.iter().filter(|s| s.key.job == ix).count() as u32;
+                prop_assert!(job.spec.shape != Shape::Gang || started == 0 || started == job.spec.tasks);
+            }
+            // What is stopped goes; some of the rest ends by itself.
+            let mut ended: Vec<(HostIx, TaskKey)> = out.stops.iter().map(|s| (s.host, s.key)).collect();
+            if let Some((n, _)) = gone.next() {
+                ended.extend(w.each_host().flat_map(|(i, h)| h.copies.iter().map(move |c| (i, c.key))).nth(n));
+            }
+            for (hix, key) in ended {
+                w.host_mut(hix).unwrap().copies.retain(|c| c.key != key);
+                w.jobs[key.job].tasks[key.task as usize].place = Place::Idle;
+            }
+        }
+    }
+}
