Machines chosen by how likely an image is late for the objective and the guarantee

Now the likelihood that it is late counts, for the objective and for the guarantee; replicas may move out of the way for the latter, nothing is stopped.

--- a/src/part.rs
+++ b/src/part.rs
@@ -794,6 +794,14 @@
                         let j = &self.world.jobs[key.job];
                         (j.spec.class.clone(), now.saturating_sub(since))
                     };
+                    tracing::debug!(
+                        job = self.world.jobs[key.job].spec.id,
+                        class,
+                        task = key.task,
+                        attempt,
+                        after_order = waited,
+                        "running"
+                    );
                     self.metrics.observe("start_after_order_ms", &class, waited);
                 }
             }
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -34,6 +34,17 @@
 /// Copies that would leave a machine, and where those go that are moved.
 type Leavers = Vec<(Copy, Option<HostIx>)>;
 
+/// The cost of a start that comes too late, next to which a machine's other
+/// drawbacks are small.
+const LATE: f64 = 3.0;
+/// The cost of a replica that moves, next to 1 for a task that is stopped.
+const MOVED: f64 = 0.3;
+
+/// How likely a fetch takes longer than `left`; it may take a third more or less.
+fn late(fetch_s: f64, left_s: f64) -> f64 {
+    if fetch_s <= 0.0 { 0.0 } else { ((fetch_s * 4.0 / 3.0 - left_s) / (fetch_s * 2.0 / 3.0)).clamp(0.0, 1.0) }
+}
+
 /// What a pass needs to know of the job that it places, worked out once.
 struct Need {
     ix: JobIx,
@@ -45,8 +56,9 @@
     slack_s: f64,
     /// Within how long its tasks are to start.
     within_s: f64,
-    /// Milliseconds in which the image is wanted; none for work with a deadline.
-    image_ms: Option<f64>,
+    /// Seconds left to start within the class's objective, and within the guarantee's.
+    wait_s: Option<f64>,
+    guarantee_s: Option<f64>,
     /// What taking another class's room costs.
     trespass: Vec<(Reserve, f64)>,
     held: bool,
@@ -153,6 +165,8 @@
         let job = &self.world.jobs[ix];
         let spec = &job.spec;
         let left_ms = self.policy.soft_deadline_ms(job) as f64 - self.wall as f64;
+        // A replica that was lost is down until it is back: each second counts.
+        let lost_s = self.policy.report_ms as f64 / 1000.0;
         let within = self.policy.waits.get(&spec.class).map(|w| w.0).or(self.policy.guarantee_s);
         let modest = spec.demand.gpus <= 0.0;
         let theirs = self.world.reserves.iter();
@@ -165,8 +179,12 @@
             service: spec.shape == Shape::Service,
             slack_s: left_ms.max(0.0) / 1000.0 - spec.expected_s,
             within_s: within.unwrap_or(self.policy.default_deadline_s).max(0.1),
-            // A replica that was lost is down until it is back: each second counts.
-            image_ms: spec.due_s.is_none().then(|| if left_ms > 0.0 { left_ms } else { self.policy.report_ms as f64 }),
+            wait_s: spec.due_s.is_none().then(|| if left_ms > 0.0 { left_ms / 1000.0 } else { lost_s }),
+            guarantee_s: self
+                .policy
+                .guarantee_s
+                .map(|g| g - self.wall.saturating_sub(job.accepted_ms) as f64 / 1000.0)
+                .filter(|left| *left > 0.0 && self.within_guarantee(spec)),
             trespass: theirs.map(|r| (r.clone(), if self.scarce.contains(&r.class) { 5.0 } else { 1.0 })).collect(),
             held: self.index.claims_of(ix) > 0,
             modest: modest && self.world.hungry && self.wall < job.accepted_ms + self.boot_ms(spec),
@@ -264,9 +282,8 @@
         let cap = &self.world.flavors[slot.flavor].cap;
         let fetch = self.fetch_s(need, hix);
         let mut cost = fetch / need.within_s;
-        if fetch > need.slack_s.max(0.0) {
-            cost += 3.0;
-        }
+        cost += LATE * late(fetch, need.wait_s.unwrap_or(need.slack_s.max(0.0)));
+        cost += need.guarantee_s.map_or(0.0, |left| LATE * late(fetch, left));
         // Room of one resource that is stranded by lack of another.
         let spread_of = |free: &Demand| {
             let (lo, hi) = free.shares(cap).fold((1.0f64, 0.0f64), |(l, h), s| (l.min(s), h.max(s)));
@@ -333,7 +350,7 @@
             }
             let mut found = candidates.take().unwrap_or_else(|| self.candidates(need));
             let Some(host) = self.best(need, &found, &counts) else { return false };
-            if self.image_late(need, host) && self.better_soon(need, &counts) {
+            if self.image_late(need, host).is_some_and(|most| self.better_soon(need, &counts, most)) {
                 candidates = None;
                 continue;
             }
@@ -345,14 +362,23 @@
         true
     }
 
-    /// Would the image come too late for the class's start objective?
-    fn image_late(&self, need: &Need, hix: HostIx) -> bool {
-        need.image_ms.is_some_and(|ms| self.fetch_s(need, hix) * 1000.0 > ms)
+    /// If the image would rather come too late: what may be lost to have it sooner.
+    fn image_late(&self, need: &Need, hix: HostIx) -> Option<f64> {
+        let fetch = self.fetch_s(need, hix);
+        let by = |left: Option<f64>| left.is_some_and(|left| late(fetch, left) >= 0.5);
+        if !need.service {
+            None
+        } else if by(need.wait_s) {
+            Some(need.want.demand.gpus.max(1.0))
+        } else {
+            // Only by moving replicas.
+            by(need.guarantee_s).then_some(MOVED * 3.0)
+        }
     }
 
     /// Makes room where the image is ready, or sooner there, if only a little
     /// lesser work stands in the way; the task then waits for that room.
-    fn better_soon(&mut self, need: &Need, counts: &Counts) -> bool {
+    fn better_soon(&mut self, need: &Need, counts: &Counts, most: f64) -> bool {
         // One claim for each task that waits; if it lapses, any room will do.
         if self.index.claims_of(need.ix) > 0 {
             return true;
@@ -360,11 +386,11 @@
         let demand = need.want.demand;
         let mut best: Option<(f64, HostIx, Leavers)> = None;
         for (hix, s) in self.index.slots.iter().enumerate() {
-            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix) {
+            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix).is_some() {
                 continue;
             }
             let Some((lost, leave)) = self.vacate(need.ix, hix, &demand) else { continue };
-            if lost <= demand.gpus.max(1.0) && best.as_ref().is_none_or(|b| lost < b.0) {
+            if lost <= most && best.as_ref().is_none_or(|b| lost < b.0) {
                 best = Some((lost, hix, leave));
             }
         }
@@ -605,7 +631,7 @@
             if let Some(to) = self.refuge(hix, c, &taken) {
                 taken.push((to, c.demand));
                 leave.push((*c, Some(to)));
-                cost += 0.3;
+                cost += MOVED;
             } else if evict {
                 leave.push((*c, None));
                 let v = &self.world.jobs[c.key.job].spec;
