--- a/src/part.rs
+++ b/src/part.rs
@@ -530,6 +530,16 @@
             Unsaved::End(end) => self.ended(ix, end),
             Unsaved::Creation => {
                 self.stirred = true;
+                let spec = &job.spec;
+                tracing::debug!(
+                    job = spec.id,
+                    class = spec.class,
+                    team = spec.team,
+                    tasks = spec.tasks,
+                    expected_s = spec.expected_s,
+                    due_s = spec.due_s.unwrap_or(0.0),
+                    "accepted"
+                );
                 let answer = self.accepted(ix, true);
                 self.answer(ix, &answer);
             }
@@ -1109,7 +1119,16 @@
         }
         for s in &out.stops {
             let job = &self.world.jobs[s.key.job];
-            tracing::info!(job = job.spec.id, task = s.key.task, attempt = s.attempt, "preempted");
+            let by = &self.world.jobs[s.by].spec;
+            tracing::debug!(
+                job = job.spec.id,
+                class = job.spec.class,
+                task = s.key.task,
+                attempt = s.attempt,
+                by = by.id,
+                by_class = by.class,
+                "preempted"
+            );
             self.metrics.count("tasks_preempted", &job.spec.class);
             self.kick.insert(s.host);
         }
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -21,6 +21,8 @@
     pub key: TaskKey,
     pub attempt: u64,
     pub grace_s: f64,
+    /// The job that gets the room.
+    pub by: JobIx,
 }
 
 #[derive(Debug, Default)]
@@ -395,7 +397,7 @@
             }
         }
         let Some((_, hix, leave)) = best else { return false };
-        self.clear(hix, &leave);
+        self.clear(need.ix, hix, &leave);
         self.claim(hix, Claim { job: need.ix, demand, until_ms: self.now + self.policy.report_ms });
         true
     }
@@ -532,7 +534,7 @@
                 self.claim(hix, Claim { job: ix, demand, until_ms });
                 // Nothing is stopped unless the whole gang can start then.
                 if sure && let Some((_, leave)) = self.vacate(ix, hix, &demand) {
-                    self.clear(hix, &leave);
+                    self.clear(need.ix, hix, &leave);
                 }
                 if left == 0 {
                     return;
@@ -646,21 +648,21 @@
     }
 
     /// Carries out what `vacate` found.
-    fn clear(&mut self, hix: HostIx, leave: &[(Copy, Option<HostIx>)]) {
+    fn clear(&mut self, by: JobIx, hix: HostIx, leave: &[(Copy, Option<HostIx>)]) {
         let until_ms = self.now + self.policy.lease_ms;
         for (c, to) in leave {
             if let Some(to) = to {
                 self.claim(*to, Claim { job: c.key.job, demand: c.demand, until_ms });
             }
             let grace_s = self.world.jobs[c.key.job].spec.grace_s();
-            self.stop_job_part(hix, c.key, c.attempt, grace_s);
+            self.stop_job_part(by, hix, c, grace_s);
         }
     }
 
     /// Orders a stop; a gang stops whole.
-    fn stop_job_part(&mut self, hix: HostIx, key: TaskKey, attempt: u64, grace_s: f64) {
-        let spec = &self.world.jobs[key.job].spec;
-        let whole = spec.shape == Shape::Gang;
+    fn stop_job_part(&mut self, by: JobIx, hix: HostIx, copy: &Copy, grace_s: f64) {
+        let Copy { key, attempt, .. } = *copy;
+        let whole = self.world.jobs[key.job].spec.shape == Shape::Gang;
         let mut hosts: Vec<HostIx> = if whole { self.index.hosts_of(key.job).collect() } else { vec![hix] };
         hosts.sort_unstable();
         hosts.dedup();
@@ -671,7 +673,7 @@
                 if same || (whole && c.key.job == key.job) {
                     c.stop = Some(grace_s);
                     self.index.stop(&self.world.jobs[key.job].spec);
-                    self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s });
+                    self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s, by });
                 }
             }
         }
@@ -716,7 +718,7 @@
                 }
                 return;
             };
-            self.clear(hix, &leave);
+            self.clear(need.ix, hix, &leave);
             let until_ms = self.now + self.policy.lease_ms;
             self.claim(hix, Claim { job: ix, demand: need.want.demand, until_ms });
         }
