Work of equal urgency is stopped for a guarantee only in time and hardly begun

Now such work is stopped only while the start is still in time for the guarantee and it has hardly begun, or after one hold.

--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -42,6 +42,17 @@
 /// The cost of a replica that moves, next to 1 for a task that is stopped.
 const MOVED: f64 = 0.3;
 
+/// Work that has run for less than this share of its estimate has hardly begun.
+const HARDLY_BEGUN: f64 = 0.25;
+
+/// Which work of its own urgency a job may stop for its team's guarantee.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Reach {
+    None,
+    Begun,
+    Any,
+}
+
 /// How likely a fetch takes longer than `left`; it may take a third more or less.
 fn late(fetch_s: f64, left_s: f64) -> f64 {
     if fetch_s <= 0.0 { 0.0 } else { ((fetch_s * 4.0 / 3.0 - left_s) / (fetch_s * 2.0 / 3.0)).clamp(0.0, 1.0) }
@@ -543,9 +554,28 @@
         }
     }
 
-    /// May a task of `spec` push this copy off its machine? `guaranteed`: its
-    /// team would be within its guarantee.
-    fn may_evict(&self, spec: &Spec, guaranteed: bool, c: &Copy) -> bool {
+    /// How far a job may go to get its team's guarantee from work that is no
+    /// less urgent: while that is in time, work that has hardly begun; once it
+    /// has waited as long as room is held for a gang, any. Without bounds two
+    /// teams' arrays stop each other over and over, and none is in time.
+    fn claim_on(&self, ix: JobIx) -> Reach {
+        let job = &self.world.jobs[ix];
+        if !self.within_guarantee(&job.spec) {
+            return Reach::None;
+        }
+        let waited_ms = self.wall.saturating_sub(job.accepted_ms);
+        let in_time_ms = self.policy.guarantee_s.map_or(0, |g| (g * 1000.0) as u64);
+        if waited_ms >= self.policy.hold_ms {
+            Reach::Any
+        } else if waited_ms < in_time_ms {
+            Reach::Begun
+        } else {
+            Reach::None
+        }
+    }
+
+    /// May a task of `spec` push this copy off its machine?
+    fn may_evict(&self, spec: &Spec, claim: Reach, c: &Copy) -> bool {
         let victim = &self.world.jobs[c.key.job].spec;
         if c.stop.is_some() || c.ended() {
             return false;
@@ -553,7 +583,12 @@
         if victim.urgency < spec.urgency {
             return true;
         }
-        guaranteed
+        let far_enough = match claim {
+            Reach::None => false,
+            Reach::Begun => self.now.saturating_sub(c.since_ms) as f64 <= victim.expected_s * 1000.0 * HARDLY_BEGUN,
+            Reach::Any => true,
+        };
+        far_enough
             && victim.team != spec.team
             && victim.shape != Shape::Service
             && victim.urgency <= spec.urgency.max(Urgency::Normal)
@@ -606,12 +641,12 @@
         if demand.fits(&room) {
             return Some((0.0, Vec::new()));
         }
-        let guaranteed = self.within_guarantee(spec);
+        let claim = self.claim_on(ix);
         // Most is settled by a look at what could leave at best.
         let mut most = room;
         let mut victims: Vec<(&Copy, bool)> = Vec::new();
         for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_none()) {
-            let evict = self.may_evict(spec, guaranteed, c);
+            let evict = self.may_evict(spec, claim, c);
             let moves = c.running() && self.world.jobs[c.key.job].spec.shape == Shape::Service;
             if evict || moves {
                 most.add(&c.demand);
