Replicas settle before they move and weigh four tasks; last chances are spared

Now a replica moves only after three leases, costs four array tasks to stop, and tasks that could not be in time if lost again are the last victims and go to ordinary machines first.

--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -69,6 +69,8 @@
     slack_s: f64,
     /// Within how long its tasks are to start.
     within_s: f64,
+    /// If it is lost once more it can't be in time.
+    last_chance: bool,
     /// Seconds left to start within the class's objective, and within the guarantee's.
     wait_s: Option<f64>,
     guarantee_s: Option<f64>,
@@ -192,6 +194,7 @@
             service: spec.shape == Shape::Service,
             slack_s: left_ms.max(0.0) / 1000.0 - spec.expected_s,
             within_s: within.unwrap_or(self.policy.default_deadline_s).max(0.1),
+            last_chance: spec.due_s.is_some_and(|_| left_ms / 1000.0 < 2.0 * spec.expected_s),
             wait_s: spec.due_s.is_none().then(|| if left_ms > 0.0 { left_ms / 1000.0 } else { lost_s }),
             guarantee_s: self
                 .policy
@@ -310,7 +313,8 @@
         // there is plenty, much when what is expected needs the rest.
         let lost = need.trespass.iter().filter(|t| t.0.loses(slot.flavor, &before, &after));
         cost += lost.map(|t| t.1).fold(0.0, f64::max);
-        if need.want.spot && !h.spot {
+        // Cheap machines for work that can be lost once and still be in time.
+        if need.want.spot && h.spot == need.last_chance {
             cost += 1.0;
         }
         if need.service {
@@ -574,6 +578,18 @@
         }
     }
 
+    /// Has it been there for three leases? What is stopped sooner was hardly started.
+    fn settled(&self, c: &Copy) -> bool {
+        self.now.saturating_sub(c.since_ms) >= 3 * self.policy.lease_ms
+    }
+
+    /// Could the copy's job still be in time if it began anew?
+    fn second_chance(&self, c: &Copy) -> bool {
+        let job = &self.world.jobs[c.key.job];
+        let needs = (job.spec.expected_s * 1000.0) as u64;
+        job.spec.due_s.is_none() || self.wall + needs < self.policy.soft_deadline_ms(job)
+    }
+
     /// May a task of `spec` push this copy off its machine?
     fn may_evict(&self, spec: &Spec, claim: Reach, c: &Copy) -> bool {
         let victim = &self.world.jobs[c.key.job].spec;
@@ -589,6 +605,7 @@
             Reach::Any => true,
         };
         far_enough
+            && (claim == Reach::Any || self.second_chance(c))
             && victim.team != spec.team
             && victim.shape != Shape::Service
             && victim.urgency <= spec.urgency.max(Urgency::Normal)
@@ -599,7 +616,7 @@
     /// moving it there costs it next to nothing. `taken` is promised already.
     fn refuge(&self, from: HostIx, c: &Copy, taken: &[(HostIx, Demand)]) -> Option<HostIx> {
         let spec = &self.world.jobs[c.key.job].spec;
-        if spec.shape != Shape::Service || !c.running() || c.stop.is_some() {
+        if spec.shape != Shape::Service || !c.running() || c.stop.is_some() || !self.settled(c) {
             return None;
         }
         let room_for = |hix: HostIx| {
@@ -647,7 +664,7 @@
         let mut victims: Vec<(&Copy, bool)> = Vec::new();
         for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_none()) {
             let evict = self.may_evict(spec, claim, c);
-            let moves = c.running() && self.world.jobs[c.key.job].spec.shape == Shape::Service;
+            let moves = c.running() && self.settled(c) && self.world.jobs[c.key.job].spec.shape == Shape::Service;
             if evict || moves {
                 most.add(&c.demand);
                 victims.push((c, evict));
@@ -657,7 +674,8 @@
             return None;
         }
         // The least urgent first; of those, the ones that lose least.
-        victims.sort_by_key(|(c, _)| (self.world.jobs[c.key.job].spec.urgency, std::cmp::Reverse(c.since_ms)));
+        let urgency = |c: &Copy| self.world.jobs[c.key.job].spec.urgency;
+        victims.sort_by_key(|(c, _)| (urgency(c), !self.second_chance(c), std::cmp::Reverse(c.since_ms)));
         let mut leave = Vec::new();
         let mut taken = Vec::new();
         let mut cost = 0.0;
@@ -673,7 +691,15 @@
                 leave.push((*c, None));
                 let v = &self.world.jobs[c.key.job].spec;
                 // A gang loses its place whole, and places for gangs are few.
-                cost += if v.shape == Shape::Gang { 2.0 + 2.0 * f64::from(v.tasks) } else { 1.0 };
+                cost += match v.shape {
+                    Shape::Gang => 2.0 + 2.0 * f64::from(v.tasks),
+                    // Its users are without it until its image is somewhere else.
+                    Shape::Service => 4.0,
+                    Shape::Batch => 1.0,
+                };
+                if !self.second_chance(c) {
+                    cost += 1.0;
+                }
             } else {
                 continue;
             }
