Room at warm machines is made by how likely a cold start is late

Now what may be stopped or moved for a replica grows with the likelihood that a cold start is late; array tasks that have hardly begun weigh half, replicas eight.

--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -379,18 +379,13 @@
         true
     }
 
-    /// If the image would rather come too late: what may be lost to have it sooner.
+    /// What may be lost to have a replica's image sooner than on this machine:
+    /// more, the likelier it is too late here, and for larger replicas.
     fn image_late(&self, need: &Need, hix: HostIx) -> Option<f64> {
         let fetch = self.fetch_s(need, hix);
-        let by = |left: Option<f64>| left.is_some_and(|left| late(fetch, left) >= 0.5);
-        if !need.service {
-            None
-        } else if by(need.wait_s) {
-            Some(need.want.demand.gpus.max(1.0))
-        } else {
-            // Only by moving replicas.
-            by(need.guarantee_s).then_some(MOVED * 3.0)
-        }
+        let by = |left: Option<f64>| left.map_or(0.0, |left| late(fetch, left));
+        let gain = LATE * by(need.wait_s) + LATE / 2.0 * by(need.guarantee_s);
+        (need.service && gain >= MOVED).then(|| gain.min(LATE / 2.0) * need.want.demand.gpus.max(1.0))
     }
 
     /// Makes room where the image is ready, or sooner there, if only a little
@@ -403,7 +398,8 @@
         let demand = need.want.demand;
         let mut best: Option<(f64, HostIx, Leavers)> = None;
         for (hix, s) in self.index.slots.iter().enumerate() {
-            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix).is_some() {
+            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix).is_some_and(|m| m > most / 2.0)
+            {
                 continue;
             }
             let Some((lost, leave)) = self.vacate(need.ix, hix, &demand) else { continue };
@@ -578,6 +574,11 @@
         }
     }
 
+    fn hardly_begun(&self, c: &Copy) -> bool {
+        let expected_s = self.world.jobs[c.key.job].spec.expected_s;
+        self.now.saturating_sub(c.since_ms) as f64 <= expected_s * 1000.0 * HARDLY_BEGUN
+    }
+
     /// Has it been there for three leases? What is stopped sooner was hardly started.
     fn settled(&self, c: &Copy) -> bool {
         self.now.saturating_sub(c.since_ms) >= 3 * self.policy.lease_ms
@@ -601,7 +602,7 @@
         }
         let far_enough = match claim {
             Reach::None => false,
-            Reach::Begun => self.now.saturating_sub(c.since_ms) as f64 <= victim.expected_s * 1000.0 * HARDLY_BEGUN,
+            Reach::Begun => self.hardly_begun(c),
             Reach::Any => true,
         };
         far_enough
@@ -694,7 +695,8 @@
                 cost += match v.shape {
                     Shape::Gang => 2.0 + 2.0 * f64::from(v.tasks),
                     // Its users are without it until its image is somewhere else.
-                    Shape::Service => 4.0,
+                    Shape::Service => 8.0,
+                    Shape::Batch if self.hardly_begun(c) => 0.5,
                     Shape::Batch => 1.0,
                 };
                 if !self.second_chance(c) {
