--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -407,13 +407,14 @@
             return true;
         }
         let demand = need.want.demand;
+        let reach = self.reach(need);
         let mut best: Option<(f64, HostIx, Leavers)> = None;
         for (hix, s) in self.index.slots.iter().enumerate() {
             if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix).is_some_and(|m| m > most / 2.0)
             {
                 continue;
             }
-            let Some((lost, leave)) = self.vacate(need.ix, hix, &demand) else { continue };
+            let Some((lost, leave)) = self.vacate(need, reach, hix, &demand) else { continue };
             if lost <= most && best.as_ref().is_none_or(|b| lost < b.0) {
                 best = Some((lost, hix, leave));
             }
@@ -509,6 +510,7 @@
         let until_ms = job.hold_until_ms;
         let (tasks, one_zone) = (job.spec.tasks, job.spec.one_zone);
         let demand = need.want.demand;
+        let reach = self.reach(need);
         let none = Counts::default();
         // How many tasks each machine could take if all lesser work left it.
         let mut by_zone: Vec<Vec<(f64, u32, HostIx)>> = vec![Vec::new(); self.index.zones().len().max(1)];
@@ -520,7 +522,7 @@
             let mut n = 0;
             let mut cost = 0.0;
             while n < tasks {
-                let Some((c, _)) = self.vacate(ix, hix, &demand.times(f64::from(n + 1))) else { break };
+                let Some((c, _)) = self.vacate(need, reach, hix, &demand.times(f64::from(n + 1))) else { break };
                 cost = c;
                 n += 1;
             }
@@ -555,7 +557,7 @@
                 let demand = demand.times(f64::from(n));
                 self.claim(hix, Claim { job: ix, demand, until_ms });
                 // Nothing is stopped unless the whole gang can start then.
-                if sure && let Some((_, leave)) = self.vacate(ix, hix, &demand) {
+                if sure && let Some((_, leave)) = self.vacate(need, reach, hix, &demand) {
                     self.clear(need.ix, hix, &leave);
                 }
                 if left == 0 {
@@ -569,22 +571,26 @@
     /// less urgent: while that is in time, work that has hardly begun; once it
     /// has waited as long as room is held for a gang, any. Without bounds two
     /// teams' arrays stop each other over and over, and none is in time.
-    fn claim_on(&self, ix: JobIx) -> Reach {
-        let job = &self.world.jobs[ix];
+    fn reach(&self, need: &Need) -> Reach {
+        let job = &self.world.jobs[need.ix];
         if !self.within_guarantee(&job.spec) {
-            return Reach::None;
-        }
-        let waited_ms = self.wall.saturating_sub(job.accepted_ms);
-        let in_time_ms = self.policy.guarantee_s.map_or(0, |g| (g * 1000.0) as u64);
-        if waited_ms >= self.policy.hold_ms {
+            Reach::None
+        } else if self.wall.saturating_sub(job.accepted_ms) >= self.policy.hold_ms {
             Reach::Any
-        } else if waited_ms < in_time_ms {
+        } else if need.guarantee_s.is_some() {
             Reach::Begun
         } else {
             Reach::None
         }
     }
 
+    /// The same on one machine: nothing is stopped where the start would be
+    /// late for the guarantee all the same.
+    fn reach_on(&self, reach: Reach, need: &Need, hix: HostIx) -> Reach {
+        let in_time = || need.guarantee_s.is_some_and(|left| late(self.fetch_s(need, hix), left) < 0.5);
+        if reach == Reach::Begun && !in_time() { Reach::None } else { reach }
+    }
+
     fn hardly_begun(&self, c: &Copy) -> bool {
         let expected_s = self.world.jobs[c.key.job].spec.expected_s;
         self.now.saturating_sub(c.since_ms) as f64 <= expected_s * 1000.0 * HARDLY_BEGUN
@@ -603,7 +609,7 @@
     }
 
     /// May a task of `spec` push this copy off its machine?
-    fn may_evict(&self, spec: &Spec, claim: Reach, c: &Copy) -> bool {
+    fn may_evict(&self, spec: &Spec, reach: Reach, c: &Copy) -> bool {
         let victim = &self.world.jobs[c.key.job].spec;
         if c.stop.is_some() || c.ended() {
             return false;
@@ -611,13 +617,13 @@
         if victim.urgency < spec.urgency {
             return true;
         }
-        let far_enough = match claim {
+        let far_enough = match reach {
             Reach::None => false,
             Reach::Begun => self.hardly_begun(c),
             Reach::Any => true,
         };
         far_enough
-            && (claim == Reach::Any || self.second_chance(c))
+            && (reach == Reach::Any || self.second_chance(c))
             && victim.team != spec.team
             && victim.shape != Shape::Service
             && victim.urgency <= spec.urgency.max(Urgency::Normal)
@@ -660,8 +666,8 @@
 
     /// What would have to leave the machine so that `demand` fits, and where
     /// to, if it is moved; with a measure of what that costs.
-    fn vacate(&self, ix: JobIx, hix: HostIx, demand: &Demand) -> Option<(f64, Leavers)> {
-        let spec = &self.world.jobs[ix].spec;
+    fn vacate(&self, need: &Need, reach: Reach, hix: HostIx, demand: &Demand) -> Option<(f64, Leavers)> {
+        let spec = &self.world.jobs[need.ix].spec;
         let h = self.world.host(hix)?;
         let mut room = self.index.slots[hix].free;
         for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_some()) {
@@ -670,12 +676,12 @@
         if demand.fits(&room) {
             return Some((0.0, Vec::new()));
         }
-        let claim = self.claim_on(ix);
+        let reach = self.reach_on(reach, need, hix);
         // Most is settled by a look at what could leave at best.
         let mut most = room;
         let mut victims: Vec<(&Copy, bool)> = Vec::new();
         for c in h.copies.iter().filter(|c| !c.ended() && c.stop.is_none()) {
-            let evict = self.may_evict(spec, claim, c);
+            let evict = self.may_evict(spec, reach, c);
             let moves = c.running() && self.settled(c) && self.world.jobs[c.key.job].spec.shape == Shape::Service;
             if evict || moves {
                 most.add(&c.demand);
@@ -766,6 +772,7 @@
         let waiting = job.tasks.iter().filter(|t| t.place == Place::Idle && t.retry_ms <= self.now).count();
         let counts = self.index.counts(ix);
         let none = Counts::default();
+        let reach = self.reach(need);
         for _ in self.index.claims_of(ix)..waiting {
             let mut best: Option<(f64, HostIx, Leavers)> = None;
             let mut walled = true;
@@ -779,7 +786,7 @@
                 }
                 let mut demand = need.want.demand;
                 demand.add(&s.claimed);
-                let Some((lost, leave)) = self.vacate(ix, hix, &demand) else { continue };
+                let Some((lost, leave)) = self.vacate(need, reach, hix, &demand) else { continue };
                 walled = false;
                 let cost = lost + 0.2 * self.cost(need, hix);
                 if allowed && best.as_ref().is_none_or(|b| cost < b.0) {
@@ -787,7 +794,7 @@
                 }
             }
             let Some((_, hix, leave)) = best else {
-                if walled && !need.modest {
+                if walled && !need.modest && reach == Reach::None {
                     self.walled.push((need.want.clone(), urgency, team));
                 }
                 return;
