Submissions at a busy holder are not tried a second way; outages are refused at once

Now a holder that asked for a promise just now is at work: its answer is awaited for a fifth of a life, then 429; a holder whose state service is silent refuses at once with 503.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::State;
 use crate::clock;
-use crate::doors::Doors;
+use crate::doors::{Doors, SLOW};
 use crate::holder::{self, BeatAnswer};
 use crate::http::{Request, Response};
 use crate::model::{Flavor, JobEnd, JobPhase, JobRecord};
@@ -46,7 +46,17 @@
 }
 
 impl Api {
+    /// Answers a request; refusals are told at `debug`.
     pub async fn handle(self, req: Request) -> Response {
+        let what = tracing::enabled!(tracing::Level::DEBUG).then(|| format!("{} {}", req.method, req.path));
+        let r = self.answer(req).await;
+        if let Some(what) = what.filter(|_| r.status >= 400 && r.status != 404) {
+            tracing::debug!(what, status = r.status, why = %String::from_utf8_lossy(&r.body), "refused");
+        }
+        r
+    }
+
+    async fn answer(self, req: Request) -> Response {
         let path = req.path.split('?').next().unwrap_or("");
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         match (req.method.as_str(), parts.as_slice()) {
@@ -141,6 +151,8 @@
         let id = text(wire::ID).filter(|id| wire::is_job_id(id));
         let answer = match self.doors.user(part, UserCall::Submit(body.clone())).await {
             Some(r) if r.status != 503 => Some(r),
+            // A second way in would only add to the work that the holder has.
+            None if self.doors.at_work(part) && self.state.answers(self.doors.life_ms) => Some(Response::busy(SLOW)),
             // Nobody holds the part now, or can't be reached.
             other => self.accept(part, &body).await.or(other),
         };
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Has it answered lately? Holders ask it five times in the life of a grant.
+    pub fn answers(&self, life_ms: u64) -> bool {
+        let last = self.last_ok_ms();
+        last > 0 && clock::now_ms().saturating_sub(last) < life_ms / 2
+    }
+
     /// True if an ordinary request may be made now.
     pub fn within_budget(&self) -> bool {
         self.budget.lock().is_ok_and(|mut b| b.take(clock::now_ms()))
--- a/src/doors.rs
+++ b/src/doors.rs
@@ -1,6 +1,7 @@
 //! The ways to the holders of the parts: the actors on this node, or the other
 //! controllers.
 
+use crate::clock;
 use crate::holder;
 use crate::http::Response;
 use crate::membership::{self, Entitlement, Seat};
@@ -8,10 +9,13 @@
 use crate::peer::{Ask, Peer, Reply, UserCall};
 use crate::wire;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+pub const SLOW: &str = "no decision in time";
+
 /// The way to one part on this node.
 #[derive(Clone)]
 pub struct Door {
@@ -27,6 +31,8 @@
     pub parts: Arc<Vec<Door>>,
     pub peers: Arc<Vec<Peer>>,
     pub life_ms: u64,
+    /// When the holder of each part was last heard to be at work.
+    pub heard_ms: Arc<Vec<AtomicU64>>,
 }
 
 impl Doors {
@@ -46,12 +52,24 @@
         }
         let name = self.holder(part)?;
         let peer = self.peers.iter().find(|p| p.name == name)?;
-        // A submission can be accepted without the holder: it need not wait.
+        // A submission can be accepted without the holder: it need not wait
+        // for one that may be gone.
         let submits = matches!(ask, Ask::User { call: UserCall::Submit(_), .. });
-        let limit = if submits { self.life_ms / 10 } else { self.life_ms * 2 / 5 };
+        let limit = match submits {
+            true if self.at_work(part) => self.life_ms / 5,
+            true => self.life_ms / 10,
+            false => self.life_ms * 2 / 5,
+        };
         peer.ask(ask, Duration::from_millis(limit)).await
     }
 
+    /// Has the holder of the part asked for a promise just now? It does so five
+    /// times in the life of one.
+    pub fn at_work(&self, part: u32) -> bool {
+        let heard = self.heard_ms.get(part as usize).map_or(0, |h| h.load(Ordering::Relaxed));
+        heard > 0 && clock::now_ms() < heard + self.life_ms / 4
+    }
+
     /// Asks the holder of a part on behalf of a user.
     pub async fn user(&self, part: u32, call: UserCall) -> Option<Response> {
         match self.ask(part, Ask::User { part, call }).await? {
@@ -67,6 +85,9 @@
         match ask {
             Ask::Promise { part, term, for_ms, state_ok } => {
                 let Some(door) = self.parts.get(part as usize) else { return Reply::No };
+                if let Some(h) = self.heard_ms.get(part as usize) {
+                    h.store(clock::now_ms(), Ordering::Relaxed);
+                }
                 let (reply, rx) = oneshot::channel();
                 let m = membership::Msg::Promise { term, for_ms, state_ok, reply };
                 if door.members.try_send(m).is_ok() && rx.await == Ok(true) { Reply::Promised } else { Reply::No }
@@ -98,13 +119,15 @@
     async fn local(&self, part: u32, call: UserCall) -> Response {
         let Some(door) = self.parts.get(part as usize) else { return Response::later("no such part") };
         let (tx, rx) = oneshot::channel();
+        let submits = matches!(call, UserCall::Submit(_));
         if door.holder.try_send(holder::Msg::User(call, tx)).is_err() {
             return Response::later("too many requests");
         }
         // A commit that takes longer is answered by the retry.
         match timeout(Duration::from_millis(self.life_ms), rx).await {
             Ok(Ok(a)) => to_response(a),
-            _ => Response::later("no decision in time"),
+            _ if submits => Response::busy(SLOW),
+            _ => Response::later(SLOW),
         }
     }
 }
@@ -124,3 +147,21 @@
         UserAnswer::Later(m) => Response::later(m),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Found on the grown deployments: 500 submissions of the first ten seconds went
+    // a second way past a holder that was only slow, and used up its writes.
+    #[tokio::test(start_paused = true)]
+    async fn a_holder_counts_as_at_work_while_it_asks_for_promises() {
+        let heard_ms = Arc::new(vec![AtomicU64::new(0)]);
+        let doors = Doors { parts: Default::default(), peers: Default::default(), life_ms: 2500, heard_ms };
+        assert!(!doors.at_work(0), "never heard");
+        doors.heard_ms[0].store(clock::now_ms().max(1), Ordering::Relaxed);
+        assert!(doors.at_work(0));
+        tokio::time::advance(Duration::from_millis(700)).await;
+        assert!(!doors.at_work(0), "it asks five times in a life");
+    }
+}
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -237,7 +237,12 @@
                     let _ = waiter.send(UserAnswer::Later("the jobs are being taken over"));
                     return;
                 }
+                // Refused at once: nothing can be recorded now.
+                let silent = !self.state.answers(self.settings.grant_life_ms());
                 match call {
+                    UserCall::Submit(_) | UserCall::Cancel(_) if silent => {
+                        let _ = waiter.send(UserAnswer::Later("the state service gives no answer"));
+                    }
                     UserCall::Submit(body) => h.part.submit(&body, now, clock::wall_ms(), waiter),
                     UserCall::Status(id) => {
                         let _ = waiter.send(h.part.status(&id));
--- a/src/http.rs
+++ b/src/http.rs
@@ -42,6 +42,11 @@
         Response::json(status, &serde_json::json!({ "error": message }))
     }
 
+    /// The holder works, and has more to do than it can now.
+    pub fn busy(message: &str) -> Response {
+        Response { retry_after_s: Some(1), ..Response::error(429, message) }
+    }
+
     /// What can't be served now is answered at once, with when to come back.
     pub fn later(message: &str) -> Response {
         Response { retry_after_s: Some(1), ..Response::error(503, message) }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -263,11 +263,6 @@
 }
 
 impl Membership {
-    fn state_ok(&self, now: u64) -> bool {
-        let last = self.state.last_ok_ms();
-        last > 0 && now.saturating_sub(last) < self.life_ms / 2
-    }
-
     pub async fn run(self, tx: mpsc::Sender<Msg>, mut rx: mpsc::Receiver<Msg>) {
         let mut rules = Rules::new(&self.node, self.life_ms, self.peers.len(), clock::now_ms());
         self.first_look(&mut rules).await;
@@ -330,7 +325,8 @@
             let result = state.extend_grant(grant, life).await;
             let _ = tx2.send(Msg::Extended { grant, sent, result }).await;
         });
-        let ask = Ask::Promise { part: self.part, term, for_ms: self.life_ms, state_ok: self.state_ok(sent) };
+        let ask =
+            Ask::Promise { part: self.part, term, for_ms: self.life_ms, state_ok: self.state.answers(self.life_ms) };
         for (i, p) in self.peers.iter().enumerate() {
             let (p, ask, tx) = (p.clone(), ask.clone(), tx.clone());
             let limit = Duration::from_millis(self.life_ms / 2);
@@ -345,7 +341,7 @@
         let now = clock::now_ms();
         match m {
             Msg::Promise { term, for_ms, state_ok, reply } => {
-                let _ = reply.send(rules.promise(now, term, for_ms, state_ok, self.state_ok(now)));
+                let _ = reply.send(rules.promise(now, term, for_ms, state_ok, self.state.answers(self.life_ms)));
             }
             Msg::Seen(record) => {
                 // What a holder sees of itself is no news, and may be old.
--- a/src/node.rs
+++ b/src/node.rs
@@ -61,7 +61,8 @@
         holders.push((tenancy, holder_rx));
         doors.push(Door { seat, entitled, holder: holder_tx, members: members_tx });
     }
-    let doors = Doors { parts: Arc::new(doors), peers: Arc::new(peers), life_ms };
+    let heard_ms = Arc::new((0..operator.parts).map(|_| AtomicU64::new(0)).collect());
+    let doors = Doors { parts: Arc::new(doors), peers: Arc::new(peers), life_ms, heard_ms };
     for (membership, tx, rx) in members {
         tokio::spawn(membership.run(tx, rx));
     }
