--- /dev/null
+++ b/src/part/direct.rs
@@ -0,0 +1,77 @@
+//! Commands that are sent straight to a worker.
+
+use super::*;
+
+impl Part {
+    /// The direct command that a machine is due, if any.
+    pub fn direct(&mut self, hix: HostIx, now: u64, probe: bool) -> Option<Direct> {
+        let term = self.term;
+        let h = self.world.hosts.get_mut(hix)?.as_mut()?;
+        let addr = h.addr?;
+        if h.do_in_flight || now < h.do_after_ms {
+            return None;
+        }
+        // A machine that is not accounted for is shown our token, and its tasks
+        // are read from the answer. Its tenure may not be known yet: then the
+        // answer tells it.
+        let probe = probe || !h.accounted;
+        let mut orders = Vec::new();
+        for c in h.copies.iter_mut().filter(|_| h.accounted) {
+            let id = &self.world.jobs[c.key.job].spec.id;
+            match (c.phase, c.stop) {
+                (TaskPhase::Ended(_), _) => {}
+                (TaskPhase::Saving, Some(grace)) if grace > 0.0 => {}
+                (_, Some(grace)) => orders.push(Order::stop(id, c, grace)),
+                (TaskPhase::Sent, None) => {
+                    orders.push(Order::run(id, c));
+                    c.in_flight = true;
+                }
+                _ => {}
+            }
+            if orders.len() >= REPLY_ORDERS {
+                break;
+            }
+        }
+        if orders.is_empty() && !probe {
+            return None;
+        }
+        h.do_in_flight = true;
+        Some(Direct { host: hix, id: h.id.clone(), addr, term, tenure: h.tenure, orders })
+    }
+
+    pub fn direct_done(&mut self, d: &Direct, result: DirectResult, now: u64) {
+        let retry = now + self.policy.report_ms;
+        let Some(h) = self.world.host_mut(d.host).filter(|h| h.id == d.id) else { return };
+        h.do_in_flight = false;
+        for c in h.copies.iter_mut().filter(|c| c.in_flight) {
+            c.in_flight = false;
+            if matches!(result, DirectResult::Unclear) {
+                // It may be carried out minutes later.
+                c.risk = Some(c.risk.unwrap_or(0).max(d.term));
+            }
+        }
+        match result {
+            DirectResult::Answered(r) => {
+                if r.host == d.id {
+                    self.report(&r, Via::Direct, now);
+                }
+                let again = |h: &Host| !h.accounted || h.copies.iter().any(|c| c.phase == TaskPhase::Sent);
+                if self.world.host(d.host).is_some_and(again) {
+                    self.kick.insert(d.host);
+                }
+            }
+            DirectResult::NotSent | DirectResult::Unclear => {
+                h.do_after_ms = retry;
+                h.deaf = true;
+            }
+        }
+    }
+
+    /// True if a copy can only be settled by a higher token.
+    pub fn needs_new_term(&self) -> bool {
+        self.world.each_host().any(|(_, h)| h.fence > self.term)
+            || self.world.each_host().any(|(_, h)| {
+                h.copies.iter().any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
+            })
+    }
+}
--- /dev/null
+++ b/src/part/tests.rs
@@ -0,0 +1,449 @@
+use super::*;
+use crate::config::{Operator, tests::settings};
+use crate::wire::reported;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+const LEASE: u64 = 10_000;
+
+fn flavor() -> Flavor {
+    Flavor {
+        name: "g8".into(),
+        cap: Demand { cpus: 32.0, gpus: 8.0, mem: 256.0 },
+        cache_gb: 200.0,
+        fetch_gb_per_s: 1.0,
+        price: 10.0,
+        spot_price: 4.0,
+        boot_s: 30.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn part_of(term: u64, jobs: Vec<Item>, hosts: Vec<Item>) -> Part {
+    let s = settings();
+    let policy = Policy::new(&s, &Operator::default(), 0);
+    let mut p = Part::new(policy, 0, s.parts_of_teams(1), 32, 32.0);
+    p.begin(term, 77, jobs, hosts, vec![flavor()], 1000);
+    p
+}
+
+fn part() -> Part {
+    part_of(1, vec![], vec![])
+}
+
+fn report(host: &str, tenure: u64, serial: u64, fence: u64, tasks: Vec<wire::ReportedTask>) -> Report {
+    let mut r: Report = serde_json::from_value(json!({"host": host, "addr": "10.1.0.1:9000", "flavor": "g8",
+        "region": "a", "tenure": tenure, "serial": serial, "fence": fence}))
+    .unwrap();
+    r.tasks = tasks;
+    r
+}
+
+fn body(id: &str, shape: &str, tasks: u32) -> Vec<u8> {
+    json!({"id": id, "jobclass": "chat", "owner": "red", "shape": shape, "urgency": "standard", "shards": tasks,
+        "cores": 2.0, "cards": 1.0, "mem_gb": 8.0, "bundle": "i", "size_gb": 1.0, "flavors": null, "region": null,
+        "same_place": false, "apart": false, "preemptible": false, "expected_s": 10.0,
+        "checkpoint_every_s": 0.0, "flush_s": 0.0, "due_s": null})
+    .to_string()
+    .into_bytes()
+}
+
+fn submit(p: &mut Part, b: &[u8], now: u64) -> oneshot::Receiver<UserAnswer> {
+    let (tx, rx) = oneshot::channel();
+    p.submit(b, now, now, tx);
+    rx
+}
+
+fn commit(p: &mut Part, now: u64, revision: u64) {
+    assert!(p.next_commit(now, 32).is_some());
+    assert_eq!(p.committed(CommitResult::Done { revision }), Ok(vec![]));
+}
+
+/// A part with one machine in use and one accepted job, placed.
+fn running(shape: &str, tasks: u32) -> Part {
+    let mut p = part();
+    p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+    let _rx = submit(&mut p, &body("run-000001", shape, tasks), 1000);
+    commit(&mut p, 1000, 100);
+    p.pass(1001, 1001);
+    assert_eq!(p.kick.len(), 1);
+    p
+}
+
+fn attempt(p: &Part, n: usize) -> u64 {
+    p.world.host(0).unwrap().copies[n].attempt
+}
+
+fn runs(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Run { .. })).count()
+}
+
+fn reaps(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Reap { .. })).count()
+}
+
+#[test]
+fn a_job_is_accepted_after_its_commit_and_known_ever_after() {
+    let mut p = part();
+    let mut rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
+    assert!(rx.try_recv().is_err(), "nothing is said before the commit");
+    assert!(matches!(p.status("run-000001"), UserAnswer::Later(_)));
+    commit(&mut p, 1000, 100);
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Accepted { created: true, .. })));
+    // A retry is answered even if its content would be refused now.
+    let mut rx = submit(&mut p, br#"{"id":"run-000001"}"#, 1000);
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Accepted { created: false, .. })));
+    let mut rx = submit(&mut p, br#"{"id":"run-000002"}"#, 1000);
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Malformed(_))));
+    assert_eq!(p.status("run-000009"), UserAnswer::Unknown);
+}
+
+#[test]
+fn a_job_that_another_node_accepted_is_placed_and_its_notice_deleted() {
+    let mut p = part();
+    p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+    commit(&mut p, 1000, 99);
+    let spec = wire::parse_submission(&body("run-000005", "batch", 1)).unwrap();
+    let record = JobRecord { spec, accepted_ms: 900, end: None, done: vec![] };
+    let value = serde_json::to_value(record).unwrap();
+    for _ in 0..2 {
+        p.adopt_job(Item { key: "job/run-000005".into(), value: value.clone(), version: 50 }, 1000);
+    }
+    p.pass(1000, 1000);
+    assert_eq!((p.kick.len(), p.world.jobs.len()), (1, 1));
+    let c = p.next_commit(1000, 32).unwrap();
+    assert_eq!(c.apply, [wire::delete("in/0/run-000005")]);
+}
+
+#[test]
+fn an_unclear_creation_is_written_again_and_found() {
+    let mut p = part();
+    let mut rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
+    let first = p.next_commit(1000, 32).unwrap();
+    p.committed(CommitResult::Unclear).unwrap();
+    assert!(rx.try_recv().is_err());
+    p.next_commit(1100, 32).unwrap();
+    let keys = p.committed(CommitResult::Conflict { failed: vec!["job/run-000001".into()] }).unwrap();
+    assert_eq!(keys, ["job/run-000001"]);
+    let value = first.apply[0]["data"].clone();
+    p.reread(Item { key: "job/run-000001".into(), value, version: 99 });
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Accepted { .. })));
+    assert!(p.next_commit(1200, 32).is_none(), "nothing is left to write");
+}
+
+#[test]
+fn a_superseded_holder_learns_it_from_its_commit() {
+    let mut p = part();
+    let _rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
+    let c = p.next_commit(1000, 32).unwrap();
+    assert_eq!(c.guards[0], wire::guard("part/0", 77), "every commit guards on the part's key");
+    assert_eq!(p.committed(CommitResult::Conflict { failed: vec!["part/0".into()] }), Err(Superseded));
+}
+
+#[test]
+fn a_machine_is_used_once_it_is_registered() {
+    let mut p = part();
+    let _rx = submit(&mut p, &body("run-000001", "batch", 2), 1000);
+    p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+    p.pass(1000, 1000);
+    assert!(p.kick.is_empty());
+    commit(&mut p, 1000, 100);
+    p.pass(1001, 1001);
+    assert_eq!(p.kick.len(), 1);
+}
+
+#[test]
+fn done_is_said_after_its_commit_and_reaped_then() {
+    let mut p = running("batch", 1);
+    let a = attempt(&p, 0);
+    let done = || vec![reported("run-000001/0", a, "ended", Some("done"))];
+    assert_eq!(reaps(&p.report(&report("h1", 1, 2, 1, done()), Via::Beat, 1100)), 0);
+    assert!(matches!(p.status("run-000001"), UserAnswer::Status { phase: JobPhase::Pending, .. }));
+    commit(&mut p, 1100, 101);
+    assert!(matches!(p.status("run-000001"), UserAnswer::Status { phase: JobPhase::Done, done: 1, .. }));
+    assert_eq!(reaps(&p.report(&report("h1", 1, 3, 1, done()), Via::Beat, 1200)), 1);
+    // It is over: a cancellation that comes now changes nothing.
+    let (tx, mut rx) = oneshot::channel();
+    p.cancel("run-000001", tx);
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Done, .. })));
+}
+
+#[test]
+fn a_cancellation_stops_every_copy() {
+    let mut p = running("service", 2);
+    let (tx, mut rx) = oneshot::channel();
+    p.cancel("run-000001", tx);
+    assert!(rx.try_recv().is_err());
+    commit(&mut p, 1100, 101);
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
+    let d = p.direct(0, 1100, false).unwrap();
+    assert!(d.orders.iter().all(|o| matches!(o, Order::Stop { .. })) && d.orders.len() == 2);
+    p.pass(1200, 1200);
+    assert_eq!(runs(&p.report(&report("h1", 1, 2, 1, vec![]), Via::Direct, 1200)), 0);
+}
+
+#[test]
+fn a_direct_command_without_an_answer_binds_its_tasks_until_a_higher_token() {
+    let mut p = running("service", 1);
+    let d = p.direct(0, 1001, false).unwrap();
+    p.direct_done(&d, DirectResult::Unclear, 2000);
+    // The machine does not list it, and it may still come.
+    let orders = p.report(&report("h1", 1, 2, 1, vec![]), Via::Beat, 2100);
+    assert_eq!(runs(&orders), 1, "the same attempt, again");
+    assert!(!p.needs_new_term());
+    let (tx, _rx) = oneshot::channel();
+    p.cancel("run-000001", tx);
+    commit(&mut p, 2200, 101);
+    assert!(p.needs_new_term());
+    p.report(&report("h1", 1, 3, 1, vec![]), Via::Beat, 2300);
+    assert_eq!(p.world.host(0).unwrap().copies.len(), 1);
+    p.set_term(2, 78);
+    p.report(&report("h1", 1, 4, 2, vec![]), Via::Beat, 2400);
+    assert!(p.world.host(0).unwrap().copies.is_empty());
+}
+
+#[test]
+fn an_ended_attempt_is_not_reaped_while_its_run_may_come() {
+    let mut p = running("service", 1);
+    let a = attempt(&p, 0);
+    let d = p.direct(0, 1001, false).unwrap();
+    let ended = || vec![reported("run-000001/0", a, "ended", Some("error"))];
+    assert_eq!(reaps(&p.report(&report("h1", 1, 2, 1, ended()), Via::Beat, 1100)), 0, "a command is under way");
+    p.direct_done(&d, DirectResult::Unclear, 2000);
+    assert_eq!(reaps(&p.report(&report("h1", 1, 3, 1, ended()), Via::Beat, 2100)), 0);
+    p.set_term(2, 78);
+    assert_eq!(reaps(&p.report(&report("h1", 1, 4, 2, ended()), Via::Beat, 2200)), 1);
+}
+
+#[test]
+fn late_copies_of_reports_change_nothing() {
+    let mut p = running("service", 1);
+    let a = attempt(&p, 0);
+    let up = || vec![reported("run-000001/0", a, "running", None)];
+    p.report(&report("h1", 1, 9, 1, up()), Via::Beat, 1100);
+    p.report(&report("h1", 1, 3, 1, vec![]), Via::Beat, 1200);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a));
+    // A new session has lost everything, whatever an old report says.
+    p.report(&report("h1", 2, 10, 1, vec![]), Via::Beat, 1300);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
+    p.report(&report("h1", 1, 11, 1, up()), Via::Beat, 1400);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
+}
+
+#[test]
+fn attempts_never_repeat_across_terms() {
+    let mut p = running("batch", 3);
+    let last = p.world.host(0).unwrap().copies.iter().map(|c| c.attempt).max().unwrap();
+    p.set_term(2, 78);
+    assert!(p.next_attempt > last);
+}
+
+fn items(p: &mut Part) -> (Vec<Item>, Vec<Item>) {
+    let job = JobRecord::of(&p.world.jobs[0], None, 10);
+    let host = HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: 0 };
+    let jobs = Item { key: "job/run-000001".into(), value: serde_json::to_value(job).unwrap(), version: 100 };
+    let hosts = Item { key: "host/h1".into(), value: serde_json::to_value(host).unwrap(), version: 90 };
+    (vec![jobs], vec![hosts])
+}
+
+#[test]
+fn a_takeover_places_nothing_before_every_machine_is_accounted_for() {
+    let mut old = running("service", 1);
+    let a = attempt(&old, 0);
+    let (jobs, hosts) = items(&mut old);
+    let mut p = part_of(5, jobs, hosts);
+    // Another, new machine has room.
+    p.report(&report("h2", 1, 1, 5, vec![]), Via::Beat, 1100);
+    commit(&mut p, 1100, 101);
+    p.pass(1100, 1100);
+    assert!(p.kick.is_empty());
+    // The first report is answered, but shows an older token: the old
+    // holder's command may still come.
+    let up = || vec![reported("run-000001/0", a, "running", None)];
+    p.report(&report("h1", 1, 7, 1, vec![]), Via::Beat, 1200);
+    p.kick.clear();
+    p.pass(1200, 1200);
+    assert!(p.kick.is_empty() && !p.world.all_accounted);
+    p.report(&report("h1", 1, 8, 5, up()), Via::Beat, 1300);
+    p.pass(1300, 1300);
+    assert!(p.kick.is_empty() && p.world.all_accounted, "the task runs already");
+    assert!(matches!(p.world.jobs[0].tasks[0].place, Place::On(_, n) if n == a));
+}
+
+#[test]
+fn a_takeover_goes_on_without_a_machine_that_outlived_its_lease_or_is_gone() {
+    for gone in [true, false] {
+        let mut old = running("service", 1);
+        let (jobs, hosts) = items(&mut old);
+        let mut p = part_of(5, jobs, hosts);
+        p.upkeep(1000 + LEASE);
+        assert!(!p.world.all_accounted, "its lease may still live");
+        if gone {
+            p.host_gone("h1");
+        } else {
+            p.upkeep(1000 + LEASE + 1000);
+        }
+        assert!(p.world.all_accounted);
+    }
+}
+
+#[test]
+fn new_jobs_need_not_wait_for_unaccounted_machines() {
+    let mut old = running("service", 1);
+    let (jobs, hosts) = items(&mut old);
+    let mut p = part_of(5, jobs, hosts);
+    p.report(&report("h2", 1, 1, 5, vec![]), Via::Beat, 1100);
+    let _rx = submit(&mut p, &body("run-000002", "service", 1), 1100);
+    commit(&mut p, 1100, 101);
+    p.pass(1100, 1100);
+    assert!(p.world.jobs[1].tasks[0].place != Place::Idle);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
+}
+
+#[test]
+fn a_silent_machine_keeps_its_tasks_until_its_lease_or_release() {
+    let mut p = running("service", 1);
+    let a = attempt(&p, 0);
+    p.report(&report("h1", 1, 2, 1, vec![reported("run-000001/0", a, "running", None)]), Via::Beat, 2000);
+    let mut released = Vec::new();
+    for now in (2000..=7000).step_by(250) {
+        released.extend(p.upkeep(now).0);
+    }
+    assert_eq!(released, ["h1"], "a silent machine is released early");
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a), "its tasks are there until the cloud confirms");
+    p.host_gone("h1");
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
+    // What it still had to say comes too late.
+    assert!(p.report(&report("h1", 1, 3, 1, vec![]), Via::Beat, 7200).is_empty());
+    assert!(p.world.host_ix.is_empty());
+}
+
+// Found on a day with three parts: the machine was heard by direct commands
+// only, in a session that began after our last answer.
+#[test]
+fn a_new_sessions_lease_counts_from_its_beginning() {
+    let mut p = running("service", 1);
+    p.report(&report("h1", 2, 3, 1, vec![]), Via::Direct, 9000);
+    p.pass(9001, 9001);
+    let a = attempt(&p, 0);
+    p.report(&report("h1", 2, 4, 1, vec![reported("run-000001/0", a, "running", None)]), Via::Direct, 9100);
+    p.upkeep(1000 + LEASE + 1000);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a));
+}
+
+#[test]
+fn many_silent_machines_at_once_are_not_released() {
+    let mut p = part();
+    for i in 0..6 {
+        p.report(&report(&format!("h{i}"), 1, 1, 1, vec![]), Via::Beat, 1000);
+    }
+    // Some were last heard a little earlier than the rest.
+    for i in 3..6 {
+        p.report(&report(&format!("h{i}"), 1, 2, 1, vec![]), Via::Beat, 2900);
+    }
+    for now in (2900..=9000).step_by(250) {
+        assert!(p.upkeep(now).0.is_empty());
+    }
+}
+
+// Found on a day of cuts: the holder kept the part while no report reached
+// it, and every lease ran out.
+#[test]
+fn a_holder_that_hears_no_worker_any_more_is_cut_off() {
+    let mut p = part();
+    for i in 0..4 {
+        p.report(&report(&format!("h{i}"), 1, 1, 1, vec![]), Via::Beat, 1000);
+    }
+    assert!(!p.cut_off(2500));
+    assert!(p.cut_off(4000));
+    for i in 0..2 {
+        p.report(&report(&format!("h{i}"), 1, 2, 1, vec![]), Via::Beat, 3900);
+    }
+    assert!(!p.cut_off(4000), "only some are silent");
+    let host = |i| HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: i };
+    let item = |n: u64| Item { key: format!("host/h{n}"), value: serde_json::to_value(host(0)).unwrap(), version: n };
+    let p = part_of(5, vec![], (1..6).map(item).collect());
+    assert!(!p.cut_off(9000), "after a takeover they may still be on their way here");
+}
+
+#[test]
+fn a_task_that_fails_everywhere_backs_off_and_blames_no_machine() {
+    let mut p = part();
+    for h in ["h1", "h2"] {
+        p.report(&report(h, 1, 1, 1, vec![]), Via::Beat, 1000);
+    }
+    let _rx = submit(&mut p, &body("run-000001", "batch", 1), 1000);
+    commit(&mut p, 1000, 100);
+    let mut now = 1000;
+    for round in 0..4 {
+        p.world.jobs[0].tasks[0].retry_ms = 0;
+        p.pass(now, now);
+        let Place::On(hix, a) = p.world.jobs[0].tasks[0].place else { panic!("not placed in round {round}") };
+        let host = p.world.host(hix).unwrap().id.clone();
+        now += 500;
+        let ended = vec![reported("run-000001/0", a, "ended", Some("error"))];
+        p.report(&report(&host, 1, now, 1, ended), Via::Beat, now);
+        p.world.host_mut(hix).unwrap().blocked_until_ms = if round == 0 { now + 600 } else { 0 };
+    }
+    assert!(p.world.jobs[0].tasks[0].retry_ms > now + 2000);
+    assert!(p.world.each_host().all(|(_, h)| h.failed_jobs.is_empty()));
+}
+
+#[test]
+fn a_gang_that_loses_a_task_starts_anew_only_when_all_are_gone() {
+    let mut p = running("group", 2);
+    let a = attempt(&p, 0);
+    let tasks = |x: &str, why: Option<&str>, y: &str| {
+        vec![reported("run-000001/0", a, x, why), reported("run-000001/1", a, y, None)]
+    };
+    p.report(&report("h1", 1, 2, 1, tasks("ended", Some("mates_gone"), "running")), Via::Beat, 1100);
+    p.pass(1100, 1100);
+    assert_eq!(p.world.jobs[0].gang_attempt, a, "the old attempt is still there");
+    let both = vec![
+        reported("run-000001/0", a, "ended", Some("mates_gone")),
+        reported("run-000001/1", a, "ended", Some("mates_gone")),
+    ];
+    p.report(&report("h1", 1, 3, 1, both), Via::Beat, 1200);
+    p.pass(1200, 1200);
+    assert!(p.world.jobs[0].gang_attempt > a);
+}
+
+#[test]
+fn unknown_tasks_are_stopped_and_then_reaped() {
+    let mut p = part();
+    let tasks = |phase: &str| vec![reported("run-000077/0", 9, phase, None)];
+    let orders = p.report(&report("h1", 1, 1, 1, tasks("running")), Via::Beat, 1000);
+    assert!(matches!(orders[..], [Order::Stop { .. }]));
+    let orders = p.report(&report("h1", 1, 2, 1, tasks("ended")), Via::Beat, 1100);
+    assert!(matches!(orders[..], [Order::Reap { .. }]));
+}
+
+#[test]
+fn a_machine_moves_between_parts_only_when_it_is_free() {
+    let mut p = running("service", 1);
+    assert!(!p.give("h1", 1), "a task is on it");
+    p.report(&report("h2", 1, 1, 1, vec![]), Via::Beat, 1100);
+    assert!(!p.give("h2", 1), "not registered yet");
+    commit(&mut p, 1100, 101);
+    assert!(p.give("h2", 1));
+    commit(&mut p, 1200, 102);
+    assert_eq!(p.belongs(&report("h2", 1, 2, 1, vec![])), Belongs::Elsewhere(1));
+    // One that comes from a part with a higher term needs a higher one here.
+    let record = HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: 0 };
+    p.rechecked("h3", Some(record), 1300);
+    assert_eq!(p.belongs(&report("h3", 1, 5, 4, vec![])), Belongs::NotYet);
+    assert!(p.needs_new_term());
+}
+
+#[test]
+fn a_large_job_fits_into_its_record() {
+    let mut p = part();
+    let mut b: Value = serde_json::from_slice(&body("run-000001", "batch", 100_000)).unwrap();
+    b["cards"] = json!(0.0);
+    let _rx = submit(&mut p, b.to_string().as_bytes(), 1000);
+    commit(&mut p, 1000, 100);
+    let every_other: Vec<u32> = (0..100_000).step_by(2).collect();
+    p.tasks_done(0, &every_other, 1100);
+    let c = p.next_commit(1100 + 60_000, 32).unwrap();
+    assert!(c.apply[0].to_string().len() < 32 * 1024);
+}
--- /dev/null
+++ b/src/part/users.rs
@@ -0,0 +1,97 @@
+//! What users ask of a part: submissions, polls, cancellations.
+
+use super::*;
+
+impl Part {
+    /// A submission. The answer comes at once or, through the waiter, after
+    /// the commit.
+    pub fn submit(&mut self, body: &[u8], now: u64, wall: u64, waiter: Waiter) {
+        let (id, spec) = match wire::parse_submission(body) {
+            Ok(spec) => (Some(spec.id.clone()), Ok(spec)),
+            Err(e) => (e.id, Err(e.message)),
+        };
+        // A known id is answered before any judgement of the rest.
+        if let Some(&ix) = id.as_ref().and_then(|id| self.world.job_ix.get(id)) {
+            if self.world.jobs[ix].version == 0 {
+                self.waiters.entry(ix).or_default().push(waiter);
+            } else {
+                let _ = waiter.send(self.accepted(ix, false));
+            }
+            return;
+        }
+        let answer = match spec {
+            Err(message) => UserAnswer::Malformed(message),
+            Ok(_) if self.world.flavors.is_empty() => UserAnswer::Later("the machine types are not known yet"),
+            Ok(spec) => match sched::impossible(&spec, &self.policy, &self.world.flavors) {
+                Some(message) => UserAnswer::Impossible(message),
+                None if !fits(&spec, self.value_bytes) => {
+                    UserAnswer::Malformed("bundle: the job's texts are too long".into())
+                }
+                None => {
+                    let mut job = Job::new(spec, wall, now);
+                    job.unsaved = Unsaved::Creation;
+                    job.fresh = true;
+                    let ix = self.world.add_job(job);
+                    self.dirty.insert(ix);
+                    self.waiters.entry(ix).or_default().push(waiter);
+                    return;
+                }
+            },
+        };
+        let _ = waiter.send(answer);
+    }
+
+    pub(super) fn accepted(&self, ix: JobIx, created: bool) -> UserAnswer {
+        let job = &self.world.jobs[ix];
+        UserAnswer::Accepted { created, id: job.spec.id.clone(), phase: job.phase(self.running(ix)) }
+    }
+
+    pub(super) fn running(&self, ix: JobIx) -> u32 {
+        let runs = |n: usize, t: &Task| match t.place {
+            Place::On(hix, attempt) => self.world.host(hix).is_some_and(|h| {
+                h.copies
+                    .iter()
+                    .any(|c| c.key.job == ix && c.key.task as usize == n && c.attempt == attempt && c.running())
+            }),
+            _ => false,
+        };
+        self.world.jobs[ix].tasks.iter().enumerate().filter(|(n, t)| runs(*n, t)).count() as u32
+    }
+
+    pub fn status(&self, id: &str) -> UserAnswer {
+        match self.world.job_ix.get(id) {
+            Some(&ix) if self.world.jobs[ix].version > 0 => self.status_of(ix),
+            Some(_) => UserAnswer::Later("the job is not accepted yet"),
+            None => UserAnswer::Unknown,
+        }
+    }
+
+    pub(super) fn status_of(&self, ix: JobIx) -> UserAnswer {
+        let job = &self.world.jobs[ix];
+        let running = if job.end.is_some() { 0 } else { self.running(ix) };
+        // All tasks may be done before the record says so; the end is said later.
+        let done = if job.end.is_some() { job.done } else { job.done.min(job.spec.tasks) };
+        UserAnswer::Status { id: job.spec.id.clone(), phase: job.phase(running), done, running }
+    }
+
+    /// A cancellation; answered after its commit.
+    pub fn cancel(&mut self, id: &str, waiter: Waiter) {
+        let Some(&ix) = self.world.job_ix.get(id) else {
+            let _ = waiter.send(UserAnswer::Unknown);
+            return;
+        };
+        let job = &mut self.world.jobs[ix];
+        if job.end.is_some() {
+            let _ = waiter.send(self.status_of(ix));
+            return;
+        }
+        // A completion may be in a commit under way: it goes first.
+        if job.version > 0 && !job.saving {
+            job.unsaved = Unsaved::End(JobEnd::Cancelled);
+            self.dirty.insert(ix);
+            self.waiters.entry(ix).or_default().push(waiter);
+        } else {
+            let _ = waiter.send(UserAnswer::Later("the job's record is being written"));
+        }
+    }
+}
--- a/src/sched/index.rs
+++ b/src/sched/index.rs
@@ -233,6 +233,29 @@
         }
     }
 
+    /// Where it differs from another count, for tests.
+    #[cfg(test)]
+    pub fn differs(&self, other: &Index, jobs: usize) -> Option<String> {
+        let near =
+            |a: &Demand, b: &Demand| (a.cpus - b.cpus).abs() + (a.gpus - b.gpus).abs() + (a.mem - b.mem).abs() < 1e-6;
+        for (i, (a, b)) in self.slots.iter().zip(&other.slots).enumerate() {
+            if !near(&a.free, &b.free) || !near(&a.claimed, &b.claimed) || a.claims != b.claims {
+                return Some(format!("machine {i}: {a:?}, counted {b:?}"));
+            }
+        }
+        for (name, a, b) in [("usage", &self.usage, &other.usage), ("staying", &self.staying, &other.staying)] {
+            for team in a.keys().chain(b.keys()) {
+                let of = |m: &HashMap<String, Demand>| m.get(team).copied().unwrap_or_default();
+                if !near(&of(a), &of(b)) {
+                    return Some(format!("{name} of {team}: {:?}, counted {:?}", of(a), of(b)));
+                }
+            }
+        }
+        let mut jobs = 0..jobs;
+        jobs.find(|j| self.counts(*j) != other.counts(*j) || self.claims_of(*j) != other.claims_of(*j))
+            .map(|j| format!("job {j}: {:?}, counted {:?}", self.counts(j), other.counts(j)))
+    }
+
     /// Machines that had the image ready when first asked.
     pub fn warm(&self, world: &World, image: &str) -> &[HostIx] {
         let warm = self.warm.get_or_init(|| {
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -4,6 +4,7 @@
 use super::index::{Counts, Index, Slot, Want};
 use super::plan::strands;
 use crate::model::*;
+use std::cell::Cell;
 use std::collections::HashSet;
 
 /// Start this attempt on that machine.
@@ -31,6 +32,8 @@
     pub stops: Vec<Eviction>,
     /// Jobs with tasks that found no room.
     pub unplaced: Vec<JobIx>,
+    /// How many machines were looked at for how many decisions together.
+    pub looked: u64,
 }
 
 /// Copies that would leave a machine, and where those go that are moved.
@@ -95,12 +98,24 @@
     full: Vec<Want>,
     /// The same even if all lesser work left, for an urgency and team.
     walled: Vec<(Want, Urgency, String)>,
+    looked: Cell<u64>,
     out: Outcome,
 }
 
 /// One pass over the bins, lowest first. `attempt` yields numbers that never
 /// repeat.
-pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, mut attempt: impl FnMut() -> u64) -> Outcome {
+pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, attempt: impl FnMut() -> u64) -> Outcome {
+    pass_and_index(world, policy, now, wall, attempt).0
+}
+
+/// The pass, with the index as it left it.
+pub(super) fn pass_and_index(
+    world: &mut World,
+    policy: &Policy,
+    now: u64,
+    wall: u64,
+    mut attempt: impl FnMut() -> u64,
+) -> (Outcome, Index) {
     for host in world.hosts.iter_mut().flatten() {
         host.claims.retain(|c| c.until_ms > now);
     }
@@ -114,6 +129,7 @@
         wall,
         full: Vec::new(),
         walled: Vec::new(),
+        looked: Cell::new(0),
         out: Outcome::default(),
     };
     let mut leading_gang = None;
@@ -141,7 +157,8 @@
         spec.demand.gpus > 0.0 && spec.urgency >= Urgency::High
     };
     p.world.hungry = p.out.unplaced.iter().any(waits);
-    p.out
+    p.out.looked = p.looked.get();
+    (p.out, p.index)
 }
 
 /// Classes that can run on one machine type alone and have hardly room there.
@@ -249,6 +266,7 @@
         }
         let none = Counts::default();
         let mut found = Vec::new();
+        self.looked.set(self.looked.get() + self.index.slots.len() as u64);
         for (hix, s) in self.index.slots.iter().enumerate() {
             if need.want.demand.fits(&s.free)
                 && need.want.takes(s, &none)
@@ -667,6 +685,7 @@
     /// What would have to leave the machine so that `demand` fits, and where
     /// to, if it is moved; with a measure of what that costs.
     fn vacate(&self, need: &Need, reach: Reach, hix: HostIx, demand: &Demand) -> Option<(f64, Leavers)> {
+        self.looked.set(self.looked.get() + 1);
         let spec = &self.world.jobs[need.ix].spec;
         let h = self.world.host(hix)?;
         let mut room = self.index.slots[hix].free;
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -195,6 +195,32 @@
     assert_eq!(run(&mut w, late + 2 * policy().report_ms).starts.len(), 1);
 }
 
+// Found on suva grown: decisions cost waiting tasks times machines times running
+// tasks, and a pass took seconds.
+#[test]
+fn a_pass_over_three_hundred_full_machines_looks_at_each_once_for_a_kind_of_work() {
+    let mut w = world(&[("a", false); 300]);
+    // Blue has no limit.
+    let blue = |id: String, shape, tasks| Spec { team: "blue".into(), ..spec(&id, shape, tasks, 1.0) };
+    for n in 0..60 {
+        add(&mut w, blue(format!("run-1{n:05}"), Shape::Batch, 40), n);
+    }
+    assert_eq!(run(&mut w, 1).starts.len(), 2400, "the machines are full");
+    for n in 0..200 {
+        add(&mut w, blue(format!("run-2{n:05}"), Shape::Batch, 40), 1000 + n);
+    }
+    let out = run(&mut w, 1100);
+    assert_eq!((out.unplaced.len(), out.starts.len()), (200, 0));
+    assert!(out.looked <= 2 * 300, "{} machines looked at", out.looked);
+    // What is more urgent finds its room by one look at each machine a task.
+    let mut s = blue("run-300000".into(), Shape::Service, 4);
+    s.urgency = Urgency::High;
+    add(&mut w, s, 1100);
+    let out = run(&mut w, 1200);
+    assert_eq!(out.stops.len(), 4);
+    assert!(out.looked <= 9 * 300, "{} machines looked at", out.looked);
+}
+
 #[test]
 fn impossible_jobs_are_told_apart() {
     let p = policy();
@@ -290,7 +316,14 @@
         let p = policy();
         let mut gone = gone.into_iter();
         for round in 1..8u64 {
-            let out = run(&mut w, round * 2000);
+            let now = round * 2000;
+            let mut n = 1000 * now;
+            let (out, kept) = pass::pass_and_index(&mut w, &p, now, now, || {
+                n += 1;
+                n
+            });
+            let counted = Index::new(&w, now);
+            prop_assert!(kept.differs(&counted, w.jobs.len()).is_none(), "{:?}", kept.differs(&counted, w.jobs.len()));
             for s in &out.starts {
                 let spec = &w.jobs[s.key.job].spec;
                 let h = w.host(s.host).unwrap();
