Replicas take the room made for them at once, and room is made where the image is

Now room that was made for a job is taken at once, and where it is made the image weighs as much as what is stopped (test added).

--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -389,7 +389,9 @@
             }
             let mut found = candidates.take().unwrap_or_else(|| self.candidates(need));
             let Some(host) = self.best(need, &found, &counts) else { return false };
-            if self.image_late(need, host).is_some_and(|most| self.better_soon(need, &counts, most)) {
+            // Room that was made for this job is as good as it gets.
+            let made = self.world.host(host).is_some_and(|h| h.claims.iter().any(|c| c.job == ix));
+            if !made && self.image_late(need, host).is_some_and(|most| self.better_soon(need, &counts, most)) {
                 candidates = None;
                 continue;
             }
@@ -807,7 +809,8 @@
                 demand.add(&s.claimed);
                 let Some((lost, leave)) = self.vacate(need, reach, hix, &demand) else { continue };
                 walled = false;
-                let cost = lost + 0.2 * self.cost(need, hix);
+                // A replica is worth waiting work to start where its image is.
+                let cost = lost + if need.service { 1.0 } else { 0.2 } * self.cost(need, hix);
                 if allowed && best.as_ref().is_none_or(|b| cost < b.0) {
                     best = Some((cost, hix, leave));
                 }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -195,6 +195,22 @@
     assert_eq!(run(&mut w, late + 2 * policy().report_ms).starts.len(), 1);
 }
 
+// Found on suva grown, rough: replicas waited 3 s beside room that had been made
+// for them, as its image was not there either.
+#[test]
+fn a_replica_takes_the_room_that_was_made_for_it_at_once() {
+    let mut w = world(&[("a", false)]);
+    add(&mut w, spec("run-000001", Shape::Batch, 8, 1.0), 0);
+    run(&mut w, 1);
+    let mut s = spec("run-000002", Shape::Service, 1, 1.0);
+    (s.urgency, s.image) = (Urgency::High, "cold".into());
+    let ix = add(&mut w, s, 1);
+    let stopped = run(&mut w, 2).stops[0];
+    w.host_mut(0).unwrap().copies.retain(|c| c.key != stopped.key);
+    w.jobs[0].tasks[stopped.key.task as usize].place = Place::Idle;
+    assert!(run(&mut w, 3).starts.iter().any(|s| s.key.job == ix));
+}
+
 // Found on suva grown: decisions cost waiting tasks times machines times running
 // tasks, and a pass took seconds.
 #[test]
