--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -108,7 +108,8 @@
         h.heard_ms = now;
         h.probed_ms = 0;
         h.deaf = false;
-        if r.warning_s.is_some() && !h.notice {
+        let noticed = r.warning_s.filter(|_| !h.notice);
+        if noticed.is_some() {
             h.notice = true;
             tracing::info!(host = h.id, "machine will be taken back");
         }
@@ -125,6 +126,9 @@
         let mut orders = Vec::new();
         self.reported_tasks(hix, r, &mut orders, now);
         self.missing_tasks(hix, r, via);
+        if let Some(left_s) = noticed {
+            self.give_up(hix, left_s, now);
+        }
         if via == Via::Beat {
             self.orders_for(hix, &mut orders);
         }
@@ -139,6 +143,21 @@
         orders
     }
 
+    /// Stops the array tasks that would hardly end before the machine is taken:
+    /// they begin anew elsewhere now, and not when its loss is certain.
+    pub(super) fn give_up(&mut self, hix: HostIx, left_s: f64, now: u64) {
+        let World { jobs, hosts, .. } = &mut self.world;
+        let Some(h) = hosts[hix].as_mut() else { return };
+        for c in h.copies.iter_mut().filter(|c| !c.ended() && c.stop.is_none()) {
+            let spec = &jobs[c.key.job].spec;
+            let ran_s = now.saturating_sub(c.since_ms) as f64 / 1000.0;
+            if spec.shape == Shape::Batch && spec.expected_s - ran_s > left_s {
+                c.stop = Some(spec.grace_s());
+                self.kick.insert(hix);
+            }
+        }
+    }
+
     pub(super) fn reported_tasks(&mut self, hix: HostIx, r: &Report, orders: &mut Vec<Order>, now: u64) {
         let mut strays = false;
         for t in &r.tasks {
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -300,6 +300,20 @@
     assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle);
 }
 
+// Found on suva grown: a task on a machine with a notice ran into its end, and its
+// loss was certain only 5 s after that.
+#[test]
+fn array_tasks_leave_a_machine_that_is_taken_before_they_can_end() {
+    for (warning, stops) in [(5.0, 2), (15.0, 0)] {
+        let mut p = running("batch", 2);
+        let tasks = (0..2).map(|n| reported(&format!("run-000001/{n}"), attempt(&p, n), "running", None)).collect();
+        let mut r = report("h1", 1, 2, 1, tasks);
+        r.warning_s = Some(warning);
+        let orders = p.report(&r, Via::Beat, 2000);
+        assert_eq!(orders.iter().filter(|o| matches!(o, Order::Stop { .. })).count(), stops, "{warning} s are left");
+    }
+}
+
 #[test]
 fn a_silent_machine_keeps_its_tasks_until_its_lease_or_release() {
     let mut p = running("service", 1);
