--- a/src/model.rs
+++ b/src/model.rs
@@ -511,16 +511,6 @@
     pub fn flavor(&self, name: &str) -> Option<usize> {
         self.flavors.iter().position(|f| f.name == name)
     }
-
-    /// What is free on a machine: ended copies take nothing, unknown ones everything.
-    pub fn free(&self, host: &Host) -> Demand {
-        let Some(f) = host.flavor else { return Demand::default() };
-        let mut free = self.flavors[f].cap;
-        for c in host.copies.iter().filter(|c| !c.ended()) {
-            free.sub(&c.demand);
-        }
-        free
-    }
 }
 
 /// A job as its record in the state service tells it.
