--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -167,7 +167,7 @@
         let hosts = index.slots.iter().filter(|s| s.usable && r.flavors[s.flavor]);
         hosts.map(|s| s.free.slots(&r.demand)).sum()
     };
-    world.reserves.iter().filter(|r| slots(r) <= r.tasks).map(|r| r.class.clone()).collect()
+    world.reserves.iter().filter(|r| slots(r) <= 2.0 * r.tasks).map(|r| r.class.clone()).collect()
 }
 
 impl Pass<'_> {
