Retry-After grows with the backlog of submissions

Now a submission that can't be recorded within a life is refused at once, with how long the backlog takes in Retry-After (test added). Known ids are answered as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -152,7 +152,7 @@
         let answer = match self.doors.user(part, UserCall::Submit(body.clone())).await {
             Some(r) if r.status != 503 => Some(r),
             // A second way in would only add to the work that the holder has.
-            None if self.doors.at_work(part) && self.state.answers(self.doors.life_ms) => Some(Response::busy(SLOW)),
+            None if self.doors.at_work(part) && self.state.answers(self.doors.life_ms) => Some(Response::busy(SLOW, 1)),
             // Nobody holds the part now, or can't be reached.
             other => self.accept(part, &body).await.or(other),
         };
--- a/src/config.rs
+++ b/src/config.rs
@@ -241,6 +241,11 @@
 }
 
 impl Settings {
+    /// Changes a second for a part's holder; the rest is for membership.
+    pub fn writes_per_s(&self) -> f64 {
+        self.params.state.write_rps * 0.9
+    }
+
     /// The start objective of a class and the share that must meet it.
     pub fn wait_objective(&self, class: &str) -> Option<(f64, f64)> {
         self.params
--- a/src/doors.rs
+++ b/src/doors.rs
@@ -126,7 +126,7 @@
         // A commit that takes longer is answered by the retry.
         match timeout(Duration::from_millis(self.life_ms), rx).await {
             Ok(Ok(a)) => to_response(a),
-            _ if submits => Response::busy(SLOW),
+            _ if submits => Response::busy(SLOW, 1),
             _ => Response::later(SLOW),
         }
     }
@@ -145,6 +145,7 @@
         UserAnswer::Impossible(m) => Response::error(422, &m),
         UserAnswer::Unknown => Response::error(404, "no such job"),
         UserAnswer::Later(m) => Response::later(m),
+        UserAnswer::Busy(after_s) => Response::busy("too many submissions", after_s),
     }
 }
 
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -170,8 +170,7 @@
             grant,
             version,
             loaded: false,
-            // The rest is for membership.
-            writes: Bucket::new(p.state.write_rps * 0.9, 0.8, now),
+            writes: Bucket::new(self.settings.writes_per_s(), 0.8, now),
             raising: false,
             raise_after_ms: 0,
             commit_after_ms: 0,
--- a/src/http.rs
+++ b/src/http.rs
@@ -43,8 +43,8 @@
     }
 
     /// The holder works, and has more to do than it can now.
-    pub fn busy(message: &str) -> Response {
-        Response { retry_after_s: Some(1), ..Response::error(429, message) }
+    pub fn busy(message: &str, after_s: u64) -> Response {
+        Response { retry_after_s: Some(after_s), ..Response::error(429, message) }
     }
 
     /// What can't be served now is answered at once, with when to come back.
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -107,12 +107,23 @@
 /// What a user is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum UserAnswer {
-    Accepted { created: bool, id: String, phase: JobPhase },
-    Status { id: String, phase: JobPhase, done: u32, running: u32 },
+    Accepted {
+        created: bool,
+        id: String,
+        phase: JobPhase,
+    },
+    Status {
+        id: String,
+        phase: JobPhase,
+        done: u32,
+        running: u32,
+    },
     Malformed(String),
     Impossible(String),
     Unknown,
     Later(&'static str),
+    /// More is waiting to be recorded than can be soon: again in so many seconds.
+    Busy(u64),
 }
 
 /// Waits for a commit about a job.
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -131,6 +131,26 @@
     assert!(p.next_commit(1200, 32).is_none(), "nothing is left to write");
 }
 
+#[test]
+fn submissions_beyond_what_can_be_recorded_soon_are_told_when_to_come_back() {
+    let mut p = part();
+    let mut busy = Vec::new();
+    let mut kept = Vec::new();
+    for n in 0..1000 {
+        let mut rx = submit(&mut p, &body(&format!("run-{n:06}"), "batch", 1), 1000);
+        match rx.try_recv() {
+            Ok(UserAnswer::Busy(after_s)) => busy.push(after_s),
+            Ok(other) => panic!("{other:?}"),
+            Err(_) => kept.push(rx),
+        }
+    }
+    let per_life = p.policy.writes_per_s * LEASE as f64 / 4000.0;
+    assert!((kept.len() as f64 - per_life).abs() <= 2.0, "{} of {per_life}", kept.len());
+    assert!(busy.iter().all(|s| *s >= LEASE / 4000));
+    // What was taken is still answered by its id.
+    assert!(submit(&mut p, &body("run-000000", "batch", 1), 1000).try_recv().is_err());
+}
+
 #[test]
 fn a_superseded_holder_learns_it_from_its_commit() {
     let mut p = part();
--- a/src/part/users.rs
+++ b/src/part/users.rs
@@ -27,6 +27,9 @@
                 None if !fits(&spec, self.value_bytes) => {
                     UserAnswer::Malformed("bundle: the job's texts are too long".into())
                 }
+                None if self.backlog_s() * 4000.0 > self.policy.lease_ms as f64 => {
+                    UserAnswer::Busy(self.backlog_s().ceil() as u64)
+                }
                 None => {
                     let mut job = Job::new(spec, wall, now);
                     job.unsaved = Unsaved::Creation;
@@ -41,6 +44,12 @@
         let _ = waiter.send(answer);
     }
 
+    /// Seconds that it takes to record what was submitted before.
+    fn backlog_s(&self) -> f64 {
+        let new = self.dirty.iter().filter(|ix| self.world.jobs[**ix].unsaved == Unsaved::Creation).count();
+        new as f64 / self.policy.writes_per_s
+    }
+
     pub(super) fn accepted(&self, ix: JobIx, created: bool) -> UserAnswer {
         let job = &self.world.jobs[ix];
         UserAnswer::Accepted { created, id: job.spec.id.clone(), phase: job.phase(self.running(ix)) }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -31,6 +31,8 @@
     pub hold_ms: u64,
     pub lease_ms: u64,
     pub report_ms: u64,
+    /// Records that can be written in a second.
+    pub writes_per_s: f64,
     /// Wall time of the system's start, from the state service.
     pub start_ms: u64,
 }
@@ -67,6 +69,7 @@
             hold_ms: (s.params.workers.gang_wait_s * 1000.0) as u64,
             lease_ms: s.lease_ms(),
             report_ms: s.report_ms(),
+            writes_per_s: s.writes_per_s(),
             start_ms,
         }
     }
