--- a/src/model.rs
+++ b/src/model.rs
@@ -444,9 +444,13 @@
     pub fn sole(&self) -> bool {
         self.flavors.iter().filter(|f| **f).count() == 1
     }
+    /// May it run on this type? One that became known later counts from the next plan on.
+    pub fn allows(&self, flavor: usize) -> bool {
+        self.flavors.get(flavor).is_some_and(|f| *f)
+    }
     /// Is its room lost when that of a machine of this type shrinks so?
     pub fn loses(&self, flavor: usize, before: &Demand, after: &Demand) -> bool {
-        self.flavors[flavor] && before.slots(&self.demand) > after.slots(&self.demand)
+        self.allows(flavor) && before.slots(&self.demand) > after.slots(&self.demand)
     }
 }
 
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -164,7 +164,7 @@
 /// Classes that can run on one machine type alone and have hardly room there.
 fn scarce(world: &World, index: &Index) -> HashSet<String> {
     let slots = |r: &Reserve| -> f64 {
-        let hosts = index.slots.iter().filter(|s| s.usable && r.flavors[s.flavor]);
+        let hosts = index.slots.iter().filter(|s| s.usable && r.allows(s.flavor));
         hosts.map(|s| s.free.slots(&r.demand)).sum()
     };
     world.reserves.iter().filter(|r| slots(r) <= 2.0 * r.tasks).map(|r| r.class.clone()).collect()
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -211,6 +211,21 @@
     assert!(run(&mut w, 3).starts.iter().any(|s| s.key.job == ix));
 }
 
+// Found by reading, after a takeover without the recorded machine types: their
+// list grows between a plan and the next pass, which must not end the controller.
+#[test]
+fn a_machine_type_may_become_known_between_a_plan_and_a_pass() {
+    let mut w = world(&[("a", false)]);
+    let flavors = std::mem::take(&mut w.flavors);
+    let flow = ClassFlow { spec: spec("run-000001", Shape::Service, 1, 1.0), rate: 1.0, burst: 1.0 };
+    w.reserves = reserves(&w, &policy(), &[flow]);
+    w.flavors = flavors;
+    let mut other = spec("run-000002", Shape::Service, 1, 0.0);
+    other.class = "other".into();
+    add(&mut w, other, 0);
+    assert_eq!(run(&mut w, 1).starts.len(), 1);
+}
+
 // Found on suva grown: decisions cost waiting tasks times machines times running
 // tasks, and a pass took seconds.
 #[test]
