--- a/src/clients.rs
+++ b/src/clients.rs
@@ -86,7 +86,7 @@
         State {
             http: Client::default(),
             addr: s.endpoints.state,
-            timeout: Duration::from_millis(s.lease_ms() / 10),
+            timeout: Duration::from_millis(s.react_ms()),
             // Half for each controller: the holder needs most, and seldom that.
             budget: Arc::new(std::sync::Mutex::new(Bucket::new(s.params.state.rps * 0.5, 1.0, now))),
             last_ok: Arc::new(AtomicU64::new(0)),
@@ -300,15 +300,27 @@
 #[derive(Clone)]
 pub struct Worker {
     http: Client,
+    /// Bounds the commands under way, and so the sockets that they use.
+    under_way: Arc<tokio::sync::Semaphore>,
     timeout: Duration,
 }
 
 impl Worker {
     pub fn new(s: &Settings) -> Worker {
-        Worker { http: Client::default(), timeout: Duration::from_millis(s.report_ms()) }
+        // Of a thousand machines few are sent orders at a time: what stays open
+        // to the others would use up the sockets that their reports need.
+        let share = s.params.limits.max_sockets / 16;
+        Worker {
+            http: Client::keeping(share.max(1)),
+            under_way: Arc::new(tokio::sync::Semaphore::new((2 * share).max(1))),
+            timeout: Duration::from_millis(s.react_ms()),
+        }
     }
 
     pub async fn direct(&self, addr: SocketAddr, body: &[u8]) -> DirectResult {
+        let Ok(Ok(_place)) = tokio::time::timeout(self.timeout, self.under_way.acquire()).await else {
+            return DirectResult::NotSent;
+        };
         match self.http.call(addr, "POST", wire::DO_PATH, Some(body), self.timeout).await {
             Ok((200 | 409, b)) => match serde_json::from_slice(&b) {
                 Ok(r) => DirectResult::Answered(Box::new(r)),
--- a/src/config.rs
+++ b/src/config.rs
@@ -240,6 +240,9 @@
     if o.parts == 0 { Err("parts: must be at least 1".into()) } else { Ok(()) }
 }
 
+/// A controller may be held up for so long by its other work or by the state service.
+const HELD_UP_MS: u64 = 2500;
+
 impl Settings {
     /// Changes a second for a part's holder; the rest is for membership.
     pub fn writes_per_s(&self) -> f64 {
@@ -271,10 +274,19 @@
         out
     }
 
-    /// Life of a holder's grant: short enough that a takeover, with the
-    /// restart of a controller, ends well within a worker's lease.
+    /// Life of a holder's grant: an eighth of a worker's lease, so that a
+    /// takeover ends well within it, but as long as a controller may be held up
+    /// without losing its part, where a quarter of the lease allows that.
     pub fn grant_life_ms(&self) -> u64 {
-        ((self.params.workers.lease_s * 250.0) as u64).clamp(100, 600_000)
+        let lease = self.lease_ms();
+        (lease / 8).max(HELD_UP_MS).min(lease / 4).clamp(100, 600_000)
+    }
+
+    /// Within how long an order that is sent directly shows its effect, or is
+    /// taken as lost. It follows round trips, not the reports' pace: a fleet
+    /// that reports seldom should not wait longer for what it is told.
+    pub fn react_ms(&self) -> u64 {
+        (self.lease_ms() / 20).max(1000).min(self.report_ms())
     }
 
     pub fn lease_ms(&self) -> u64 {
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,6 @@
 //! A small HTTP/1.1 server and client on one shared framing.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -259,15 +259,69 @@
     Unclear,
 }
 
-/// A client with a pool of idle connections for each address.
-#[derive(Clone, Default)]
+/// Idle connections by address; the one that was used longest ago goes first.
+#[derive(Default)]
+struct Pool {
+    most: usize,
+    next: u64,
+    by_addr: HashMap<SocketAddr, Vec<(u64, TcpStream)>>,
+    by_age: BTreeMap<u64, SocketAddr>,
+}
+
+impl Pool {
+    fn take(&mut self, addr: SocketAddr) -> Option<TcpStream> {
+        let (age, stream) = self.by_addr.get_mut(&addr)?.pop()?;
+        self.by_age.remove(&age);
+        Some(stream)
+    }
+
+    fn keep(&mut self, addr: SocketAddr, stream: TcpStream) {
+        let same = self.by_addr.entry(addr).or_default();
+        if same.len() >= IDLE_PER_HOST || self.most == 0 {
+            return;
+        }
+        same.push((self.next, stream));
+        self.by_age.insert(self.next, addr);
+        self.next += 1;
+        if self.by_age.len() > self.most
+            && let Some((oldest, addr)) = self.by_age.pop_first()
+            && let Some(same) = self.by_addr.get_mut(&addr)
+        {
+            same.retain(|s| s.0 != oldest);
+            if same.is_empty() {
+                self.by_addr.remove(&addr);
+            }
+        }
+    }
+
+    fn forget(&mut self, addr: SocketAddr) {
+        for (age, _) in self.by_addr.remove(&addr).unwrap_or_default() {
+            self.by_age.remove(&age);
+        }
+    }
+}
+
+/// A client with a pool of idle connections.
+#[derive(Clone)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<TcpStream>>>>,
+    idle: Arc<Mutex<Pool>>,
+}
+
+impl Default for Client {
+    /// For a few servers that are asked all the time.
+    fn default() -> Client {
+        Client::keeping(16)
+    }
 }
 
 const IDLE_PER_HOST: usize = 4;
 
 impl Client {
+    /// A client that keeps so many idle connections at the most.
+    pub fn keeping(most: usize) -> Client {
+        Client { idle: Arc::new(Mutex::new(Pool { most, ..Pool::default() })) }
+    }
+
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -277,7 +331,7 @@
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), CallError> {
         let deadline = Instant::now() + limit;
-        let reused = self.idle.lock().ok().and_then(|mut m| m.get_mut(&addr)?.pop());
+        let reused = self.idle.lock().ok().and_then(|mut p| p.take(addr));
         let mut stream = match reused {
             Some(s) if !is_closed(&s) => s,
             _ => match timeout_at(deadline, TcpStream::connect(addr)).await {
@@ -306,10 +360,7 @@
                     && buf.is_empty()
                     && let Ok(mut idle) = self.idle.lock()
                 {
-                    let pool = idle.entry(addr).or_default();
-                    if pool.len() < IDLE_PER_HOST {
-                        pool.push(stream);
-                    }
+                    idle.keep(addr, stream);
                 }
                 Ok((status, body))
             }
@@ -320,7 +371,7 @@
     /// Forgets the idle connections to a machine that is gone.
     pub fn forget(&self, addr: SocketAddr) {
         if let Ok(mut idle) = self.idle.lock() {
-            idle.remove(&addr);
+            idle.forget(addr);
         }
     }
 }
@@ -363,11 +414,29 @@
             let (status, reply) = c.call(addr, "POST", "/p", Some(&body), Duration::from_secs(2)).await.unwrap();
             assert_eq!((status, reply), (200, format!("[\"POST\",\"/p\",{n}]").into_bytes()));
         }
-        assert_eq!(c.idle.lock().unwrap()[&addr].len(), 1, "one connection served all");
+        assert_eq!(c.idle.lock().unwrap().by_addr[&addr].len(), 1, "one connection served all");
         let r = raw(addr, b"GET /x HTTP/1.1\r\nConnection: close\r\n\r\n").await;
         assert!(r.contains("Retry-After: 3") && r.contains("Connection: close"));
     }
 
+    // Found at 1,500 machines: one connection kept to each for direct commands,
+    // besides the one that it reports on, used up the sockets.
+    #[tokio::test]
+    async fn idle_connections_are_bounded_and_the_oldest_goes_first() {
+        let c = Client::keeping(2);
+        let addrs = [server(1000).await, server(1000).await, server(1000).await];
+        for addr in addrs {
+            c.call(addr, "GET", "/", None, Duration::from_secs(2)).await.unwrap();
+        }
+        let mut kept: Vec<SocketAddr> = c.idle.lock().unwrap().by_addr.keys().copied().collect();
+        kept.sort();
+        let mut last = addrs[1..].to_vec();
+        last.sort();
+        assert_eq!(kept, last);
+        c.forget(addrs[2]);
+        assert_eq!(c.idle.lock().unwrap().by_age.len(), 1);
+    }
+
     #[tokio::test]
     async fn bad_and_slow_requests_are_bounded() {
         let addr = server(200).await;
