Silent machines are asked early and at once after a takeover; two misses release

After a takeover old work waited up to 10 s for reports of workers that tried the other nodes first. Change: a probe at 1.3 report_s, two missed ones release, all unaccounted machines probed at once, bounded by the sockets kept for it. Many silent machines are judged by zone. A holder that stood still forgives the silence of its sleep. A machine that no order reaches is unused.

--- a/src/clients.rs
+++ b/src/clients.rs
@@ -302,6 +302,7 @@
     http: Client,
     /// Bounds the commands under way, and so the sockets that they use.
     under_way: Arc<tokio::sync::Semaphore>,
+    kept: usize,
     timeout: Duration,
 }
 
@@ -313,14 +314,13 @@
         Worker {
             http: Client::keeping(share.max(1)),
             under_way: Arc::new(tokio::sync::Semaphore::new((2 * share).max(1))),
+            kept: share,
             timeout: Duration::from_millis(s.react_ms()),
         }
     }
 
     pub async fn direct(&self, addr: SocketAddr, body: &[u8]) -> DirectResult {
-        let Ok(Ok(_place)) = tokio::time::timeout(self.timeout, self.under_way.acquire()).await else {
-            return DirectResult::NotSent;
-        };
+        let Ok(_place) = self.under_way.acquire().await else { return DirectResult::NotSent };
         match self.http.call(addr, "POST", wire::DO_PATH, Some(body), self.timeout).await {
             Ok((200 | 409, b)) => match serde_json::from_slice(&b) {
                 Ok(r) => DirectResult::Answered(Box::new(r)),
@@ -331,6 +331,12 @@
         }
     }
 
+    /// How many more commands may be under way, and how many of those are kept
+    /// for orders when there is much to ask.
+    pub fn places(&self) -> (usize, usize) {
+        (self.under_way.available_permits(), self.kept)
+    }
+
     pub fn forget(&self, addr: SocketAddr) {
         self.http.forget(addr);
     }
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -145,7 +145,7 @@
 
     /// How long the actor may sleep if nothing comes.
     fn next_wake(&self, held: Option<&Tenure>) -> Duration {
-        let most = self.settings.report_ms() / 4;
+        let most = self.settings.react_ms() / 2;
         let Some(h) = held.filter(|h| h.loaded) else { return Duration::from_millis(most) };
         let now = clock::now_ms();
         let mut at = h.next_upkeep_ms;
@@ -262,7 +262,7 @@
                     self.watch_inbox(n);
                 }
                 None => {
-                    let again = (self.tx.clone(), self.settings.report_ms() / 4);
+                    let again = (self.tx.clone(), self.settings.react_ms() / 4);
                     tokio::spawn(async move {
                         sleep(Duration::from_millis(again.1)).await;
                         let _ = again.0.send(Msg::Loaded(n, None)).await;
@@ -273,7 +273,7 @@
             Msg::DirectDone(d, result) => h.part.direct_done(&d, result, now),
             Msg::Committed(of, result) if of == n => {
                 if matches!(result, CommitResult::Refused | CommitResult::Unclear) {
-                    h.commit_after_ms = now + self.settings.report_ms() / 5;
+                    h.commit_after_ms = now + self.settings.react_ms() / 5;
                 }
                 match h.part.committed(result) {
                     Ok(keys) if !keys.is_empty() => self.reread(n, keys),
@@ -297,7 +297,7 @@
             }
             Msg::Raised(of, result) if of == n => {
                 h.raising = false;
-                h.raise_after_ms = now + self.settings.report_ms();
+                h.raise_after_ms = now + self.settings.react_ms();
                 if let Some((term, version)) = result {
                     tracing::info!(term, "raised the term");
                     h.part.set_term(term, version);
@@ -358,10 +358,10 @@
         if !self.entitled.holds(now) {
             return;
         }
-        let report = self.settings.report_ms();
+        let react = self.settings.react_ms();
         if now >= h.next_upkeep_ms {
-            h.next_upkeep_ms = now + report / 4;
-            let stalled = now > h.upkeep_ms + report;
+            h.next_upkeep_ms = now + react / 3;
+            let stalled = now > h.upkeep_ms + 2 * react;
             h.upkeep_ms = now;
             if !stalled && h.part.cut_off(now) {
                 let _ = self.members.try_send(membership::Msg::Abdicate);
@@ -370,8 +370,15 @@
             for op in h.leader.release(release) {
                 self.cloud_op(h, op);
             }
+            // Not more than there are places for: one that waits here for its turn
+            // would look deaf.
+            let (free, kept) = self.worker.places();
+            let mut left = free.saturating_sub(kept);
             for hix in probe {
-                self.send_direct(h, hix, now, true);
+                if left == 0 {
+                    break;
+                }
+                left -= usize::from(self.send_direct(h, hix, now, true));
             }
         }
         if h.part.stirred && now >= h.next_pass_ms {
@@ -382,12 +389,15 @@
             // Rounds widen with the load: the costlier, the rarer.
             h.next_pass_ms = now + 2 + 5 * took;
         }
-        for hix in std::mem::take(&mut h.part.kick) {
-            self.send_direct(h, hix, now, false);
+        let (mut free, _) = self.worker.places();
+        while free > 0
+            && let Some(hix) = h.part.kick.pop_first()
+        {
+            free -= usize::from(self.send_direct(h, hix, now, false));
         }
         self.commit(h, now);
         if now >= h.next_plan_ms {
-            h.next_plan_ms = now + report / 2;
+            h.next_plan_ms = now + react;
             // A waiting task's back-off may have ended, or a hold.
             h.part.stirred = true;
             self.plan(h, now);
@@ -486,19 +496,21 @@
         });
     }
 
-    fn send_direct(&self, h: &mut Tenure, hix: HostIx, now: u64, probe: bool) {
-        let Some(d) = h.part.direct(hix, now, probe) else { return };
+    /// Sends a machine what it is due; false if that is nothing now.
+    fn send_direct(&self, h: &mut Tenure, hix: HostIx, now: u64, probe: bool) -> bool {
+        let Some(d) = h.part.direct(hix, now, probe) else { return false };
         let body = wire::direct(d.term, d.tenure, &d.orders);
         let (worker, tx) = (self.worker.clone(), self.tx.clone());
         tokio::spawn(async move {
             let result = worker.direct(d.addr, &body).await;
             let _ = tx.send(Msg::DirectDone(d, result)).await;
         });
+        true
     }
 
     fn cloud_op(&self, h: &mut Tenure, op: CloudOp) {
         let (cloud, tx, n) = (self.cloud.clone(), self.tx.clone(), h.n);
-        let pause = Duration::from_millis(self.settings.report_ms());
+        let pause = Duration::from_millis(self.settings.react_ms());
         match op {
             CloudOp::Rent { name, rental } => {
                 let flavor = h.part.world.flavors[rental.flavor].name.clone();
@@ -533,7 +545,7 @@
     fn watch_inbox(&self, n: u64) {
         let (state, tx, current) = (self.state.clone(), self.tx.clone(), self.current.clone());
         let prefix = part::inbox_key(self.id, "");
-        let (wait_ms, pause) = (self.settings.lease_ms(), Duration::from_millis(self.settings.report_ms()));
+        let (wait_ms, pause) = (self.settings.lease_ms(), Duration::from_millis(self.settings.react_ms()));
         tokio::spawn(async move {
             while current.load(Ordering::Relaxed) == n {
                 let round = async {
--- a/src/part/direct.rs
+++ b/src/part/direct.rs
@@ -40,7 +40,7 @@
     }
 
     pub fn direct_done(&mut self, d: &Direct, result: DirectResult, now: u64) {
-        let retry = now + self.policy.report_ms;
+        let retry = now + self.policy.react_ms / 4;
         let Some(h) = self.world.host_mut(d.host).filter(|h| h.id == d.id) else { return };
         h.do_in_flight = false;
         for c in h.copies.iter_mut().filter(|c| c.in_flight) {
@@ -62,7 +62,7 @@
             }
             DirectResult::NotSent | DirectResult::Unclear => {
                 h.do_after_ms = retry;
-                h.deaf = true;
+                h.missed = h.missed.saturating_add(1);
             }
         }
     }
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -170,6 +170,8 @@
 const RANGE_BYTES: usize = 18;
 /// Most bytes of the changes of one commit, under the protocol's 64 KiB.
 const COMMIT_BYTES: usize = 48 * 1024;
+/// So many direct commands in a row without an answer are no chance.
+pub const DEAF: u32 = 2;
 /// Most orders in one reply, so that a line stays under 64 KiB.
 const REPLY_ORDERS: usize = 400;
 
@@ -359,19 +361,38 @@
         }
     }
 
+    /// For how long a sound machine may be silent: reports come a quarter late at
+    /// the most, and take a moment.
+    fn quiet_ms(&self) -> u64 {
+        self.policy.report_ms * 13 / 10
+    }
+
+    /// Silent for so long, and without an answer to two probes: it is lost.
+    fn lost_ms(&self) -> u64 {
+        self.quiet_ms() + 2 * self.policy.react_ms
+    }
+
     /// Looks after silent machines; returns those to be released, and those to
     /// be asked directly.
     pub fn upkeep(&mut self, now: u64) -> (Vec<String>, Vec<HostIx>) {
-        let report = self.policy.report_ms;
-        let lease = self.policy.lease_ms;
-        // After a stall of our own, the silence may be ours.
-        let stalled = now.saturating_sub(self.last_upkeep_ms) > report;
+        let gap = now.saturating_sub(self.last_upkeep_ms);
         self.last_upkeep_ms = now;
-        let outlived = (lease as f64 * (1.0 + DRIFT)) as u64 + report / 2;
+        if gap > 2 * self.policy.react_ms {
+            // We stood still: the silence was ours, and what was said meanwhile
+            // is still to be read.
+            for h in self.world.hosts.iter_mut().flatten() {
+                h.heard_ms = (h.heard_ms + gap).min(now);
+                h.missed = 0;
+            }
+        }
+        let lease = self.policy.lease_ms;
+        let outlived = (lease as f64 * (1.0 + DRIFT)) as u64 + self.policy.react_ms;
+        let (quiet_ms, lost_ms) = (self.quiet_ms(), self.lost_ms());
         let mut lapsed = Vec::new();
         let mut silent = Vec::new();
         let mut probe = Vec::new();
-        let (mut total, mut quieter) = (0, 0);
+        // By zone: machines, and those that are quiet.
+        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
         for (hix, h) in self.world.each_host() {
             if h.releasing {
                 continue;
@@ -380,20 +401,24 @@
                 lapsed.push(hix);
             }
             let quiet = now.saturating_sub(h.heard_ms);
-            total += 1;
-            quieter += usize::from(quiet > 2 * report);
-            // One that has not found us yet may be on its way from node to node.
-            let limit = match (h.tenure, h.deaf) {
-                (0, false) => lease * 7 / 10,
-                (_, true) => 3 * report,
-                (_, false) => 4 * report,
-            };
-            if quiet > limit {
-                silent.push((hix, h.id.clone()));
-            } else if h.probed_ms == 0 && quiet > if h.tenure == 0 { report } else { 2 * report } {
+            let zone = zones.entry(&h.zone).or_default();
+            zone.0 += 1;
+            zone.1 += usize::from(quiet > quiet_ms || h.missed >= DEAF);
+            // One that is heard and can't be told anything is of no use either.
+            let deaf = h.missed >= DEAF && (quiet > lost_ms || u64::from(h.missed) * self.policy.react_ms > lease);
+            if deaf || (h.addr.is_none() && quiet > lease) {
+                silent.push(hix);
+            }
+            // After a takeover all are asked at once: most look for us elsewhere first.
+            if quiet > quiet_ms || !h.accounted || h.missed > 0 {
                 probe.push(hix);
             }
         }
+        // Many machines of a zone that fall silent together: it is rather the zone
+        // that is cut off, or we are. The first of them must not be released before
+        // the rest shows it.
+        let cut: HashSet<String> =
+            zones.into_iter().filter(|(_, (all, quiet))| quiet * 3 > (*all).max(3)).map(|(z, _)| z.into()).collect();
         for hix in lapsed {
             self.lose_all(hix);
             if let Some(h) = self.world.host_mut(hix) {
@@ -402,22 +427,12 @@
             }
             self.recount();
         }
-        for hix in &probe {
-            if let Some(h) = self.world.host_mut(*hix) {
-                h.probed_ms = now;
-            }
-        }
         let mut release = Vec::new();
-        // Many machines that fall silent together: it is rather we who are cut
-        // off. The first of them must not be released before the rest shows it.
-        if !stalled && quieter * 3 <= total.max(3) {
-            for (hix, id) in silent {
-                if let Some(h) = self.world.host_mut(hix) {
-                    h.releasing = true;
-                    tracing::info!(host = id, "machine is silent, releasing it");
-                }
-                release.push(id);
-            }
+        for hix in silent {
+            let Some(h) = self.world.host_mut(hix).filter(|h| !cut.contains(&h.zone)) else { continue };
+            h.releasing = true;
+            tracing::info!(host = h.id, "machine is silent, releasing it");
+            release.push(h.id.clone());
         }
         (release, probe)
     }
@@ -458,7 +473,7 @@
         let (mut all, mut silent) = (0, 0);
         for (_, h) in known {
             all += 1;
-            silent += usize::from(now.saturating_sub(h.heard_ms) > self.policy.report_ms * 5 / 2);
+            silent += usize::from(now.saturating_sub(h.heard_ms) > self.quiet_ms() + self.policy.react_ms);
         }
         all >= 3 && silent * 3 >= all * 2
     }
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -106,8 +106,9 @@
         h.addr = Some(r.addr);
         h.flavor = flavor;
         h.heard_ms = now;
-        h.probed_ms = 0;
-        h.deaf = false;
+        if via == Via::Direct {
+            h.missed = 0;
+        }
         let noticed = r.warning_s.filter(|_| !h.notice);
         if noticed.is_some() {
             h.notice = true;
@@ -256,7 +257,7 @@
 
     pub(super) fn copy_ended(&mut self, hix: HostIx, key: TaskKey, attempt: u64, reason: ExitReason, now: u64) {
         self.stirred = true;
-        let report_ms = self.policy.report_ms;
+        let react_ms = self.policy.react_ms;
         let hosts = self.world.hosts.len();
         let job = &mut self.world.jobs[key.job];
         tracing::debug!(job = job.spec.id, task = key.task, attempt, reason = ?reason, "task ended");
@@ -281,7 +282,7 @@
                 if task.fails >= 2 {
                     // Fails wherever it runs: ever longer pauses, so that it
                     // doesn't retake room in each pass.
-                    task.retry_ms = now + report_ms * (1 << task.fails.min(6));
+                    task.retry_ms = now + react_ms * (1 << task.fails.min(6));
                 }
                 if reason == ExitReason::Error {
                     job.failed_on.insert(hix);
@@ -298,7 +299,7 @@
             }
             ExitReason::NoRoom | ExitReason::InUse => {
                 if let Some(h) = self.world.host_mut(hix) {
-                    h.blocked_until_ms = now + 2 * report_ms;
+                    h.blocked_until_ms = now + 2 * react_ms;
                 }
             }
             _ => {}
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -301,7 +301,7 @@
         if gone {
             p.host_gone("h1");
         } else {
-            p.upkeep(1000 + LEASE + 1000);
+            p.upkeep(1000 + LEASE + 1100);
         }
         assert!(p.world.all_accounted);
     }
@@ -340,8 +340,17 @@
     let a = attempt(&p, 0);
     p.report(&report("h1", 1, 2, 1, vec![reported("run-000001/0", a, "running", None)]), Via::Beat, 2000);
     let mut released = Vec::new();
+    let mut asked = 0;
     for now in (2000..=7000).step_by(250) {
-        released.extend(p.upkeep(now).0);
+        let (release, probe) = p.upkeep(now);
+        released.extend(release);
+        for hix in probe {
+            if let Some(d) = p.direct(hix, now, true) {
+                asked += 1;
+                p.direct_done(&d, DirectResult::NotSent, now + 200);
+            }
+        }
+        assert!(released.is_empty() || asked >= 2, "silence alone is no proof, nor is one probe");
     }
     assert_eq!(released, ["h1"], "a silent machine is released early");
     assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a), "its tasks are there until the cloud confirms");
@@ -365,6 +374,43 @@
     assert_eq!(p.world.jobs[0].tasks[0].place, Place::On(0, a));
 }
 
+// The next size: a controller that stands still for seconds finds all machines
+// silent when it wakes, before it has read what they said meanwhile.
+#[test]
+fn silence_while_the_holder_slept_is_not_the_machines() {
+    let mut p = part();
+    p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+    p.world.host_mut(0).unwrap().missed = DEAF;
+    p.upkeep(1200);
+    assert_eq!(p.upkeep(60_000), (vec![], vec![]));
+    let (release, probe) = p.upkeep(60_300);
+    assert!(release.is_empty() && probe.is_empty());
+}
+
+// The next size: a worker whose reports arrive, but which no answer and no order
+// reaches, would take tasks for ever and never run one.
+#[test]
+fn a_machine_that_no_order_reaches_is_not_used_and_at_last_released() {
+    let mut p = part();
+    p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+    commit(&mut p, 1000, 99);
+    let mut released = Vec::new();
+    for (n, now) in (1000..40_000).step_by(500).enumerate() {
+        p.report(&report("h1", 1, 2 + n as u64, 1, vec![]), Via::Beat, now);
+        let (release, probe) = p.upkeep(now);
+        released.extend(release);
+        for hix in probe.into_iter().chain((n == 0).then_some(0)) {
+            if let Some(d) = p.direct(hix, now, true) {
+                p.direct_done(&d, DirectResult::NotSent, now);
+            }
+        }
+        if n == 4 {
+            assert!(!sched::usable(p.world.host(0).unwrap(), now));
+        }
+    }
+    assert_eq!(released, ["h1"]);
+}
+
 #[test]
 fn many_silent_machines_at_once_are_not_released() {
     let mut p = part();
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -31,6 +31,8 @@
     pub hold_ms: u64,
     pub lease_ms: u64,
     pub report_ms: u64,
+    /// Within how long an order that is sent directly shows its effect.
+    pub react_ms: u64,
     /// Records that can be written in a second.
     pub writes_per_s: f64,
     /// Wall time of the system's start, from the state service.
@@ -69,6 +71,7 @@
             hold_ms: (s.params.workers.gang_wait_s * 1000.0) as u64,
             lease_ms: s.lease_ms(),
             report_ms: s.report_ms(),
+            react_ms: s.react_ms(),
             writes_per_s: s.writes_per_s(),
             start_ms,
         }
@@ -133,6 +136,7 @@
         && h.blocked_until_ms <= now
         && h.failed_jobs.len() < SHUNNED
         && h.addr.is_some()
+        && h.missed < crate::part::DEAF
 }
 
 /// A machine on which tasks of this many jobs failed is shunned.
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -201,7 +201,7 @@
         let spec = &job.spec;
         let left_ms = self.policy.soft_deadline_ms(job) as f64 - self.wall as f64;
         // A replica that was lost is down until it is back: each second counts.
-        let lost_s = self.policy.report_ms as f64 / 1000.0;
+        let lost_s = self.policy.react_ms as f64 / 1000.0;
         let within = self.policy.waits.get(&spec.class).map(|w| w.0).or(self.policy.guarantee_s);
         let modest = spec.demand.gpus <= 0.0;
         let theirs = self.world.reserves.iter();
@@ -416,7 +416,7 @@
     /// lesser work stands in the way; the task then waits for that room.
     fn better_soon(&mut self, need: &Need, counts: &Counts, most: f64) -> bool {
         // Bounded: what is held may be gone, and then any room will do.
-        let (now, wait) = (self.now, 2 * self.policy.report_ms);
+        let (now, wait) = (self.now, 2 * self.policy.react_ms);
         let job = &mut self.world.jobs[need.ix];
         if job.soon_until_ms == 0 {
             job.soon_until_ms = now + wait;
@@ -441,7 +441,7 @@
         }
         let Some((_, hix, leave)) = best else { return false };
         self.clear(need.ix, hix, &leave);
-        self.claim(hix, Claim { job: need.ix, demand, until_ms: self.now + self.policy.report_ms });
+        self.claim(hix, Claim { job: need.ix, demand, until_ms: self.now + self.policy.react_ms });
         true
     }
 
