Controllers that are cut off keep leases alive; cancelled is said once tasks are gone

Change: a controller without the state service and bound by no promise answers workers with their own token and no orders. A holder counts on the end of a lease only for the time in which all others were bound to it. So that cancel_s can't run out meanwhile, a cancellation is recorded and said when its tasks are certainly gone. After a takeover only what an unaccounted machine may hold is held back, and counted against its team's limit.

--- a/src/api.rs
+++ b/src/api.rs
@@ -31,6 +31,8 @@
 pub struct Places {
     jobs: HashMap<String, u32>,
     hosts: HashMap<String, u32>,
+    /// Workers whose leases this node keeps alive, with the token that they had first.
+    kept: HashMap<String, u64>,
 }
 
 /// Most hints that are kept of a kind.
@@ -112,6 +114,9 @@
         };
         let host = report.host.clone();
         let hint = self.places.lock().ok().and_then(|p| p.hosts.get(&host).copied());
+        if let Some(fence) = self.keeps(&report) {
+            return Response::json(200, &wire::orders(fence, &[]));
+        }
         // Where it was last, then the other parts of this node; the leader's
         // knows where a machine belongs.
         let mut todo: Vec<u32> = (0..self.doors.parts.len() as u32).filter(|p| self.doors.mine(*p)).collect();
@@ -144,6 +149,25 @@
         Response::later("not entitled to act")
     }
 
+    /// Whether this node keeps the worker's lease alive for a holder that neither
+    /// of them can reach, as in a zone that is cut off or after all controllers
+    /// ended in an outage: the token with which it answers, which is the worker's
+    /// own. Nothing is ordered. It is bound by no promise, so that no holder counts
+    /// on the end of leases meanwhile (`membership::Bonds`). A worker that has
+    /// seen a later term was asked by a holder since: it is to look for that one.
+    fn keeps(&self, r: &Report) -> Option<u64> {
+        let (now, life_ms) = (clock::now_ms(), self.doors.life_ms);
+        let alone = !self.state.answers(life_ms) && self.doors.parts.iter().all(|d| now >= d.bonds.bound_until());
+        let mut places = self.places.lock().ok()?;
+        if !alone {
+            places.kept.clear();
+            return None;
+        }
+        let known = self.doors.parts.iter().map(|d| d.bonds.term()).max().unwrap_or(0);
+        let kept = places.kept.entry(r.host.clone()).or_insert(r.fence);
+        (r.fence > 0 && *kept == r.fence && (known == 0 || r.fence <= known)).then_some(r.fence)
+    }
+
     async fn submit(&self, body: Vec<u8>) -> Response {
         let known: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
         let text = |name: &str| known.as_ref().and_then(|v| v.get(name)?.as_str()).map(str::to_string);
--- a/src/doors.rs
+++ b/src/doors.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::holder;
 use crate::http::Response;
-use crate::membership::{self, Entitlement, Seat};
+use crate::membership::{self, Bonds, Entitlement, Seat};
 use crate::part::UserAnswer;
 use crate::peer::{Ask, Peer, Reply, UserCall};
 use crate::wire;
@@ -21,6 +21,7 @@
 pub struct Door {
     pub seat: watch::Receiver<Seat>,
     pub entitled: Entitlement,
+    pub bonds: Bonds,
     pub holder: mpsc::Sender<holder::Msg>,
     pub members: mpsc::Sender<membership::Msg>,
 }
@@ -83,13 +84,13 @@
     /// Answers another controller, or this one, from the actors on this node.
     pub async fn answer(&self, ask: Ask) -> Reply {
         match ask {
-            Ask::Promise { part, term, for_ms, state_ok } => {
+            Ask::Promise { part, holder, term, for_ms, state_ok } => {
                 let Some(door) = self.parts.get(part as usize) else { return Reply::No };
                 if let Some(h) = self.heard_ms.get(part as usize) {
                     h.store(clock::now_ms(), Ordering::Relaxed);
                 }
                 let (reply, rx) = oneshot::channel();
-                let m = membership::Msg::Promise { term, for_ms, state_ok, reply };
+                let m = membership::Msg::Promise { holder, term, for_ms, state_ok, reply };
                 if door.members.try_send(m).is_ok() && rx.await == Ok(true) { Reply::Promised } else { Reply::No }
             }
             Ask::Release { part, term } => {
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -6,7 +6,7 @@
 use crate::config::{Operator, Settings};
 use crate::doors::Doors;
 use crate::leader::{CloudOp, Leader};
-use crate::membership::{self, Entitlement, Tenancy};
+use crate::membership::{self, Bonds, Entitlement, Tenancy};
 use crate::model::{Flavor, HostIx, HostRecord};
 use crate::part::{self, Belongs, CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
 use crate::peer::{Ask, Machines, Needs, Reply, UserCall};
@@ -71,6 +71,7 @@
     pub cloud: Cloud,
     pub worker: Worker,
     pub entitled: Entitlement,
+    pub bonds: Bonds,
     pub members: mpsc::Sender<membership::Msg>,
     pub doors: Doors,
     pub tx: mpsc::Sender<Msg>,
@@ -366,7 +367,7 @@
             if !stalled && h.part.cut_off(now) {
                 let _ = self.members.try_send(membership::Msg::Abdicate);
             }
-            let (release, probe) = h.part.upkeep(now);
+            let (release, probe) = h.part.upkeep(now, self.bonds.unbound_ms(now));
             for op in h.leader.release(release) {
                 self.cloud_op(h, op);
             }
@@ -390,10 +391,12 @@
             h.next_pass_ms = now + 2 + 5 * took;
         }
         let (mut free, _) = self.worker.places();
-        while free > 0
-            && let Some(hix) = h.part.kick.pop_first()
-        {
-            free -= usize::from(self.send_direct(h, hix, now, false));
+        for hix in std::mem::take(&mut h.part.kick) {
+            if free == 0 || h.part.held_up(hix, now) {
+                h.part.kick.insert(hix);
+            } else {
+                free -= usize::from(self.send_direct(h, hix, now, false));
+            }
         }
         self.commit(h, now);
         if now >= h.next_plan_ms {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -133,7 +133,7 @@
             spare: Vec::new(),
         };
         let mut ops = Vec::new();
-        if world.flavors.is_empty() || !world.all_accounted {
+        if world.flavors.is_empty() || !part.counted(now) {
             return (needs, ops);
         }
         let refused = &self.refused;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -56,6 +56,39 @@
     }
 }
 
+/// Whether leases may live on without the holder's doing, on the steady clock.
+///
+/// A controller that is bound by no promise may keep the tasks of workers alive
+/// that find nobody else (`api`). A holder counts on the end of a lease only for
+/// the time in which all other controllers were bound to it.
+#[derive(Debug, Clone, Default)]
+pub struct Bonds(Arc<[AtomicU64; 4]>);
+
+impl Bonds {
+    /// Until when this node is bound to leave leases to a holder.
+    pub fn bound_until(&self) -> u64 {
+        self.0[0].load(Ordering::Relaxed)
+    }
+
+    /// As a holder: the last instant at which another controller may have been unbound.
+    pub fn unbound_ms(&self, now: u64) -> u64 {
+        let (gap, until) = (self.0[1].load(Ordering::Relaxed), self.0[2].load(Ordering::Relaxed));
+        if now <= until { gap } else { now }
+    }
+
+    /// The last term of the part that this node knows of; 0 if none.
+    pub fn term(&self) -> u64 {
+        self.0[3].load(Ordering::Relaxed)
+    }
+
+    fn set(&self, rules: &Rules) {
+        let (gap_ms, until) = rules.bound_to_us();
+        for (a, v) in self.0.iter().zip([rules.bound_until(), gap_ms, until, rules.last_term]) {
+            a.store(v, Ordering::Relaxed);
+        }
+    }
+}
+
 /// What the rest of the node knows of the part's holder.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Seat {
@@ -74,6 +107,7 @@
 #[derive(Debug)]
 pub enum Msg {
     Promise {
+        holder: String,
         term: u64,
         for_ms: u64,
         state_ok: bool,
@@ -87,6 +121,11 @@
     Superseded,
     /// The part's actor hears its workers no more, and others may.
     Abdicate,
+    /// The first look at the state service after the start.
+    Looked {
+        record: Option<PartRecord>,
+        unbound: bool,
+    },
     Seen(Option<PartRecord>),
     Extended {
         grant: u64,
@@ -116,7 +155,7 @@
 enum Role {
     Idle,
     Taking,
-    Holding { grant: u64, term: u64, granted_until: u64, promised_until: Vec<u64> },
+    Holding { grant: u64, term: u64, granted_until: u64, promised_until: Vec<u64>, gap_ms: u64 },
 }
 
 /// The rules of membership, without I/O.
@@ -133,6 +172,10 @@
     abdicate_after: u64,
     /// A restarted node waits out the promises of its earlier life.
     act_after: u64,
+    /// False until the first look at the state service.
+    looked: bool,
+    /// The last term that this node knows of.
+    last_term: u64,
     record: Option<PartRecord>,
     retry_after: u64,
 }
@@ -157,6 +200,8 @@
             promised_term: 0,
             abdicate_after: 0,
             act_after: now + longer(life_ms),
+            looked: true,
+            last_term: 0,
             record: None,
             retry_after: 0,
         }
@@ -171,6 +216,7 @@
     /// May this node try to take the part now?
     pub fn may_take(&self, now: u64) -> bool {
         matches!(self.role, Role::Idle)
+            && self.looked
             && self.record.is_none()
             && now >= self.act_after
             && now >= self.promised_until
@@ -218,12 +264,48 @@
         }
     }
 
+    fn note_term(&mut self) {
+        let of_role = match self.role {
+            Role::Holding { term, .. } => term,
+            _ => 0,
+        };
+        let seen = self.record.as_ref().map_or(0, |r| r.term);
+        self.last_term = self.last_term.max(seen).max(of_role).max(self.promised_term);
+    }
+
+    /// Until when this node is bound to leave leases to a holder.
+    fn bound_until(&self) -> u64 {
+        match self.role {
+            Role::Idle => self.promised_until.max(self.act_after),
+            Role::Taking => u64::MAX,
+            Role::Holding { .. } => self.entitled_until().max(self.act_after),
+        }
+    }
+
+    /// As a holder: the last known instant at which another controller was not
+    /// bound to it, and until when all are.
+    fn bound_to_us(&self) -> (u64, u64) {
+        match &self.role {
+            Role::Holding { promised_until, gap_ms, .. } => {
+                (*gap_ms, promised_until.iter().copied().min().unwrap_or(u64::MAX))
+            }
+            _ => (0, 0),
+        }
+    }
+
+    /// Another controller asks for a promise under a later term, and ours is
+    /// over: it holds the part now, whatever we can learn from the state service.
+    fn succeeded_by(&self, now: u64, asker_term: u64) -> bool {
+        matches!(self.role, Role::Holding { term, .. } if term < asker_term) && now >= self.entitled_until()
+    }
+
     fn begin(&mut self, t: &Taken, sent: u64) {
         self.role = Role::Holding {
             grant: t.grant,
             term: t.term,
             granted_until: sent + shorter(self.life_ms),
             promised_until: vec![0; self.peers],
+            gap_ms: 0,
         };
     }
 
@@ -236,11 +318,15 @@
         }
     }
 
-    fn promised(&mut self, peer: usize, sent: u64) {
+    fn promised(&mut self, peer: usize, sent: u64, now: u64) {
         let until = sent + shorter(self.life_ms);
-        if let Role::Holding { promised_until, .. } = &mut self.role
+        if let Role::Holding { promised_until, gap_ms, .. } = &mut self.role
             && let Some(p) = promised_until.get_mut(peer)
         {
+            // Bound without a break only if this answer came while the last one held.
+            if now > *p {
+                *gap_ms = (*gap_ms).max(now);
+            }
             *p = (*p).max(until);
         }
     }
@@ -251,9 +337,11 @@
     pub part: u32,
     pub node: String,
     pub life_ms: u64,
+    pub lease_ms: u64,
     pub state: State,
     pub peers: Vec<Peer>,
     pub entitled: Entitlement,
+    pub bonds: Bonds,
     pub seat: watch::Sender<Seat>,
     pub tenancy: mpsc::Sender<Tenancy>,
     /// Parts that this node holds, so that parts spread over the nodes.
@@ -265,8 +353,10 @@
 impl Membership {
     pub async fn run(self, tx: mpsc::Sender<Msg>, mut rx: mpsc::Receiver<Msg>) {
         let mut rules = Rules::new(&self.node, self.life_ms, self.peers.len(), clock::now_ms());
-        self.first_look(&mut rules).await;
-        rules.retry_after = clock::now_ms() + self.courtesy_ms;
+        rules.looked = false;
+        self.bonds.set(&rules);
+        // Promises are given meanwhile: in an outage the look takes as long as that.
+        tokio::spawn(first_look(self.state.clone(), self.part, self.node.clone(), self.life_ms, tx.clone()));
         tokio::spawn(look_out(self.state.clone(), self.part, self.life_ms, tx.clone()));
         let mut tick = tokio::time::interval(Duration::from_millis(self.life_ms / 5));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -279,6 +369,8 @@
                 _ = tick.tick() => self.renew(&mut rules, &tx),
             }
             self.entitled.set(rules.entitled_until());
+            rules.note_term();
+            self.bonds.set(&rules);
             let mine = matches!(rules.role, Role::Holding { .. });
             let holder = if mine { Some(self.node.clone()) } else { rules.record.as_ref().map(|r| r.holder.clone()) };
             let seat = Seat { holder, mine };
@@ -291,32 +383,6 @@
         }
     }
 
-    /// At the start: is this node bound by promises that it does not remember?
-    async fn first_look(&self, rules: &mut Rules) {
-        let key = part_key(self.part);
-        let (part, term) = loop {
-            match (self.state.get(&key).await, self.state.get(TERM_KEY).await) {
-                (Ok(p), Ok(t)) => break (p.0, t.0),
-                _ => tokio::time::sleep(Duration::from_millis(self.life_ms / 5)).await,
-            }
-        };
-        let term: Option<TermRecord> = term.and_then(|t| serde_json::from_value(t.value).ok());
-        rules.record = part.and_then(|p| serde_json::from_value(p.value).ok());
-        match (&rules.record, term) {
-            // Our own earlier life held it: that one is over.
-            (Some(r), _) if r.holder == self.node => {
-                tracing::info!(term = r.term, "ending the grant of an earlier life");
-                if self.state.end_grant(r.grant).await.is_ok() {
-                    rules.record = None;
-                    rules.unbound();
-                }
-            }
-            (None, Some(t)) if t.holders.get(&self.part).is_none_or(|h| *h == self.node) => rules.unbound(),
-            (None, None) => rules.unbound(),
-            _ => {}
-        }
-    }
-
     fn renew(&self, rules: &mut Rules, tx: &mpsc::Sender<Msg>) {
         let Role::Holding { grant, term, .. } = rules.role else { return };
         let sent = clock::now_ms();
@@ -325,8 +391,13 @@
             let result = state.extend_grant(grant, life).await;
             let _ = tx2.send(Msg::Extended { grant, sent, result }).await;
         });
-        let ask =
-            Ask::Promise { part: self.part, term, for_ms: self.life_ms, state_ok: self.state.answers(self.life_ms) };
+        let ask = Ask::Promise {
+            part: self.part,
+            holder: self.node.clone(),
+            term,
+            for_ms: self.life_ms,
+            state_ok: self.state.answers(self.life_ms),
+        };
         for (i, p) in self.peers.iter().enumerate() {
             let (p, ask, tx) = (p.clone(), ask.clone(), tx.clone());
             let limit = Duration::from_millis(self.life_ms / 2);
@@ -340,8 +411,25 @@
     async fn handle(&self, rules: &mut Rules, m: Msg) {
         let now = clock::now_ms();
         match m {
-            Msg::Promise { term, for_ms, state_ok, reply } => {
-                let _ = reply.send(rules.promise(now, term, for_ms, state_ok, self.state.answers(self.life_ms)));
+            Msg::Promise { holder, term, for_ms, state_ok, reply } => {
+                if rules.succeeded_by(now, term) {
+                    self.step_down(rules, "another holds it").await;
+                }
+                let own_state_ok = self.state.answers(self.life_ms);
+                let ok = rules.promise(now, term, for_ms, state_ok, own_state_ok);
+                // Without the state service, who asks is the only news of who holds the part.
+                if ok && !own_state_ok {
+                    rules.record = Some(PartRecord { holder, term, grant: 0 });
+                }
+                let _ = reply.send(ok);
+            }
+            Msg::Looked { record, unbound } => {
+                rules.looked = true;
+                rules.record = record;
+                if unbound {
+                    rules.unbound();
+                }
+                rules.retry_after = now + self.courtesy_ms;
             }
             Msg::Seen(record) => {
                 // What a holder sees of itself is no news, and may be old.
@@ -365,13 +453,12 @@
             },
             Msg::Promised { peer, sent, ok } => {
                 if ok {
-                    rules.promised(peer, sent);
+                    rules.promised(peer, sent, now);
                 }
             }
             Msg::Release { term } => rules.release(now, term),
             Msg::Abdicate => {
-                // Twice a worker's lease, which is four of our lives.
-                let pause_ms = 8 * self.life_ms;
+                let pause_ms = 2 * self.lease_ms;
                 let Role::Holding { term, .. } = rules.role else { return };
                 if rules.may_abdicate(now, pause_ms) {
                     self.step_down(rules, "its workers are not heard").await;
@@ -420,6 +507,33 @@
     }
 }
 
+/// At the start: is this node bound by promises that it does not remember?
+async fn first_look(state: State, part: u32, node: String, life_ms: u64, tx: mpsc::Sender<Msg>) {
+    let key = part_key(part);
+    let (record, term) = loop {
+        match (state.get(&key).await, state.get(TERM_KEY).await) {
+            (Ok(p), Ok(t)) => break (p.0, t.0),
+            _ => tokio::time::sleep(Duration::from_millis(life_ms / 5)).await,
+        }
+    };
+    let term: Option<TermRecord> = term.and_then(|t| serde_json::from_value(t.value).ok());
+    let mut record: Option<PartRecord> = record.and_then(|p| serde_json::from_value(p.value).ok());
+    let unbound = match (&record, term) {
+        // Our own earlier life held it: that one is over.
+        (Some(r), _) if r.holder == node => {
+            tracing::info!(term = r.term, "ending the grant of an earlier life");
+            state.end_grant(r.grant).await.is_ok()
+        }
+        (None, Some(t)) => t.holders.get(&part).is_none_or(|h| *h == node),
+        (None, None) => true,
+        _ => false,
+    };
+    if unbound {
+        record = None;
+    }
+    let _ = tx.send(Msg::Looked { record, unbound }).await;
+}
+
 /// Takes a part that nobody holds.
 async fn take(state: State, part: u32, node: String, life_ms: u64, tx: mpsc::Sender<Msg>) {
     let sent = clock::now_ms();
@@ -580,12 +694,40 @@
     fn promises_count_only_if_all_others_gave_them() {
         let mut r = holding(2);
         let first = r.entitled_until();
-        r.promised(0, 5000);
+        r.promised(0, 5000, 5001);
         assert_eq!(r.entitled_until(), first);
-        r.promised(1, 4000);
+        r.promised(1, 4000, 4001);
         assert!(r.entitled_until() > 4000 && r.entitled_until() < 4000 + LIFE, "the earliest one counts");
     }
 
+    // Leases may be kept alive by a controller that is bound by no promise: the
+    // holder must know of every moment in which one was not.
+    #[test]
+    fn a_break_between_promises_is_known_to_the_holder_and_frees_the_other() {
+        let mut r = holding(1);
+        r.promised(0, 2000, 2010);
+        assert_eq!(r.bound_to_us().0, 2010, "unbound until the first answer");
+        r.promised(0, 3000, 3010);
+        assert_eq!(r.bound_to_us().0, 2010, "without a break since");
+        let until = r.bound_to_us().1;
+        assert!(until > 3000 && until < 3000 + LIFE);
+        r.promised(0, until - 100, until + 1);
+        assert_eq!(r.bound_to_us().0, until + 1, "asked in time, and maybe heard too late");
+
+        let mut b = Rules::new("b", LIFE, 1, 1000);
+        assert!(b.bound_until() > 1000 + LIFE, "a restarted node has forgotten what it promised");
+        assert!(b.promise(9000, 7, LIFE, true, true));
+        assert!(b.bound_until() > 9000 + LIFE, "longer than the asker counts");
+    }
+
+    #[test]
+    fn a_holder_without_the_state_service_learns_from_the_next_one_that_it_is_over() {
+        let r = holding(1);
+        let end = r.entitled_until();
+        assert!(!r.succeeded_by(end - 1, 8), "its entitlement holds");
+        assert!(!r.succeeded_by(end, 7) && r.succeeded_by(end, 8));
+    }
+
     #[test]
     fn a_promise_binds_longer_than_the_asker_counts_it() {
         let mut r = Rules::new("b", LIFE, 2, 0);
@@ -593,7 +735,7 @@
         assert!(r.may_take(10));
         assert!(r.promise(1000, 7, LIFE, true, true));
         let mut asker = holding(1);
-        asker.promised(0, 1000);
+        asker.promised(0, 1000, 1001);
         assert!(!r.may_take(asker.entitled_until()));
         assert!(r.may_take(1000 + LIFE + 10));
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,7 +5,7 @@
 use crate::config::{Operator, Settings};
 use crate::doors::{Door, Doors};
 use crate::holder::Holder;
-use crate::membership::{Entitlement, Membership, Seat};
+use crate::membership::{Bonds, Entitlement, Membership, Seat};
 use crate::peer::{self, Peer};
 use crate::sched::Policy;
 use crate::{clock, http};
@@ -39,7 +39,7 @@
     let mut members = Vec::new();
     let mut holders = Vec::new();
     for part in 0..operator.parts {
-        let entitled = Entitlement::default();
+        let (entitled, bonds) = (Entitlement::default(), Bonds::default());
         let (seat_tx, seat) = watch::channel(Seat::default());
         let (tenancy_tx, tenancy) = mpsc::channel(8);
         let (members_tx, members_rx) = mpsc::channel(256);
@@ -49,9 +49,11 @@
             part,
             node: settings.node.clone(),
             life_ms,
+            lease_ms: settings.lease_ms(),
             state: state.clone(),
             peers: peers.clone(),
             entitled: entitled.clone(),
+            bonds: bonds.clone(),
             seat: seat_tx,
             tenancy: tenancy_tx,
             held: held.clone(),
@@ -59,7 +61,7 @@
         };
         members.push((membership, members_tx.clone(), members_rx));
         holders.push((tenancy, holder_rx));
-        doors.push(Door { seat, entitled, holder: holder_tx, members: members_tx });
+        doors.push(Door { seat, entitled, bonds, holder: holder_tx, members: members_tx });
     }
     let heard_ms = Arc::new((0..operator.parts).map(|_| AtomicU64::new(0)).collect());
     let doors = Doors { parts: Arc::new(doors), peers: Arc::new(peers), life_ms, heard_ms };
@@ -76,6 +78,7 @@
             cloud: cloud.clone(),
             worker: Worker::new(&settings),
             entitled: door.entitled.clone(),
+            bonds: door.bonds.clone(),
             members: door.members.clone(),
             doors: doors.clone(),
             tx: door.holder.clone(),
--- a/src/part/direct.rs
+++ b/src/part/direct.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl Part {
+    /// True if a machine must wait before it can be sent its next command.
+    pub fn held_up(&self, hix: HostIx, now: u64) -> bool {
+        self.world.host(hix).is_some_and(|h| h.do_in_flight || now < h.do_after_ms)
+    }
+
     /// The direct command that a machine is due, if any.
     pub fn direct(&mut self, hix: HostIx, now: u64, probe: bool) -> Option<Direct> {
         let term = self.term;
@@ -55,8 +60,17 @@
                 if r.host == d.id {
                     self.report(&r, Via::Direct, now);
                 }
-                let again = |h: &Host| !h.accounted || h.copies.iter().any(|c| c.phase == TaskPhase::Sent);
-                if self.world.host(d.host).is_some_and(again) {
+                // What came up meanwhile can't wait for the next report.
+                let due = |c: &Copy| match (c.phase, c.stop) {
+                    (TaskPhase::Ended(_), _) => false,
+                    (TaskPhase::Saving, Some(grace)) => grace <= 0.0,
+                    (phase, stop) => stop.is_some() || phase == TaskPhase::Sent,
+                };
+                let pause = self.policy.react_ms / 20;
+                if let Some(h) = self.world.host_mut(d.host)
+                    && (!h.accounted || h.copies.iter().any(due))
+                {
+                    h.do_after_ms = now + pause;
                     self.kick.insert(d.host);
                 }
             }
@@ -71,7 +85,11 @@
     pub fn needs_new_term(&self) -> bool {
         self.world.each_host().any(|(_, h)| h.fence > self.term)
             || self.world.each_host().any(|(_, h)| {
-                h.copies.iter().any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
+                // One that answers nothing would not show that it has seen it.
+                h.missed < DEAF
+                    && h.copies
+                        .iter()
+                        .any(|c| c.risk.is_some_and(|t| t >= self.term) && (c.stop.is_some() || c.ended()))
             })
     }
 }
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -155,6 +155,8 @@
     released: HashSet<String>,
     in_flight: Option<Vec<Saved>>,
     waiters: HashMap<JobIx, Vec<Waiter>>,
+    /// Jobs whose cancellation waits for their tasks to be gone.
+    cancelling: BTreeSet<JobIx>,
     /// Machines that have orders to get without waiting for their next report.
     pub kick: BTreeSet<HostIx>,
     /// Something changed that a pass may use.
@@ -197,6 +199,7 @@
             released: HashSet::new(),
             in_flight: None,
             waiters: HashMap::new(),
+            cancelling: BTreeSet::new(),
             kick: BTreeSet::new(),
             stirred: true,
             unplaced: Vec::new(),
@@ -291,11 +294,17 @@
     /// Looks again which machines of the last holder are still unaccounted for.
     fn recount(&mut self) {
         let mut open = Demand::default();
+        let mut kinds = Vec::new();
         let mut all = true;
         for (_, h) in self.world.each_host().filter(|(_, h)| h.registered && !h.accounted) {
             all = false;
-            if let Some(f) = h.flavor {
-                open.add(&self.world.flavors[f].cap);
+            let kind = (h.flavor, h.zone.clone(), h.spot);
+            if !kinds.contains(&kind) {
+                kinds.push(kind);
+            }
+            match h.flavor {
+                Some(f) => open.add(&self.world.flavors[f].cap),
+                None => open.add(&Demand { cpus: f64::INFINITY, gpus: f64::INFINITY, mem: f64::INFINITY }),
             }
         }
         if all && !self.world.all_accounted {
@@ -303,6 +312,7 @@
             self.stirred = true;
         }
         self.world.unaccounted = open;
+        self.world.unaccounted_kinds = kinds;
         self.world.all_accounted = all;
     }
 
@@ -374,7 +384,9 @@
 
     /// Looks after silent machines; returns those to be released, and those to
     /// be asked directly.
-    pub fn upkeep(&mut self, now: u64) -> (Vec<String>, Vec<HostIx>) {
+    ///
+    /// `unbound_ms`: another controller may have kept leases alive until then.
+    pub fn upkeep(&mut self, now: u64, unbound_ms: u64) -> (Vec<String>, Vec<HostIx>) {
         let gap = now.saturating_sub(self.last_upkeep_ms);
         self.last_upkeep_ms = now;
         if gap > 2 * self.policy.react_ms {
@@ -397,7 +409,7 @@
             if h.releasing {
                 continue;
             }
-            if now > h.answered_ms + outlived && (!h.copies.is_empty() || !h.accounted) {
+            if now > h.answered_ms.max(unbound_ms) + outlived && (!h.copies.is_empty() || !h.accounted) {
                 lapsed.push(hix);
             }
             let quiet = now.saturating_sub(h.heard_ms);
@@ -437,6 +449,12 @@
         (release, probe)
     }
 
+    /// May machines be rented and returned? What is up is known, or as much as
+    /// will be for now.
+    pub fn counted(&self, now: u64) -> bool {
+        self.world.all_accounted || now > self.begun_ms + self.lost_ms()
+    }
+
     /// Begins to empty a machine: each replica is stopped with room held for it
     /// where it goes.
     pub fn drain(&mut self, d: &sched::Drain, now: u64) {
--- a/src/part/records.rs
+++ b/src/part/records.rs
@@ -9,6 +9,7 @@
         if self.in_flight.is_some() || self.part_version == 0 {
             return None;
         }
+        self.settle_cancellations();
         let ops = ops.min(self.txn_ops);
         let patience = 3 * self.policy.report_ms;
         let mut picked: Vec<(u8, JobIx)> = self
@@ -175,6 +176,7 @@
         job.unsaved = Unsaved::Nothing;
         job.retire();
         self.dirty.remove(&ix);
+        self.cancelling.remove(&ix);
         self.world.live.retain(|l| *l != ix);
         self.stop_all(ix);
         let answer = self.status_of(ix);
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -226,10 +226,16 @@
         phase: TaskPhase,
         now: u64,
     ) {
-        let image = self.world.jobs[key.job].spec.image.clone();
-        let Some(h) = self.world.host_mut(hix) else { return };
+        let World { jobs, hosts, .. } = &mut self.world;
+        let Some(h) = hosts[hix].as_mut() else { return };
+        let accounted = h.accounted;
         let Some(c) = h.copy_mut(key, attempt) else { return };
         c.phase = phase;
+        let task = &mut jobs[key.job].tasks[key.task as usize];
+        if accounted && !c.ended() && task.place == Place::On(hix, attempt) {
+            task.located = true;
+        }
+        let image = jobs[key.job].spec.image.clone();
         let since = c.since_ms;
         match phase {
             TaskPhase::Gathering | TaskPhase::Running => {
--- a/src/part/users.rs
+++ b/src/part/users.rs
@@ -94,13 +94,44 @@
             let _ = waiter.send(self.status_of(ix));
             return;
         }
-        // A completion may be in a commit under way: it goes first.
-        if job.version > 0 && !job.saving {
-            job.unsaved = Unsaved::End(JobEnd::Cancelled);
-            self.dirty.insert(ix);
-            self.waiters.entry(ix).or_default().push(waiter);
-        } else {
+        if job.version == 0 {
             let _ = waiter.send(UserAnswer::Later("the job's record is being written"));
+            return;
+        }
+        let waiters = self.waiters.entry(ix).or_default();
+        waiters.retain(|w| !w.is_closed());
+        waiters.push(waiter);
+        if !std::mem::replace(&mut job.cancelling, true) {
+            self.stop_all(ix);
+            self.cancelling.insert(ix);
+        }
+    }
+
+    /// Cancellations whose tasks are certainly gone are to be recorded, and said
+    /// then. Said before, `cancel_s` would count while a machine that nobody can
+    /// reach goes on with a task, kept alive by another controller.
+    pub(super) fn settle_cancellations(&mut self) {
+        let gone = |ix: &JobIx| {
+            let job = &self.world.jobs[*ix];
+            let clear = self.world.clear(job);
+            let here = |h: &Host| h.copies.iter().any(|c| c.key.job == *ix && !c.ended());
+            // A completion may be in a commit under way: it goes first.
+            !job.saving
+                && job.tasks.iter().all(|t| match t.place {
+                    Place::On(..) => false,
+                    Place::Idle => clear || t.located,
+                    Place::Done => true,
+                })
+                && !self.world.each_host().any(|(_, h)| here(h))
+        };
+        let settled: Vec<JobIx> = self.cancelling.iter().copied().filter(gone).collect();
+        for ix in settled {
+            self.cancelling.remove(&ix);
+            let job = &mut self.world.jobs[ix];
+            if job.end.is_none() && !matches!(job.unsaved, Unsaved::End(_)) {
+                job.unsaved = Unsaved::End(JobEnd::Cancelled);
+                self.dirty.insert(ix);
+            }
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
     /// Promise not to act for this part for a while.
-    Promise { part: u32, term: u64, for_ms: u64, state_ok: bool },
+    Promise { part: u32, holder: String, term: u64, for_ms: u64, state_ok: bool },
     /// The asker has stopped acting under this term: its promise binds no more.
     Release { part: u32, term: u64 },
     /// A user's request for the holder of a part.
@@ -255,7 +255,7 @@
             }
         }));
         let p = Peer::start("b".into(), addr, Duration::from_millis(500));
-        let ask = |term| Ask::Promise { part: 0, term, for_ms: 5, state_ok: true };
+        let ask = |term| Ask::Promise { part: 0, holder: "a".into(), term, for_ms: 5, state_ok: true };
         let limit = Duration::from_millis(500);
         assert_eq!(p.ask(ask(3), limit).await, Some(Reply::Promised));
         assert_eq!(p.ask(Ask::Give { part: 0, host: "x".into(), to: 1 }, Duration::from_millis(30)).await, None);
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -5,7 +5,7 @@
 use super::plan::strands;
 use crate::model::*;
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 /// Start this attempt on that machine.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -98,10 +98,29 @@
     full: Vec<Want>,
     /// The same even if all lesser work left, for an urgency and team.
     walled: Vec<(Want, Urgency, String)>,
+    /// What machines that are not accounted for may hold of each team's tasks.
+    unseen: HashMap<String, Demand>,
     looked: Cell<u64>,
     out: Outcome,
 }
 
+/// No more than the tasks that were not seen, and no more than fits there.
+fn unseen(world: &World) -> HashMap<String, Demand> {
+    let mut sums: HashMap<String, Demand> = HashMap::new();
+    if world.all_accounted {
+        return sums;
+    }
+    for job in world.live.iter().map(|ix| &world.jobs[*ix]).filter(|j| !world.clear(j)) {
+        let n = job.tasks.iter().filter(|t| t.place == Place::Idle && !t.located).count();
+        sums.entry(job.spec.team.clone()).or_default().add(&job.spec.demand.times(n as f64));
+    }
+    let most = world.unaccounted;
+    for d in sums.values_mut() {
+        *d = Demand { cpus: d.cpus.min(most.cpus), gpus: d.gpus.min(most.gpus), mem: d.mem.min(most.mem) };
+    }
+    sums
+}
+
 /// One pass over the bins, lowest first. `attempt` yields numbers that never
 /// repeat.
 pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, attempt: impl FnMut() -> u64) -> Outcome {
@@ -120,6 +139,7 @@
         host.claims.retain(|c| c.until_ms > now);
     }
     let index = Index::new(world, now);
+    let unseen = unseen(world);
     let mut p = Pass {
         scarce: scarce(world, &index),
         index,
@@ -129,6 +149,7 @@
         wall,
         full: Vec::new(),
         walled: Vec::new(),
+        unseen,
         looked: Cell::new(0),
         out: Outcome::default(),
     };
@@ -182,9 +203,11 @@
             .copied()
             .filter(|ix| {
                 let j = &self.world.jobs[*ix];
+                // A task that may be on a machine not accounted for waits; what
+                // was seen alive since is certainly nowhere else.
+                let clear = self.world.clear(j);
                 j.active()
-                    && (self.world.all_accounted || j.fresh)
-                    && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now)
+                    && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located))
             })
             .map(|ix| {
                 let j = &self.world.jobs[ix];
@@ -238,8 +261,10 @@
         let Some(team) = self.policy.teams.get(&spec.team) else { return false };
         let mut total = self.index.usage.get(&spec.team).copied().unwrap_or_default();
         total.add(&spec.demand.times(n));
-        // A machine that is not accounted for may be full of this team's tasks.
-        total.add(&self.world.unaccounted);
+        // Machines that are not accounted for may hold what was not seen of the team's tasks.
+        if let Some(unseen) = self.unseen.get(&spec.team) {
+            total.add(unseen);
+        }
         total.fits(&team.limit)
     }
 
@@ -352,7 +377,9 @@
 
     fn start(&mut self, key: TaskKey, host: HostIx, attempt: u64) {
         let job = &mut self.world.jobs[key.job];
-        job.tasks[key.task as usize].place = Place::On(host, attempt);
+        let task = &mut job.tasks[key.task as usize];
+        task.place = Place::On(host, attempt);
+        task.located = true;
         job.soon_until_ms = 0;
         self.index.start(&job.spec, key.job, host);
         let (image, gb, demand) = (job.spec.image.clone(), job.spec.image_gb, job.spec.demand);
@@ -379,9 +406,10 @@
         let ix = need.ix;
         let mut counts = self.index.counts(ix);
         let mut candidates = None;
+        let clear = self.world.clear(&self.world.jobs[ix]);
         for n in 0..self.world.jobs[ix].tasks.len() {
             let t = self.world.jobs[ix].tasks[n];
-            if t.place != Place::Idle || t.retry_ms > self.now {
+            if t.place != Place::Idle || t.retry_ms > self.now || !(clear || t.located) {
                 continue;
             }
             if !self.within_limit(&self.world.jobs[ix].spec, 1.0) {
@@ -472,7 +500,8 @@
         let ix = need.ix;
         let job = &self.world.jobs[ix];
         // The next attempt waits until every task of the last one is gone.
-        let waits = job.tasks.iter().any(|t| t.place != Place::Idle || t.retry_ms > self.now);
+        let clear = self.world.clear(job);
+        let waits = job.tasks.iter().any(|t| t.place != Place::Idle || t.retry_ms > self.now || !(clear || t.located));
         if waits || self.index.hosts_of(ix).next().is_some() {
             return true;
         }
@@ -790,7 +819,9 @@
         if self.walled.iter().any(|w| w.1 >= urgency && w.2 == team && w.0.like(&need.want)) {
             return;
         }
-        let waiting = job.tasks.iter().filter(|t| t.place == Place::Idle && t.retry_ms <= self.now).count();
+        let clear = self.world.clear(job);
+        let open = |t: &&Task| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located);
+        let waiting = job.tasks.iter().filter(open).count();
         let counts = self.index.counts(ix);
         let none = Counts::default();
         let reach = self.reach(need);
--- a/src/sched/plan.rs
+++ b/src/sched/plan.rs
@@ -87,7 +87,8 @@
     let have = bins.len();
     for ix in unplaced {
         let job = &world.jobs[*ix];
-        let n = job.tasks.iter().filter(|t| t.place == Place::Idle).count();
+        let clear = world.clear(job);
+        let n = job.tasks.iter().filter(|t| t.place == Place::Idle && (clear || t.located)).count();
         fit(world, &index, &mut bins, &job.spec, n, refused);
     }
     for flow in flows {
