Urgent work has passes of its own; room is made with one look at each machine

Change: passes for urgent work alone between those for all, which wait five times what the last one took; making room for a job looks at each machine once instead of once for a task. Kept, as decisions of work for 1,500 machines no longer cost tasks times machines (test with a scripted fleet).

--- a/src/holder.rs
+++ b/src/holder.rs
@@ -93,6 +93,7 @@
     raise_after_ms: u64,
     commit_after_ms: u64,
     next_pass_ms: u64,
+    next_urgent_ms: u64,
     next_upkeep_ms: u64,
     upkeep_ms: u64,
     next_plan_ms: u64,
@@ -153,6 +154,9 @@
         if h.part.stirred {
             at = at.min(h.next_pass_ms);
         }
+        if h.part.urgent {
+            at = at.min(h.next_urgent_ms);
+        }
         Duration::from_millis(at.saturating_sub(now).clamp(1, most))
     }
 
@@ -176,6 +180,7 @@
             raise_after_ms: 0,
             commit_after_ms: 0,
             next_pass_ms: 0,
+            next_urgent_ms: 0,
             next_upkeep_ms: 0,
             upkeep_ms: now,
             next_plan_ms: 0,
@@ -387,8 +392,18 @@
             h.part.pass(now, clock::wall_ms());
             let took = began.elapsed().as_millis() as u64;
             h.part.metrics.observe("pass_ms", "all", took);
+            tracing::debug!(took, "pass over");
             // Rounds widen with the load: the costlier, the rarer.
             h.next_pass_ms = now + 2 + 5 * took;
+            h.next_urgent_ms = h.next_urgent_ms.max(now + took);
+        } else if h.part.urgent && now >= h.next_urgent_ms {
+            // What is urgent need not wait for the next round of all work.
+            let began = std::time::Instant::now();
+            h.part.urgent_pass(now, clock::wall_ms());
+            let took = began.elapsed().as_millis() as u64;
+            h.part.metrics.observe("pass_ms", "urgent", took);
+            tracing::debug!(took, "urgent pass over");
+            h.next_urgent_ms = now + 2 + 5 * took;
         }
         let (mut free, _) = self.worker.places();
         for hix in std::mem::take(&mut h.part.kick) {
@@ -403,7 +418,11 @@
             h.next_plan_ms = now + react;
             // A waiting task's back-off may have ended, or a hold.
             h.part.stirred = true;
+            let began = std::time::Instant::now();
             self.plan(h, now);
+            let took = began.elapsed().as_millis() as u64;
+            h.part.metrics.observe("plan_ms", "all", took);
+            tracing::debug!(took, "plan over");
         }
     }
 
--- /dev/null
+++ b/src/part/fleet_tests.rs
@@ -0,0 +1,294 @@
+//! A part with a scripted fleet of 1,500 machines on a fake clock. What is counted
+//! is work, writes and bytes, not time.
+
+use super::*;
+use crate::clients::RentResult;
+use crate::config::{Objective, Operator, tests::settings};
+use crate::leader::{CloudOp, Leader};
+use crate::wire::reported;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+
+const REPORT: u64 = 4000;
+
+struct Machine {
+    flavor: String,
+    zone: String,
+    serial: u64,
+    fence: u64,
+    next_ms: u64,
+    /// By task: attempt, whether it ended, and when it will have, with why.
+    tasks: BTreeMap<String, (u64, bool, u64, &'static str)>,
+}
+
+impl Machine {
+    fn carry_out(&mut self, orders: &[Order], now: u64, runs_ms: u64) {
+        for o in orders {
+            match o {
+                Order::Run { task, attempt } => {
+                    self.tasks.entry(task.clone()).or_insert((*attempt, false, now + runs_ms, "done"));
+                }
+                Order::Stop { task, .. } => {
+                    if let Some(t) = self.tasks.get_mut(task).filter(|t| !t.1) {
+                        *t = (t.0, true, now, "halted");
+                    }
+                }
+                Order::Reap { task, .. } => {
+                    self.tasks.remove(task);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, id: &str, now: u64) -> Report {
+        self.serial += 1;
+        let tasks = self.tasks.iter_mut().map(|(name, t)| {
+            t.1 |= now >= t.2;
+            match t.1 {
+                true => reported(name, t.0, "ended", Some(t.3)),
+                false => reported(name, t.0, "running", None),
+            }
+        });
+        let tasks = tasks.collect();
+        let mut r: Report = serde_json::from_value(json!({"host": id, "addr": "10.1.0.1:9000", "flavor": self.flavor,
+            "region": self.zone, "tenure": 1, "serial": self.serial, "fence": self.fence}))
+        .unwrap();
+        r.tasks = tasks;
+        r
+    }
+}
+
+/// The part, its leader, its machines, and what was counted.
+struct Fleet {
+    part: Part,
+    leader: Leader,
+    machines: BTreeMap<String, Machine>,
+    rng: StdRng,
+    now: u64,
+    next_pass: u64,
+    next_plan: u64,
+    next_commit: u64,
+    jobs: u64,
+    stored: BTreeMap<String, Value>,
+    writes: usize,
+    largest_commit: usize,
+    rentals: usize,
+    waiting: Vec<oneshot::Receiver<UserAnswer>>,
+}
+
+fn types() -> Vec<Flavor> {
+    let of = |name: &str, cpus, gpus, mem, price: f64| Flavor {
+        name: name.into(),
+        cap: Demand { cpus, gpus, mem },
+        cache_gb: 300.0,
+        fetch_gb_per_s: 3.0,
+        price,
+        spot_price: price * 0.4,
+        boot_s: 40.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    vec![of("c", 64.0, 0.0, 128.0, 2.0), of("g4", 24.0, 4.0, 96.0, 9.0), of("g8", 64.0, 8.0, 512.0, 15.0)]
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut s = settings();
+        s.params.workers.report_s = 4.0;
+        s.params.workers.lease_s = 22.0;
+        s.params.state.write_rps = 150.0;
+        for t in &mut s.params.teams {
+            (t.gpus, t.gpus_max) = (2000.0, 5000.0);
+        }
+        let guarantee = s.params.objectives[0].clone();
+        s.params.objectives.push(Objective { kind: "guarantee".into(), class: None, within_s: Some(5.0), ..guarantee });
+        let policy = Policy::new(&s, &Operator::default(), 0);
+        let mut part = Part::new(policy, 0, s.parts_of_teams(1), 32, 32.0);
+        part.begin(1, 77, vec![], vec![], types(), 1000);
+        Fleet {
+            part,
+            leader: Leader::new(10.0),
+            machines: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            now: 1000,
+            next_pass: 0,
+            next_plan: 0,
+            next_commit: 0,
+            jobs: 0,
+            stored: BTreeMap::new(),
+            writes: 0,
+            largest_commit: 0,
+            rentals: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn boot(&mut self, flavor: &str, zone: &str) {
+        let id = format!("host-{:06}", self.machines.len());
+        let next_ms = self.now + self.rng.random_range(0..REPORT);
+        let (flavor, zone) = (flavor.to_string(), zone.to_string());
+        let m = Machine { flavor, zone, serial: 0, fence: 0, next_ms, tasks: BTreeMap::new() };
+        self.machines.insert(id, m);
+    }
+
+    fn submit(&mut self, class: &str, shape: &str, urgency: &str, tasks: u32, (cores, cards, mem): (f64, f64, f64)) {
+        self.jobs += 1;
+        let due = (shape == "batch").then_some(200.0);
+        let image = format!("{class}-{}", self.rng.random_range(0..10));
+        let team = if self.rng.random_bool(0.8) { "red" } else { "blue" };
+        let body = json!({"id": format!("run-{:06}", self.jobs), "jobclass": class, "owner": team, "shape": shape,
+            "urgency": urgency, "shards": tasks, "cores": cores, "cards": cards, "mem_gb": mem, "bundle": image,
+            "size_gb": 40.0, "flavors": null, "region": null, "same_place": false, "apart": shape == "service",
+            "preemptible": shape == "batch", "expected_s": 60.0, "checkpoint_every_s": 0.0, "flush_s": 0.0,
+            "due_s": due});
+        let (tx, rx) = oneshot::channel();
+        self.part.submit(body.to_string().as_bytes(), self.now, self.now, tx);
+        self.waiting.push(rx);
+    }
+
+    fn arrivals(&mut self, n: usize) {
+        for _ in 0..n {
+            match self.rng.random_range(0..10) {
+                0..4 => self.submit("lookup", "service", "production", 6, (4.0, 0.0, 7.0)),
+                4..7 => self.submit("surge", "service", "urgent", 3, (5.0, 1.0, 35.0)),
+                7 => self.submit("replica", "service", "production", 2, (22.0, 4.0, 150.0)),
+                _ => self.submit("sweep", "batch", "standard", 20, (5.0, 1.0, 35.0)),
+            }
+        }
+    }
+
+    /// A tenth of a second: reports, the pass, orders, commits, now and then a plan.
+    fn step(&mut self) {
+        self.now += 100;
+        let now = self.now;
+        for (id, m) in self.machines.iter_mut().filter(|(_, m)| now >= m.next_ms) {
+            m.next_ms = now + REPORT;
+            let r = m.report(id, now);
+            let orders = self.part.report(&r, Via::Beat, now);
+            m.fence = m.fence.max(self.part.term);
+            m.carry_out(&orders, now, 60_000);
+        }
+        if self.part.stirred && now >= self.next_pass {
+            self.part.pass(now, now);
+            self.next_pass = now + 200;
+        }
+        for hix in std::mem::take(&mut self.part.kick) {
+            let Some(d) = self.part.direct(hix, now, false) else { continue };
+            let m = self.machines.get_mut(&d.id).unwrap();
+            if m.next_ms == u64::MAX {
+                self.part.direct_done(&d, DirectResult::NotSent, now);
+                continue;
+            }
+            m.carry_out(&d.orders, now, 60_000);
+            let r = m.report(&d.id, now);
+            self.part.direct_done(&d, DirectResult::Answered(Box::new(r)), now);
+        }
+        if now >= self.next_commit
+            && let Some(c) = self.part.next_commit(now, 32)
+        {
+            self.next_commit = now + c.apply.len() as u64 * 7;
+            self.writes += c.apply.len();
+            self.largest_commit = self.largest_commit.max(wire::commit_body(&c.guards, &c.apply).len());
+            for a in &c.apply {
+                if let Some(key) = a["put"].as_str() {
+                    self.stored.insert(key.into(), a["data"].clone());
+                } else if let Some(key) = a["delete"].as_str() {
+                    self.stored.remove(key);
+                }
+            }
+            self.part.committed(CommitResult::Done { revision: now }).unwrap();
+        }
+        if now >= self.next_plan {
+            self.next_plan = now + 1100;
+            self.part.upkeep(now, 0);
+            let coming = self.leader.coming(0, &self.part, now, 5000);
+            let (needs, mut ops) = self.leader.plan(&mut self.part, &coming, now, now);
+            self.leader.listed(&[], &self.part, now);
+            ops.extend(self.leader.lead(needs, &self.part, now, 5000));
+            for op in ops {
+                if let CloudOp::Rent { name, .. } = op {
+                    self.rentals += 1;
+                    // This cloud has no more: what is up is all there is.
+                    self.leader.rented(&name, RentResult::NoCapacity, now);
+                }
+            }
+        }
+        self.waiting.retain_mut(|rx| rx.try_recv().is_err());
+    }
+
+    /// The tasks that are alive, each on one machine.
+    fn check(&self) {
+        let mut on: BTreeMap<&str, &str> = BTreeMap::new();
+        for (id, m) in &self.machines {
+            for (task, _) in m.tasks.iter().filter(|(_, t)| !t.1 && self.now < t.2) {
+                if let Some(other) = on.insert(task, id) {
+                    panic!("{task} is on {other} and {id}");
+                }
+            }
+        }
+        assert!(self.largest_commit <= 64 * 1024, "{} bytes", self.largest_commit);
+    }
+
+    /// Another holder takes over with what is stored; the machines named are dead.
+    fn take_over(&mut self, term: u64) {
+        let item = |(key, value): (&String, &Value)| Item { key: key.clone(), value: value.clone(), version: 50 };
+        let under = |prefix: &'static str| self.stored.iter().filter(move |(k, _)| k.starts_with(prefix));
+        let (jobs, hosts) = (under("job/").map(item).collect(), under("host/").map(item).collect());
+        let policy = self.part.policy.clone();
+        self.part = Part::new(policy, 0, self.part.teams.clone(), 32, 32.0);
+        self.part.begin(term, 78, jobs, hosts, types(), self.now);
+    }
+}
+
+// The next size: decisions, records and rentals must not cost machines times jobs.
+#[test]
+fn fifteen_hundred_machines_start_take_a_burst_and_are_taken_over() {
+    let mut f = Fleet::new(7);
+    f.arrivals(600);
+    let mut most = 0;
+    for tenth in 0..300 {
+        if (20..70).contains(&tenth) {
+            (0..30).for_each(|i| f.boot(["c", "g4", "g8"][i % 3], ["a", "b"][i % 2]));
+        }
+        // More arrays than there is room for.
+        if tenth > 150 {
+            f.submit("sweep", "batch", "standard", 60, (5.0, 1.0, 35.0));
+            f.submit("surge", "service", "urgent", 3, (5.0, 1.0, 35.0));
+        }
+        let before = f.part.looked;
+        f.step();
+        most = most.max(f.part.looked - before);
+    }
+    f.check();
+    let running: usize = f.part.world.each_host().map(|(_, h)| h.copies.len()).sum();
+    assert!(running > 5000 && f.part.unplaced.len() > 50, "{running} tasks, {} jobs wait", f.part.unplaced.len());
+    // A pass looks at each machine once for a job that it places, not for each of its tasks.
+    assert!(most <= 150 * 1500, "{most} machines looked at in a pass");
+    assert!(f.writes <= 2 * f.jobs as usize + 1500, "{} writes for {} jobs", f.writes, f.jobs);
+    assert!(f.rentals <= 60, "{} rentals", f.rentals);
+    assert!(f.waiting.len() <= 150, "{} submissions without an answer", f.waiting.len());
+
+    let dead: Vec<String> = f.machines.keys().step_by(40).cloned().collect();
+    for id in &dead {
+        if let Some(m) = f.machines.get_mut(id) {
+            m.next_ms = u64::MAX;
+        }
+    }
+    f.take_over(2);
+    for _ in 0..60 {
+        f.step();
+    }
+    assert!(!f.part.world.all_accounted, "nothing was heard of the dead ones");
+    f.check();
+    dead.iter().for_each(|id| {
+        f.machines.remove(id);
+        f.part.host_gone(id);
+    });
+    for _ in 0..20 {
+        f.step();
+    }
+    assert!(f.part.world.all_accounted);
+    f.check();
+}
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -2,6 +2,8 @@
 //! reports and answers mean, which orders follow, what must be recorded.
 
 mod direct;
+#[cfg(test)]
+mod fleet_tests;
 mod records;
 mod reports;
 #[cfg(test)]
@@ -161,7 +163,11 @@
     pub kick: BTreeSet<HostIx>,
     /// Something changed that a pass may use.
     pub stirred: bool,
+    /// The same, for urgent work.
+    pub urgent: bool,
     pub unplaced: Vec<JobIx>,
+    /// Machines that passes have looked at so far.
+    pub looked: u64,
     txn_ops: usize,
     value_bytes: usize,
     last_upkeep_ms: u64,
@@ -202,7 +208,9 @@
             cancelling: BTreeSet::new(),
             kick: BTreeSet::new(),
             stirred: true,
+            urgent: false,
             unplaced: Vec::new(),
+            looked: 0,
             txn_ops,
             value_bytes: (value_kb * 1024.0) as usize,
             last_upkeep_ms: 0,
@@ -321,8 +329,18 @@
     /// One pass; the machines with new orders are in `kick`.
     pub fn pass(&mut self, now: u64, wall: u64) {
         self.stirred = false;
+        self.pass_from(Urgency::Low, now, wall);
+    }
+
+    /// A pass for what is urgent alone, while the next one for all is not due.
+    pub fn urgent_pass(&mut self, now: u64, wall: u64) {
+        self.pass_from(Urgency::High, now, wall);
+    }
+
+    fn pass_from(&mut self, least: Urgency, now: u64, wall: u64) {
+        self.urgent = false;
         let next = &mut self.next_attempt;
-        let out = sched::pass(&mut self.world, &self.policy, now, wall, || {
+        let out = sched::pass(&mut self.world, &self.policy, now, wall, least, || {
             *next += 1;
             *next
         });
@@ -365,7 +383,18 @@
             self.metrics.count("tasks_preempted", &job.spec.class);
             self.kick.insert(s.host);
         }
-        self.unplaced = out.unplaced;
+        tracing::debug!(
+            least = ?least,
+            looked = out.looked,
+            starts = out.starts.len(),
+            stops = out.stops.len(),
+            unplaced = out.unplaced.len(),
+            "pass"
+        );
+        let jobs = &self.world.jobs;
+        self.unplaced.retain(|ix| jobs[*ix].spec.urgency < least && jobs[*ix].active());
+        self.unplaced.extend(out.unplaced);
+        self.looked += out.looked;
         if !self.unplaced.is_empty() {
             self.undrain();
         }
--- a/src/part/records.rs
+++ b/src/part/records.rs
@@ -152,6 +152,7 @@
             Unsaved::End(end) => self.ended(ix, end),
             Unsaved::Creation => {
                 self.stirred = true;
+                self.urgent |= job.spec.urgency >= Urgency::High;
                 let spec = &job.spec;
                 tracing::debug!(
                     job = spec.id,
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -282,6 +282,9 @@
             return;
         }
         task.place = Place::Idle;
+        // Urgent work may be what ended, or what waits for the room.
+        let waited_for = self.world.hosts[hix].as_ref().is_some_and(|h| !h.claims.is_empty());
+        self.urgent |= waited_for || job.spec.urgency >= Urgency::High;
         match reason {
             ExitReason::Error | ExitReason::NoSuch => {
                 task.fails = task.fails.saturating_add(1);
@@ -405,6 +408,7 @@
         let task = &mut job.tasks[key.task as usize];
         if task.place == Place::On(hix, attempt) {
             task.place = Place::Idle;
+            self.urgent |= job.spec.urgency >= Urgency::High;
             self.metrics.count("tasks_lost", &job.spec.class);
             if !ended && job.spec.shape == Shape::Gang {
                 self.stop_all(key.job);
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -49,13 +49,23 @@
 const HARDLY_BEGUN: f64 = 0.25;
 
 /// Which work of its own urgency a job may stop for its team's guarantee.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 enum Reach {
     None,
     Begun,
     Any,
 }
 
+/// A kind of task for which no machine could make room, with all that it may stop.
+struct Wall {
+    want: Want,
+    urgency: Urgency,
+    team: String,
+    reach: Reach,
+    /// The image that this holds for, if not for any.
+    image: Option<String>,
+}
+
 /// How likely a fetch takes longer than `left`; it may take a third more or less.
 fn late(fetch_s: f64, left_s: f64) -> f64 {
     if fetch_s <= 0.0 { 0.0 } else { ((fetch_s * 4.0 / 3.0 - left_s) / (fetch_s * 2.0 / 3.0)).clamp(0.0, 1.0) }
@@ -96,8 +106,8 @@
     scarce: HashSet<String>,
     /// Kinds of tasks for which no machine has room any more.
     full: Vec<Want>,
-    /// The same even if all lesser work left, for an urgency and team.
-    walled: Vec<(Want, Urgency, String)>,
+    /// The same even if all lesser work left.
+    walled: Vec<Wall>,
     /// What machines that are not accounted for may hold of each team's tasks.
     unseen: HashMap<String, Demand>,
     looked: Cell<u64>,
@@ -123,8 +133,18 @@
 
 /// One pass over the bins, lowest first. `attempt` yields numbers that never
 /// repeat.
-pub fn pass(world: &mut World, policy: &Policy, now: u64, wall: u64, attempt: impl FnMut() -> u64) -> Outcome {
-    pass_and_index(world, policy, now, wall, attempt).0
+///
+/// Only work of `least` urgency or more is placed: passes for what can't wait are
+/// short, whatever else does.
+pub fn pass(
+    world: &mut World,
+    policy: &Policy,
+    now: u64,
+    wall: u64,
+    least: Urgency,
+    attempt: impl FnMut() -> u64,
+) -> Outcome {
+    pass_and_index(world, policy, now, wall, least, attempt).0
 }
 
 /// The pass, with the index as it left it.
@@ -133,6 +153,7 @@
     policy: &Policy,
     now: u64,
     wall: u64,
+    least: Urgency,
     mut attempt: impl FnMut() -> u64,
 ) -> (Outcome, Index) {
     for host in world.hosts.iter_mut().flatten() {
@@ -154,7 +175,7 @@
         out: Outcome::default(),
     };
     let mut leading_gang = None;
-    for ix in p.queue() {
+    for ix in p.queue(least) {
         let need = p.need(ix);
         let placed = match p.world.jobs[ix].spec.shape {
             Shape::Gang => p.place_gang(&need, &mut attempt),
@@ -195,7 +216,7 @@
     /// Jobs with tasks to place: of those that may preempt one another the more
     /// urgent first, as preemption would turn any other order round; then the
     /// lowest bin, then the older.
-    fn queue(&self) -> Vec<JobIx> {
+    fn queue(&self, least: Urgency) -> Vec<JobIx> {
         let mut queue: Vec<_> = self
             .world
             .live
@@ -206,7 +227,8 @@
                 // A task that may be on a machine not accounted for waits; what
                 // was seen alive since is certainly nowhere else.
                 let clear = self.world.clear(j);
-                j.active()
+                j.spec.urgency >= least
+                    && j.active()
                     && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located))
             })
             .map(|ix| {
@@ -815,46 +837,81 @@
         let ix = need.ix;
         let job = &self.world.jobs[ix];
         let (urgency, team) = (job.spec.urgency, job.spec.team.clone());
+        let reach = self.reach(need);
         // What was in vain for a job like this one is so again.
-        if self.walled.iter().any(|w| w.1 >= urgency && w.2 == team && w.0.like(&need.want)) {
+        let walled = |w: &Wall| {
+            w.urgency >= urgency
+                && w.team == team
+                && w.reach >= reach
+                && w.image.as_ref().is_none_or(|i| *i == need.image)
+                && w.want.like(&need.want)
+        };
+        if self.walled.iter().any(walled) {
             return;
         }
         let clear = self.world.clear(job);
         let open = |t: &&Task| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located);
         let waiting = job.tasks.iter().filter(open).count();
+        let mut left = waiting.saturating_sub(self.index.claims_of(ix));
+        if left == 0 {
+            return;
+        }
         let counts = self.index.counts(ix);
         let none = Counts::default();
-        let reach = self.reach(need);
-        for _ in self.index.claims_of(ix)..waiting {
-            let mut best: Option<(f64, HostIx, Leavers)> = None;
-            let mut walled = true;
-            for (hix, s) in self.index.slots.iter().enumerate() {
-                if !need.want.takes(s, &none) || (need.modest && self.world.flavors[s.flavor].cap.gpus > 0.0) {
-                    continue;
-                }
-                let allowed = need.want.takes(s, &counts);
-                if s.claims > 0 && self.world.host(hix).is_some_and(|h| h.claims.iter().any(|c| c.job != ix)) {
-                    continue;
-                }
-                let mut demand = need.want.demand;
-                demand.add(&s.claimed);
-                let Some((lost, leave)) = self.vacate(need, reach, hix, &demand) else { continue };
-                walled = false;
-                // A replica is worth waiting work to start where its image is.
-                let cost = lost + if need.service { 1.0 } else { 0.2 } * self.cost(need, hix);
-                if allowed && best.as_ref().is_none_or(|b| cost < b.0) {
-                    best = Some((cost, hix, leave));
-                }
+        // Each machine is looked at once, and again when its turn comes: what was
+        // done for the tasks before may have made it dearer.
+        let mut costs: Vec<(f64, HostIx)> = Vec::new();
+        let mut in_vain = true;
+        for hix in 0..self.index.slots.len() {
+            let s = &self.index.slots[hix];
+            if !need.want.takes(s, &none) || (need.modest && self.world.flavors[s.flavor].cap.gpus > 0.0) {
+                continue;
             }
-            let Some((_, hix, leave)) = best else {
-                if walled && !need.modest && reach == Reach::None {
-                    self.walled.push((need.want.clone(), urgency, team));
+            let allowed = need.want.takes(s, &counts);
+            if let Some((cost, _)) = self.room_at(need, reach, hix) {
+                in_vain = false;
+                if allowed {
+                    costs.push((cost, hix));
                 }
-                return;
-            };
+            }
+        }
+        if in_vain && !need.modest {
+            // How far a job may go for its guarantee depends on its image, too.
+            let image = (reach == Reach::Begun).then(|| need.image.clone());
+            self.walled.push(Wall { want: need.want.clone(), urgency, team, reach, image });
+        }
+        // The least cost last.
+        costs.sort_by(|a, b| b.0.total_cmp(&a.0));
+        while left > 0
+            && let Some((_, hix)) = costs.pop()
+        {
+            let Some((cost, leave)) = self.room_at(need, reach, hix) else { continue };
+            if costs.last().is_some_and(|next| next.0 < cost) {
+                let at = costs.partition_point(|c| c.0 > cost);
+                costs.insert(at, (cost, hix));
+                continue;
+            }
+            left -= 1;
             self.clear(need.ix, hix, &leave);
             let until_ms = self.now + self.policy.lease_ms;
             self.claim(hix, Claim { job: ix, demand: need.want.demand, until_ms });
+            if let Some((cost, _)) = self.room_at(need, reach, hix) {
+                let at = costs.partition_point(|c| c.0 > cost);
+                costs.insert(at, (cost, hix));
+            }
+        }
+    }
+
+    /// What room for one more task would cost on a machine, and what has to leave it.
+    fn room_at(&self, need: &Need, reach: Reach, hix: HostIx) -> Option<(f64, Leavers)> {
+        let s = &self.index.slots[hix];
+        if s.claims > 0 && self.world.host(hix).is_some_and(|h| h.claims.iter().any(|c| c.job != need.ix)) {
+            return None;
         }
+        let mut demand = need.want.demand;
+        demand.add(&s.claimed);
+        let (lost, leave) = self.vacate(need, reach, hix, &demand)?;
+        // A replica is worth waiting work to start where its image is.
+        Some((lost + if need.service { 1.0 } else { 0.2 } * self.cost(need, hix), leave))
     }
 }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -63,7 +63,7 @@
 
 fn run(w: &mut World, now: u64) -> Outcome {
     let mut n = 1000 * now;
-    pass(w, &policy(), now, now, || {
+    pass(w, &policy(), now, now, Urgency::Low, || {
         n += 1;
         n
     })
@@ -349,7 +349,7 @@
         for round in 1..8u64 {
             let now = round * 2000;
             let mut n = 1000 * now;
-            let (out, kept) = pass::pass_and_index(&mut w, &p, now, now, || {
+            let (out, kept) = pass::pass_and_index(&mut w, &p, now, now, Urgency::Low, || {
                 n += 1;
                 n
             });
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -238,6 +238,32 @@
     f.check();
 }
 
+// Found on days of our own at the next size: all leases ran out in an outage in which
+// every controller had ended, as nobody could know who held the part.
+#[tokio::test]
+async fn running_work_outlives_a_crash_of_every_controller_in_an_outage() {
+    let mut f = Fleet::start(3, 1).await;
+    f.submit(0, "run-000001", "service", 2).await;
+    f.phase(1, "run-000001", "running").await;
+    let before = f.world.lock().unwrap().on.clone();
+    f.world.lock().unwrap().store.set_down(true);
+    f.nodes.iter_mut().for_each(|n| *n = None);
+    tokio::time::sleep(REPORT).await;
+    f.addrs = f.addrs.iter().map(|a| (a.0, free_addr())).collect();
+    for i in 0..3 {
+        f.restart(i);
+    }
+    tokio::time::sleep(LEASE * 2).await;
+    assert_eq!(f.world.lock().unwrap().on, before, "no lease ran out");
+    f.world.lock().unwrap().store.set_down(false);
+    f.phase(2, "run-000001", "running").await;
+    assert_eq!(f.world.lock().unwrap().on, before, "nor is anything started anew");
+    let withdraw = "/v1/jobs/run-000001/withdraw";
+    f.until(0, "POST", withdraw, "", |s, v| s == 200 && v["phase"] == "cancelled").await;
+    assert!(f.world.lock().unwrap().on.is_empty(), "cancelled is said once all tasks are gone");
+    f.check();
+}
+
 #[tokio::test]
 async fn three_parts_are_held_and_taken_over() {
     let mut f = Fleet::start(3, 3).await;
