--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -513,16 +513,22 @@
         }
     }
 
-    /// True if most machines that were heard before are silent at once: then it
-    /// is this node that is cut off from them, and another may not be.
+    /// True if most machines that were heard before, or asked twice in vain, are
+    /// silent at once: then it is this node that is cut off from them, and another
+    /// may not be.
     pub fn cut_off(&self, now: u64) -> bool {
-        let known = self.world.each_host().filter(|(_, h)| h.tenure > 0 && !h.releasing);
-        let (mut all, mut silent) = (0, 0);
-        for (_, h) in known {
+        let (mut all, mut known, mut silent) = (0, 0, 0);
+        for (_, h) in self.world.each_host().filter(|(_, h)| !h.releasing) {
             all += 1;
-            silent += usize::from(now.saturating_sub(h.heard_ms) > self.quiet_ms() + self.policy.react_ms);
+            // After a takeover those that were not asked yet may be on their way here.
+            let heard = h.tenure > 0;
+            if heard || h.missed >= DEAF {
+                known += 1;
+                let patience = if heard { self.policy.react_ms } else { 0 };
+                silent += usize::from(now.saturating_sub(h.heard_ms) > self.quiet_ms() + patience);
+            }
         }
-        all >= 3 && silent * 3 >= all * 2
+        known >= 3 && known * 2 >= all && silent * 3 >= known * 2
     }
 
     /// Marks a machine for release; true if it was not marked yet.
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -496,8 +496,11 @@
     assert!(!p.cut_off(4000), "only some are silent");
     let host = |i| HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: i };
     let item = |n: u64| Item { key: format!("host/h{n}"), value: serde_json::to_value(host(0)).unwrap(), version: n };
-    let p = part_of(5, vec![], (1..6).map(item).collect());
+    let mut p = part_of(5, vec![], (1..6).map(item).collect());
     assert!(!p.cut_off(9000), "after a takeover they may still be on their way here");
+    // Found in an incident at the next size: one that is cut off from the beginning.
+    p.world.hosts.iter_mut().flatten().for_each(|h| h.missed = DEAF);
+    assert!(p.cut_off(9000) && !p.cut_off(2000));
 }
 
 #[test]
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -49,6 +49,9 @@
 /// to show: what is in the way may have to save.
 const MADE: u64 = 10;
 
+/// A replica has settled after so many times what an order takes to show.
+const SETTLED: u64 = 30;
+
 /// Work that has run for less than this share of its estimate has hardly begun.
 const HARDLY_BEGUN: f64 = 0.25;
 
@@ -238,11 +241,14 @@
             .map(|ix| {
                 let j = &self.world.jobs[ix];
                 let bin = self.policy.bin(self.policy.effective_deadline_ms(j, self.wall));
-                (std::cmp::Reverse(j.spec.urgency), bin, j.accepted_ms, ix)
+                // What may stop any equal work for its guarantee would do so next.
+                let waits = self.wall.saturating_sub(j.accepted_ms) >= self.policy.hold_ms;
+                let pushes = waits && j.spec.shape == Shape::Batch && self.within_guarantee(&j.spec);
+                (std::cmp::Reverse(j.spec.urgency), !pushes, bin, j.accepted_ms, ix)
             })
             .collect();
         queue.sort_unstable();
-        queue.into_iter().map(|q| q.3).collect()
+        queue.into_iter().map(|q| q.4).collect()
     }
 
     fn need(&self, ix: JobIx) -> Need {
@@ -681,9 +687,9 @@
         self.now.saturating_sub(c.since_ms) as f64 <= expected_s * 1000.0 * HARDLY_BEGUN
     }
 
-    /// Has it been there for three leases? What is stopped sooner was hardly started.
+    /// Has it been there for long? What is stopped sooner was hardly started.
     fn settled(&self, c: &Copy) -> bool {
-        self.now.saturating_sub(c.since_ms) >= 3 * self.policy.lease_ms
+        self.now.saturating_sub(c.since_ms) >= SETTLED * self.policy.react_ms
     }
 
     /// Could the copy's job still be in time if it began anew?
