--- a/src/holder.rs
+++ b/src/holder.rs
@@ -388,21 +388,13 @@
             }
         }
         if h.part.stirred && now >= h.next_pass_ms {
-            let began = std::time::Instant::now();
-            h.part.pass(now, clock::wall_ms());
-            let took = began.elapsed().as_millis() as u64;
-            h.part.metrics.observe("pass_ms", "all", took);
-            tracing::debug!(took, "pass over");
+            let took = timed(h, "pass_ms", "all", |h| h.part.pass(now, clock::wall_ms()));
             // Rounds widen with the load: the costlier, the rarer.
             h.next_pass_ms = now + 2 + 5 * took;
             h.next_urgent_ms = h.next_urgent_ms.max(now + took);
         } else if h.part.urgent && now >= h.next_urgent_ms {
             // What is urgent need not wait for the next round of all work.
-            let began = std::time::Instant::now();
-            h.part.urgent_pass(now, clock::wall_ms());
-            let took = began.elapsed().as_millis() as u64;
-            h.part.metrics.observe("pass_ms", "urgent", took);
-            tracing::debug!(took, "urgent pass over");
+            let took = timed(h, "pass_ms", "urgent", |h| h.part.urgent_pass(now, clock::wall_ms()));
             h.next_urgent_ms = now + 2 + 5 * took;
         }
         let (mut free, _) = self.worker.places();
@@ -418,11 +410,7 @@
             h.next_plan_ms = now + react;
             // A waiting task's back-off may have ended, or a hold.
             h.part.stirred = true;
-            let began = std::time::Instant::now();
-            self.plan(h, now);
-            let took = began.elapsed().as_millis() as u64;
-            h.part.metrics.observe("plan_ms", "all", took);
-            tracing::debug!(took, "plan over");
+            timed(h, "plan_ms", "all", |h| self.plan(h, now));
         }
     }
 
@@ -628,3 +616,13 @@
         });
     }
 }
+
+/// Does a piece of work and notes how many milliseconds it took.
+fn timed(h: &mut Tenure, name: &'static str, label: &'static str, work: impl FnOnce(&mut Tenure)) -> u64 {
+    let began = std::time::Instant::now();
+    work(h);
+    let took = began.elapsed().as_millis() as u64;
+    h.part.metrics.observe(name, label, took);
+    tracing::debug!(name, label, took, "done");
+    took
+}
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -237,6 +237,26 @@
     assert_eq!(zones(&w), ["b"]);
 }
 
+// Found on suva's day of losses at the next size: each machine made room for one job at a
+// time, so that lost lookups stopped a hundred replicas while arrays ran beside.
+#[test]
+fn several_jobs_get_room_on_a_machine_before_replicas_are_stopped() {
+    let mut w = world(&[("a", false), ("a", false)]);
+    let blue = |s: Spec| Spec { team: "blue".into(), ..s };
+    add(&mut w, blue(spec("run-000001", Shape::Batch, 8, 1.0)), 0);
+    run(&mut w, 1);
+    let surge = Spec { urgency: Urgency::High, ..blue(spec("run-000002", Shape::Service, 8, 1.0)) };
+    add(&mut w, surge, 1);
+    run(&mut w, 2);
+    for n in 3..9 {
+        let s = Spec { urgency: Urgency::Production, ..blue(spec(&format!("run-00000{n}"), Shape::Service, 1, 1.0)) };
+        add(&mut w, s, 3);
+    }
+    let out = run(&mut w, 4);
+    let stopped: Vec<JobIx> = out.stops.iter().map(|s| s.key.job).collect();
+    assert_eq!(stopped, [0; 6], "array tasks, on one machine");
+}
+
 #[test]
 fn a_machine_type_may_become_known_between_a_plan_and_a_pass() {
     let mut w = world(&[("a", false)]);
