--- a/src/http.rs
+++ b/src/http.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Most that a request's body may hold.
@@ -168,8 +169,43 @@
     }
 }
 
+/// Connections that wait for their next request, by when they began to.
+#[derive(Default)]
+struct Idle {
+    next: u64,
+    waiting: BTreeMap<u64, Arc<Notify>>,
+}
+
+/// One connection's entry, for as long as it waits.
+struct Waits<'a> {
+    idle: &'a Mutex<Idle>,
+    n: u64,
+    asked_to_go: Arc<Notify>,
+}
+
+impl Waits<'_> {
+    fn enter(idle: &Mutex<Idle>) -> Option<Waits<'_>> {
+        let asked_to_go = Arc::new(Notify::new());
+        let mut i = idle.lock().ok()?;
+        i.next += 1;
+        let n = i.next;
+        i.waiting.insert(n, asked_to_go.clone());
+        drop(i);
+        Some(Waits { idle, n, asked_to_go })
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        if let Ok(mut i) = self.idle.lock() {
+            i.waiting.remove(&self.n);
+        }
+    }
+}
+
 /// Serves `listener` for ever. `patience` bounds how long a request may take
-/// to arrive; idle connections may stay.
+/// to arrive; idle connections may stay until there are too many, when the one
+/// that waited longest goes: workers that were cut off leave theirs behind.
 pub async fn serve<H, F>(listener: TcpListener, max_open: usize, patience: Duration, handler: H)
 where
     H: Fn(Request) -> F + Send + Sync + 'static,
@@ -177,6 +213,7 @@
 {
     let handler = Arc::new(handler);
     let open = Arc::new(AtomicUsize::new(0));
+    let idle = Arc::new(Mutex::new(Idle::default()));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // No free socket: wait for one instead of spinning.
@@ -184,19 +221,22 @@
             continue;
         };
         if open.load(Ordering::Relaxed) >= max_open {
-            drop(stream);
-            continue;
+            let Some((_, oldest)) = idle.lock().ok().and_then(|mut i| i.waiting.pop_first()) else {
+                drop(stream);
+                continue;
+            };
+            oldest.notify_one();
         }
         open.fetch_add(1, Ordering::Relaxed);
-        let (handler, open) = (handler.clone(), open.clone());
+        let (handler, open, idle) = (handler.clone(), open.clone(), idle.clone());
         tokio::spawn(async move {
-            connection(stream, patience, &*handler).await;
+            connection(stream, patience, &*handler, &idle).await;
             open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn connection<H, F>(mut stream: TcpStream, patience: Duration, handler: &H)
+async fn connection<H, F>(mut stream: TcpStream, patience: Duration, handler: &H, idle: &Mutex<Idle>)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
@@ -207,9 +247,14 @@
         if buf.is_empty() {
             // An idle connection may wait long for its next request.
             let mut chunk = [0u8; 8192];
-            match timeout(patience * 30, stream.read(&mut chunk)).await {
-                Ok(Ok(n)) if n > 0 => buf.extend_from_slice(&chunk[..n]),
-                _ => return,
+            let Some(waits) = Waits::enter(idle) else { return };
+            tokio::select! {
+                biased;
+                read = timeout(patience * 30, stream.read(&mut chunk)) => match read {
+                    Ok(Ok(n)) if n > 0 => buf.extend_from_slice(&chunk[..n]),
+                    _ => return,
+                },
+                () = waits.asked_to_go.notified() => return,
             }
         }
         let (reply, close) = match timeout(patience, read_message(&mut stream, &mut buf, parse_request)).await {
@@ -437,6 +482,25 @@
         assert_eq!(c.idle.lock().unwrap().by_age.len(), 1);
     }
 
+    // The next size: connections that cut workers left behind must not keep others out.
+    #[tokio::test]
+    async fn the_longest_idle_connection_goes_when_there_are_too_many() {
+        let addr = server(1000).await;
+        let limit = Duration::from_secs(2);
+        let mut kept = Vec::new();
+        for _ in 0..10 {
+            let c = Client::default();
+            c.call(addr, "GET", "/", None, limit).await.unwrap();
+            kept.push(c);
+        }
+        let late = Client::default();
+        assert!(late.call(addr, "GET", "/", None, limit).await.is_ok());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let open = |c: &Client| c.idle.lock().unwrap().take(addr).is_some_and(|s| !is_closed(&s));
+        assert!(!open(&kept[0]), "the first one was closed");
+        assert!(kept[1..].iter().all(open));
+    }
+
     #[tokio::test]
     async fn bad_and_slow_requests_are_bounded() {
         let addr = server(200).await;
