A late copy of a report locates no task

Found by reading: a copy that comes after a takeover may speak for a machine that the last holder had released; its tasks would have counted as seen alive, and might have been placed while on a machine not accounted for. Only what is said under our token counts. Test: a_late_copy_from_a_machine_that_is_gone_locates_nothing.

--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -226,13 +226,16 @@
         phase: TaskPhase,
         now: u64,
     ) {
+        let term = self.term;
         let World { jobs, hosts, .. } = &mut self.world;
         let Some(h) = hosts[hix].as_mut() else { return };
-        let accounted = h.accounted;
+        // Only what was said under our token is news: a late copy may speak for a
+        // machine that is gone.
+        let current = h.accounted && h.fence >= term;
         let Some(c) = h.copy_mut(key, attempt) else { return };
         c.phase = phase;
         let task = &mut jobs[key.job].tasks[key.task as usize];
-        if accounted && !c.ended() && task.place == Place::On(hix, attempt) {
+        if current && !c.ended() && task.place == Place::On(hix, attempt) {
             task.located = true;
         }
         let image = jobs[key.job].spec.image.clone();
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -346,6 +346,23 @@
     assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
 }
 
+// A late copy of a report speaks for a machine that the last holder had released: its
+// task may be on one that is not accounted for.
+#[test]
+fn a_late_copy_from_a_machine_that_is_gone_locates_nothing() {
+    let mut old = running("service", 1);
+    let (jobs, hosts) = items(&mut old);
+    let mut p = part_of(5, jobs, hosts);
+    p.report(&report("h0", 1, 9, 4, vec![reported("run-000001/0", 3, "running", None)]), Via::Beat, 1100);
+    p.host_gone("h0");
+    p.report(&report("h2", 1, 1, 5, vec![]), Via::Beat, 1200);
+    while p.next_commit(1200, 32).is_some() {
+        p.committed(CommitResult::Done { revision: 90 }).unwrap();
+    }
+    p.pass(1300, 1300);
+    assert_eq!(p.world.jobs[0].tasks[0].place, Place::Idle, "it may be on h1");
+}
+
 // The next size: a controller in a zone that is cut off keeps the leases there alive.
 #[test]
 fn a_lease_is_outlived_only_while_no_other_controller_could_keep_it_alive() {
