--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -141,6 +141,12 @@
         if c.stop.is_some() || c.ended() {
             return false;
         }
+        // Replicas with accelerators have few places: work without them has machines of
+        // its own, and waits for those while there are any to be had.
+        let own = || spec.demand.gpus <= 0.0 && victim.demand.gpus > 0.0 && self.own_may_come(spec);
+        if victim.shape == Shape::Service && own() {
+            return false;
+        }
         if victim.urgency < spec.urgency {
             return true;
         }
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -274,8 +274,15 @@
     w.hosts[1].as_mut().unwrap().image_ready("i");
     let lookup = Spec { tasks: 1, ..of("run-000003", Shape::Service, Urgency::Production, 0.0) };
     add(&mut w, Spec { image: "small".into(), image_gb: 0.5, ..lookup }, 3);
-    let stopped: Vec<JobIx> = run(&mut w, 4).stops.iter().map(|s| s.key.job).collect();
-    assert_eq!(stopped, [0]);
+    let stopped = |w: &mut World, now| run(w, now).stops.iter().map(|s| s.key.job).collect::<Vec<_>>();
+    assert_eq!(stopped(&mut w, 4), [0]);
+    // With replicas alone it waits while a machine of its own may come.
+    w.flavors.push(flavor("cpu", 0.0, &["a"]));
+    w.hosts[0] = None;
+    w.jobs[2].tasks[0].place = Place::Idle;
+    assert!(stopped(&mut w, 5).is_empty());
+    w.exhausted = vec![1];
+    assert_eq!(stopped(&mut w, 6), [1]);
 }
 
 #[test]
