--- a/src/model.rs
+++ b/src/model.rs
@@ -457,6 +457,26 @@
     }
 }
 
+/// Which idle tasks of a job may be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placeable {
+    All,
+    Located,
+    None,
+}
+
+impl Placeable {
+    /// Is this task idle, and may it be placed?
+    pub fn open(self, t: &Task) -> bool {
+        t.place == Place::Idle
+            && match self {
+                Placeable::All => true,
+                Placeable::Located => t.located,
+                Placeable::None => false,
+            }
+    }
+}
+
 /// Everything that one part knows.
 #[derive(Debug, Default)]
 pub struct World {
@@ -530,6 +550,21 @@
         self.all_accounted || job.fresh || !self.unaccounted_kinds.iter().any(may_hold)
     }
 
+    /// Which of a job's idle tasks may be placed as far as machines that are not
+    /// accounted for go: all, those that were located, or none. Where zones bind the
+    /// tasks to one another, the places of all must be known: an order that was held
+    /// back may still start one.
+    pub fn placeable(&self, job: &Job) -> Placeable {
+        if self.clear(job) {
+            return Placeable::All;
+        }
+        let bound = job.spec.spread || job.spec.one_zone;
+        if bound && !job.tasks.iter().all(|t| t.located || t.place == Place::Done) {
+            return Placeable::None;
+        }
+        Placeable::Located
+    }
+
     pub fn flavor(&self, name: &str) -> Option<usize> {
         self.flavors.iter().position(|f| f.name == name)
     }
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -346,6 +346,29 @@
     assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
 }
 
+// Found on a day of cut zones (wrong_place): orders that the cut had held back started two
+// tasks in the zone in which a located one of their job had just been placed.
+#[test]
+fn tasks_bound_by_zones_wait_until_the_places_of_all_are_known() {
+    for spread in [false, true] {
+        let mut old = running("service", 2);
+        let a = attempt(&old, 0);
+        old.world.jobs[0].spec.spread = spread;
+        let (jobs, hosts) = items(&mut old);
+        let mut p = part_of(5, jobs, hosts);
+        let ended = |phase, n| report("h2", 1, n, 5, vec![reported("run-000001/0", a, phase, Some("error"))]);
+        p.report(&ended("running", 1), Via::Beat, 1100);
+        p.report(&ended("ended", 2), Via::Beat, 1200);
+        while p.next_commit(1200, 32).is_some() {
+            p.committed(CommitResult::Done { revision: 90 }).unwrap();
+        }
+        p.pass(1300, 1300);
+        // The other task may be on h1, or come to be there.
+        assert_eq!(p.world.jobs[0].tasks[0].place == Place::Idle, spread);
+        assert_eq!(p.world.jobs[0].tasks[1].place, Place::Idle);
+    }
+}
+
 // A late copy of a report speaks for a machine that the last holder had released: its
 // task may be on one that is not accounted for.
 #[test]
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -225,10 +225,10 @@
                 let j = &self.world.jobs[*ix];
                 // A task that may be on a machine not accounted for waits; what
                 // was seen alive since is certainly nowhere else.
-                let clear = self.world.clear(j);
+                let placeable = self.world.placeable(j);
                 j.spec.urgency >= least
                     && j.active()
-                    && j.tasks.iter().any(|t| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located))
+                    && j.tasks.iter().any(|t| t.retry_ms <= self.now && placeable.open(t))
             })
             .map(|ix| {
                 let j = &self.world.jobs[ix];
@@ -440,10 +440,10 @@
         let ix = need.ix;
         let mut counts = self.index.counts(ix);
         let mut candidates = None;
-        let clear = self.world.clear(&self.world.jobs[ix]);
+        let placeable = self.world.placeable(&self.world.jobs[ix]);
         for n in 0..self.world.jobs[ix].tasks.len() {
             let t = self.world.jobs[ix].tasks[n];
-            if t.place != Place::Idle || t.retry_ms > self.now || !(clear || t.located) {
+            if t.retry_ms > self.now || !placeable.open(&t) {
                 continue;
             }
             if !self.within_limit(&self.world.jobs[ix].spec, 1.0) {
@@ -534,8 +534,8 @@
         let ix = need.ix;
         let job = &self.world.jobs[ix];
         // The next attempt waits until every task of the last one is gone.
-        let clear = self.world.clear(job);
-        let waits = job.tasks.iter().any(|t| t.place != Place::Idle || t.retry_ms > self.now || !(clear || t.located));
+        let placeable = self.world.placeable(job);
+        let waits = job.tasks.iter().any(|t| t.retry_ms > self.now || !placeable.open(t));
         if waits || self.index.hosts_of(ix).next().is_some() {
             return true;
         }
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -313,8 +313,8 @@
         if self.walled.iter().any(walled) {
             return;
         }
-        let clear = self.world.clear(job);
-        let open = |t: &&Task| t.place == Place::Idle && t.retry_ms <= self.now && (clear || t.located);
+        let placeable = self.world.placeable(job);
+        let open = |t: &&Task| t.retry_ms <= self.now && placeable.open(t);
         let waiting = job.tasks.iter().filter(open).count();
         let mut counts = self.index.counts(ix);
         let mut left = waiting.saturating_sub(self.claims_of_use(need, &mut counts));
--- a/src/sched/plan.rs
+++ b/src/sched/plan.rs
@@ -87,8 +87,8 @@
     let have = bins.len();
     for ix in unplaced {
         let job = &world.jobs[*ix];
-        let clear = world.clear(job);
-        let n = job.tasks.iter().filter(|t| t.place == Place::Idle && (clear || t.located)).count();
+        let placeable = world.placeable(job);
+        let n = job.tasks.iter().filter(|t| placeable.open(t)).count();
         fit(world, &index, &mut bins, &job.spec, n, refused);
     }
     for flow in flows {
