--- a/src/leader.rs
+++ b/src/leader.rs
@@ -125,9 +125,7 @@
         let flows = flows(part, wall);
         let gone = |f: usize, z: &String| self.refused.get(&(f, z.clone(), false)).is_some_and(|r| now < r.0);
         let flavors = part.world.flavors.iter().enumerate();
-        let due = |i: usize| coming.iter().any(|c| c.flavor == i);
-        let none = |(i, f): &(usize, &Flavor)| !due(*i) && f.zones.iter().all(|z| gone(*i, z));
-        let exhausted = flavors.filter(none).map(|(i, _)| i).collect();
+        let exhausted = flavors.filter(|(i, f)| f.zones.iter().all(|z| gone(*i, z))).map(|(i, _)| i).collect();
         part.world.exhausted = exhausted;
         part.world.reserves = sched::reserves(&part.world, &part.policy, &flows);
         let world = &part.world;
@@ -237,10 +235,7 @@
 
     pub fn released(&mut self, ids: &[String]) {
         for id in ids {
-            // The cloud has room for one of its kind again.
-            if let Some(k) = self.kinds.remove(id) {
-                self.refused.remove(&(k.flavor, k.zone, k.spot));
-            }
+            self.kinds.remove(id);
             self.releasing.remove(id);
             self.expected.remove(id);
             self.gone.insert(id.clone());
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -10,9 +10,6 @@
 /// A replica has settled after so many times what an order takes to show.
 const SETTLED: u64 = 30;
 
-/// The cost of a replica that is stopped, next to 1 for an array's task.
-const REPLICA: f64 = 8.0;
-
 /// Work that has run for less than this share of its estimate has hardly begun.
 const HARDLY_BEGUN: f64 = 0.25;
 
@@ -141,12 +138,6 @@
         if c.stop.is_some() || c.ended() {
             return false;
         }
-        // Replicas with accelerators have few places: work without them has machines of
-        // its own, and waits for those while there are any to be had.
-        let own = || spec.demand.gpus <= 0.0 && victim.demand.gpus > 0.0 && self.own_may_come(spec);
-        if victim.shape == Shape::Service && own() {
-            return false;
-        }
         if victim.urgency < spec.urgency {
             return true;
         }
@@ -245,10 +236,8 @@
                 // A gang loses its place whole, and places for gangs are few.
                 cost += match v.shape {
                     Shape::Gang => 2.0 + 2.0 * f64::from(v.tasks),
-                    // Its users are without it until its image is somewhere else, and
-                    // what needs no accelerator can wait for a fetch beside arrays.
-                    Shape::Service if v.demand.gpus > 0.0 && spec.demand.gpus <= 0.0 => 5.0 * REPLICA,
-                    Shape::Service => REPLICA,
+                    // Its users are without it until its image is somewhere else.
+                    Shape::Service => 8.0,
                     Shape::Batch if self.hardly_begun(c) => 0.5,
                     Shape::Batch => 1.0,
                 };
