--- a/src/clients.rs
+++ b/src/clients.rs
@@ -315,7 +315,8 @@
             http: Client::keeping(share.max(1)),
             under_way: Arc::new(tokio::sync::Semaphore::new((2 * share).max(1))),
             kept: share,
-            timeout: Duration::from_millis(s.react_ms()),
+            // Two questions in vain make a machine lost: both fit into one `react_ms`.
+            timeout: Duration::from_millis(s.react_ms() / 2),
         }
     }
 
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -408,7 +408,7 @@
 
     /// Silent for so long, and without an answer to two probes: it is lost.
     fn lost_ms(&self) -> u64 {
-        self.quiet_ms() + 2 * self.policy.react_ms
+        self.quiet_ms() + self.policy.react_ms * 3 / 2
     }
 
     /// Looks after silent machines; returns those to be released, and those to
