Nothing older is told of a job while a write of its end may have been carried out

Cause, from reading the code: the holder answered polls and repeated submissions from memory while its commit of `done` or `cancelled` was under way or had no answer, and another node that read the record afresh could have said the end already. Now one place (`Part::told`) decides what may be told from memory; from the sending of an end until it is known the answer is 503 or a fresh read. After a write without an answer only a later write of the same key settles it, or a record whose version has moved on.

Reports count from a holder's first token on; new machines are shown it at once by a direct command. - A task with an unwanted copy that was still being stopped could be started elsewhere when the wanted copy was lost. - A raise of the term that was carried out late made the holder leave the part, and what its failed commit was to say was lost. It looks at the key first. - Cancellations were refused in an outage without stopping anything; now what can be reached is stopped, and the user is refused at once, also if a silent machine is in the way. - A malformed submission got 503 where no holder could be reached; now 400, and 422 past the holder.

Where tasks may be is decided in one file, `whereabouts`.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,7 +5,7 @@
 use crate::doors::{Doors, SLOW};
 use crate::holder::{self, BeatAnswer};
 use crate::http::{Request, Response};
-use crate::model::{Flavor, JobEnd, JobPhase, JobRecord};
+use crate::model::{Flavor, JobEnd, JobPhase, JobRecord, Spec};
 use crate::part::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
 use crate::sched::{self, Policy};
@@ -169,47 +169,69 @@
     }
 
     async fn submit(&self, body: Vec<u8>) -> Response {
-        let known: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
-        let text = |name: &str| known.as_ref().and_then(|v| v.get(name)?.as_str()).map(str::to_string);
-        let part = text(wire::TEAM).and_then(|t| self.teams.get(&t).copied()).unwrap_or(0);
-        let id = text(wire::ID).filter(|id| wire::is_job_id(id));
-        let answer = match self.doors.user(part, UserCall::Submit(body.clone())).await {
-            Some(r) if r.status != 503 => Some(r),
+        // What is malformed needs no holder to say so.
+        let spec = match wire::parse_submission(&body) {
+            Ok(spec) => spec,
+            Err(e) => {
+                let refusal = Response::error(400, &e.message);
+                return match e.id {
+                    Some(id) => self.unless_known(&id, refusal).await,
+                    None => refusal,
+                };
+            }
+        };
+        let part = self.teams.get(&spec.team).copied().unwrap_or(0);
+        let answer = match self.doors.user(part, UserCall::Submit(body)).await {
+            Some(r) if r.status != 503 => r,
             // A second way in would only add to the work that the holder has.
-            None if self.doors.at_work(part) && self.state.answers(self.doors.life_ms) => Some(Response::busy(SLOW, 1)),
-            // Nobody holds the part now, or can't be reached.
-            other => self.accept(part, &body).await.or(other),
+            None if self.doors.at_work(part) && self.state.answers(self.doors.life_ms) => Response::busy(SLOW, 1),
+            // Nobody holds the part now, or can't be reached, or the job's end is
+            // being recorded.
+            other => {
+                let later = other.unwrap_or_else(|| Response::later("the holder of the jobs can't be reached"));
+                match self.fresh(&spec.id, true).await {
+                    known if known.status == 200 => known,
+                    unknown if unknown.status == 404 => self.accept(part, &spec).await.unwrap_or(later),
+                    _ => later,
+                }
+            }
         };
-        match (answer, id) {
-            // A known job is answered so even where its content is refused now.
-            (Some(r), Some(id)) if matches!(r.status, 400 | 422) => match self.fresh(&id, true).await {
-                known if known.status == 404 => r,
-                known => known,
-            },
-            (Some(r), id) => {
-                if let (Some(id), 200 | 201, Ok(mut p)) = (id, r.status, self.places.lock()) {
-                    remember(&mut p.jobs, &id, part);
+        match answer.status {
+            400 | 422 => return self.unless_known(&spec.id, answer).await,
+            200 | 201 => {
+                if let Ok(mut p) = self.places.lock() {
+                    remember(&mut p.jobs, &spec.id, part);
                 }
-                r
             }
-            (None, _) => Response::later("the holder of the jobs can't be reached"),
+            _ => {}
+        }
+        answer
+    }
+
+    /// A known job is answered as such even where its content is refused now.
+    async fn unless_known(&self, id: &str, refusal: Response) -> Response {
+        match self.fresh(id, true).await {
+            unknown if unknown.status == 404 => refusal,
+            known => known,
         }
     }
 
     /// Accepts a job without its part's holder: the record is what counts. The
     /// next holder reads it; a present one is told by a key in its inbox.
-    async fn accept(&self, part: u32, body: &[u8]) -> Option<Response> {
-        let spec = wire::parse_submission(body).ok()?;
+    async fn accept(&self, part: u32, spec: &Spec) -> Option<Response> {
         if !self.state.within_budget() {
             return None;
         }
         let flavors = self.state.get(holder::FLAVORS_KEY).await.ok()?.0?;
         let flavors: Vec<Flavor> = serde_json::from_value(flavors.value).ok()?;
-        if sched::impossible(&spec, &self.policy, &flavors).is_some() || !crate::part::fits(&spec, self.value_bytes) {
-            return None;
+        if let Some(why) = sched::impossible(spec, &self.policy, &flavors) {
+            return Some(Response::error(422, &why));
+        }
+        if !crate::part::fits(spec, self.value_bytes) {
+            return Some(Response::error(400, crate::part::TOO_LONG));
         }
         let id = spec.id.clone();
-        let record = JobRecord { spec, accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
+        let record = JobRecord { spec: spec.clone(), accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
         let value = serde_json::to_value(&record).ok()?;
         let apply =
             [wire::put(&job_key(&id), &value, None), wire::put(&inbox_key(part, &id), &serde_json::json!({}), None)];
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// How long to wait before asking again what had no answer.
+    pub fn pause(&self) -> Duration {
+        self.timeout / 5
+    }
+
     /// Steady time of the last answer that was not a refusal; 0 if none.
     pub fn last_ok_ms(&self) -> u64 {
         self.last_ok.load(Ordering::Relaxed)
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -6,7 +6,7 @@
 use crate::config::{Operator, Settings};
 use crate::doors::Doors;
 use crate::leader::{CloudOp, Leader};
-use crate::membership::{self, Bonds, Entitlement, Tenancy};
+use crate::membership::{self, Bonds, Entitlement, PartRecord, Tenancy};
 use crate::model::{Flavor, HostIx, HostRecord};
 use crate::part::{self, Belongs, CommitResult, Direct, DirectResult, Part, Superseded, UserAnswer, Via, Waiter};
 use crate::peer::{Ask, Machines, Needs, Reply, UserCall};
@@ -37,6 +37,8 @@
     /// Jobs that other nodes accepted.
     Inbox(u64, Vec<Item>),
     Raised(u64, Option<(u64, u64)>),
+    /// The part has another holder, or none.
+    Superseded(u64),
     Rented(u64, String, RentResult),
     Released(u64, Vec<String>, bool),
     Listed(u64, Vec<Listed>),
@@ -245,14 +247,14 @@
                 // Refused at once: nothing can be recorded now.
                 let silent = !self.state.answers(self.settings.grant_life_ms());
                 match call {
-                    UserCall::Submit(_) | UserCall::Cancel(_) if silent => {
+                    UserCall::Submit(_) if silent => {
                         let _ = waiter.send(UserAnswer::Later("the state service gives no answer"));
                     }
                     UserCall::Submit(body) => h.part.submit(&body, now, clock::wall_ms(), waiter),
                     UserCall::Status(id) => {
                         let _ = waiter.send(h.part.status(&id));
                     }
-                    UserCall::Cancel(id) => h.part.cancel(&id, waiter),
+                    UserCall::Cancel(id) => h.part.cancel(&id, now, !silent, waiter),
                 }
             }
             Msg::Metrics(reply) => {
@@ -284,10 +286,11 @@
                 match h.part.committed(result) {
                     Ok(keys) if !keys.is_empty() => self.reread(n, keys),
                     Ok(_) => {}
+                    // It may be our own raise of the term that came late.
                     Err(Superseded) => {
-                        h.loaded = false;
-                        self.entitled.set(0);
-                        let _ = self.members.try_send(membership::Msg::Superseded);
+                        h.raising = true;
+                        let (state, tx, id, grant) = (self.state.clone(), self.tx.clone(), self.id, h.grant);
+                        tokio::spawn(async move { tx.send(look_at_part(&state, n, id, grant).await).await });
                     }
                 }
             }
@@ -310,6 +313,11 @@
                     h.version = version;
                 }
             }
+            Msg::Superseded(of) if of == n => {
+                h.loaded = false;
+                self.entitled.set(0);
+                let _ = self.members.try_send(membership::Msg::Superseded);
+            }
             Msg::Rented(of, name, result) if of == n => {
                 if let Some(op) = h.leader.rented(&name, result, now) {
                     self.cloud_op(h, op);
@@ -475,8 +483,12 @@
             h.raising = true;
             let (id, node, version, grant) = (self.id, self.settings.node.clone(), h.version, h.grant);
             tokio::spawn(async move {
-                let result = membership::raise_term(&state, id, &node, version, grant).await.ok();
-                let _ = tx.send(Msg::Raised(n, result)).await;
+                let m = match membership::raise_term(&state, id, &node, version, grant).await {
+                    Ok(of_part) => Msg::Raised(n, Some(of_part)),
+                    Err(CommitResult::Conflict { .. }) => look_at_part(&state, n, id, grant).await,
+                    Err(_) => Msg::Raised(n, None),
+                };
+                let _ = tx.send(m).await;
             });
             return;
         }
@@ -617,6 +629,24 @@
     }
 }
 
+/// The part's key is not as it was: what to tell its actor. A raise of the term that had
+/// no answer may have been carried out late: then the key's grant is still ours, and the
+/// part goes on under the later term.
+async fn look_at_part(state: &State, n: u64, part: u32, grant: u64) -> Msg {
+    let found = loop {
+        match state.get(&membership::part_key(part)).await {
+            Ok((item, _)) => break item,
+            // While this has no answer nothing can be committed either.
+            Err(_) => sleep(state.pause()).await,
+        }
+    };
+    let ours = found.and_then(|i| {
+        let r: PartRecord = serde_json::from_value(i.value).ok()?;
+        (r.grant == grant).then_some((r.term, i.version))
+    });
+    ours.map_or(Msg::Superseded(n), |of_part| Msg::Raised(n, Some(of_part)))
+}
+
 /// Does a piece of work and notes how many milliseconds it took.
 fn timed(h: &mut Tenure, name: &'static str, label: &'static str, work: impl FnOnce(&mut Tenure)) -> u64 {
     let began = std::time::Instant::now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod part;
 pub mod peer;
 pub mod sched;
+pub mod whereabouts;
 pub mod wire;
--- a/src/model.rs
+++ b/src/model.rs
@@ -221,7 +221,8 @@
     pub tenure: u64,
     pub serial: u64,
     pub fence: u64,
-    /// Tasks may be placed once the worker has seen this token.
+    /// What the worker says counts once it has seen this token, the first one of this
+    /// holder: a report with a lower one may be a late copy, from a machine that is gone.
     pub min_fence: u64,
     /// The part that it is being given to.
     pub giving: Option<u32>,
@@ -230,7 +231,7 @@
     pub answered_ms: u64,
     /// In the registry, so that a successor knows that it may hold tasks.
     pub registered: bool,
-    /// Has reported under our term, or surely lost all it had.
+    /// Has reported under this holder's token, or surely lost all it had.
     pub accounted: bool,
     /// Reports tasks that this part does not know.
     pub strays: bool,
@@ -289,6 +290,17 @@
         self.copies.iter_mut().find(|c| c.key == key && c.attempt == attempt)
     }
 
+    /// Has its worker seen a token of this holder? Then no order of an earlier one can
+    /// reach it any more.
+    pub fn shown(&self) -> bool {
+        self.accounted && self.fence >= self.min_fence
+    }
+
+    /// More than a report that may be a late copy says that it exists.
+    pub fn vouched(&self) -> bool {
+        self.registered || self.accounted
+    }
+
     /// Seconds until `image` would be on the machine.
     pub fn fetch_s(&self, image: &str, gb: f64, rate: f64) -> f64 {
         let rate = rate.max(1e-3);
@@ -336,7 +348,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Task {
     pub place: Place,
-    /// Seen alive, or started, under this term: it is on no machine that is not
+    /// Seen alive, or started, by this holder: it is on no machine that is not
     /// accounted for.
     pub located: bool,
     pub fails: u16,
@@ -370,6 +382,9 @@
     pub unsaved_since_ms: u64,
     /// Its record is in a commit under way.
     pub saving: bool,
+    /// A write of its end was sent and may be carried out or not, now or later. Until
+    /// that is settled another node may read the end, and tell it.
+    pub end_open: bool,
     pub tasks: Vec<Task>,
     /// Tasks that are done, whether recorded or not.
     pub done: u32,
@@ -398,6 +413,7 @@
             unsaved: Unsaved::Nothing,
             unsaved_since_ms: now,
             saving: false,
+            end_open: false,
             tasks,
             done: 0,
             gang_attempt: 0,
@@ -457,26 +473,6 @@
     }
 }
 
-/// Which idle tasks of a job may be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Placeable {
-    All,
-    Located,
-    None,
-}
-
-impl Placeable {
-    /// Is this task idle, and may it be placed?
-    pub fn open(self, t: &Task) -> bool {
-        t.place == Place::Idle
-            && match self {
-                Placeable::All => true,
-                Placeable::Located => t.located,
-                Placeable::None => false,
-            }
-    }
-}
-
 /// Everything that one part knows.
 #[derive(Debug, Default)]
 pub struct World {
@@ -539,32 +535,6 @@
         self.hosts.iter().enumerate().filter_map(|(i, h)| Some((i, h.as_ref()?)))
     }
 
-    /// Can none of the job's tasks be on a machine that is not accounted for?
-    pub fn clear(&self, job: &Job) -> bool {
-        let spec = &job.spec;
-        let may_hold = |(flavor, zone, spot): &(Option<usize>, String, bool)| {
-            flavor.is_none_or(|f| spec.allows_flavor(&self.flavors[f]))
-                && spec.allows_zone(zone)
-                && (spec.spot || !spot)
-        };
-        self.all_accounted || job.fresh || !self.unaccounted_kinds.iter().any(may_hold)
-    }
-
-    /// Which of a job's idle tasks may be placed as far as machines that are not
-    /// accounted for go: all, those that were located, or none. Where zones bind the
-    /// tasks to one another, the places of all must be known: an order that was held
-    /// back may still start one.
-    pub fn placeable(&self, job: &Job) -> Placeable {
-        if self.clear(job) {
-            return Placeable::All;
-        }
-        let bound = job.spec.spread || job.spec.one_zone;
-        if bound && !job.tasks.iter().all(|t| t.located || t.place == Place::Done) {
-            return Placeable::None;
-        }
-        Placeable::Located
-    }
-
     pub fn flavor(&self, name: &str) -> Option<usize> {
         self.flavors.iter().position(|f| f.name == name)
     }
--- a/src/part/direct.rs
+++ b/src/part/direct.rs
@@ -16,10 +16,10 @@
         if h.do_in_flight || now < h.do_after_ms {
             return None;
         }
-        // A machine that is not accounted for is shown our token, and its tasks
-        // are read from the answer. Its tenure may not be known yet: then the
-        // answer tells it.
-        let probe = probe || !h.accounted;
+        // A machine that has not seen our token is shown it, and its tasks are
+        // read from the answer. Its tenure may not be known yet: then the answer
+        // tells it.
+        let probe = probe || !h.shown();
         let mut orders = Vec::new();
         for c in h.copies.iter_mut().filter(|_| h.accounted) {
             let id = &self.world.jobs[c.key.job].spec.id;
@@ -68,7 +68,7 @@
                 };
                 let pause = self.policy.react_ms / 20;
                 if let Some(h) = self.world.host_mut(d.host)
-                    && (!h.accounted || h.copies.iter().any(due))
+                    && (!h.shown() || h.copies.iter().any(due))
                 {
                     h.do_after_ms = now + pause;
                     self.kick.insert(d.host);
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -4,6 +4,8 @@
 mod direct;
 #[cfg(test)]
 mod fleet_tests;
+#[cfg(test)]
+mod meeting_tests;
 mod records;
 mod reports;
 #[cfg(test)]
@@ -29,6 +31,9 @@
     format!("host/{id}")
 }
 
+/// The refusal of a job whose record would be too large.
+pub const TOO_LONG: &str = "bundle: the job's texts are too long";
+
 /// Does the record of such a job fit into a value, with room for its progress?
 pub fn fits(spec: &Spec, value_bytes: usize) -> bool {
     serde_json::to_vec(spec).is_ok_and(|v| v.len() <= value_bytes / 3)
@@ -70,7 +75,8 @@
 /// What a commit under way will have told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Saved {
-    Job(JobIx, Unsaved),
+    /// Whether an earlier write of the job's end was open already.
+    Job(JobIx, Unsaved, bool),
     Host(HostIx),
     Given(HostIx, u32),
     KeyGone(String),
@@ -136,6 +142,8 @@
     pub policy: Policy,
     pub metrics: Metrics,
     pub term: u64,
+    /// The term with which this holder began: it may have raised it since.
+    first_term: u64,
     /// This part's number, and whether its holder leads.
     pub id: u32,
     teams: HashMap<String, u32>,
@@ -190,6 +198,7 @@
             policy,
             metrics: Metrics::default(),
             term: 0,
+            first_term: 0,
             id,
             teams,
             elsewhere: HashMap::new(),
@@ -229,6 +238,7 @@
         now: u64,
     ) {
         self.set_term(term, version);
+        self.first_term = term;
         self.begun_ms = now;
         self.last_upkeep_ms = now;
         self.world.flavors = flavors;
@@ -262,6 +272,7 @@
         let mut h = Host::new(id, r.zone, r.spot, flavor, now);
         h.addr = r.addr;
         h.registered = true;
+        h.min_fence = self.first_term;
         self.world.add_host(h)
     }
 
@@ -438,20 +449,22 @@
             if h.releasing {
                 continue;
             }
-            if now > h.answered_ms.max(unbound_ms) + outlived && (!h.copies.is_empty() || !h.accounted) {
-                lapsed.push(hix);
-            }
             let quiet = now.saturating_sub(h.heard_ms);
-            let zone = zones.entry(&h.zone).or_default();
-            zone.0 += 1;
-            zone.1 += usize::from(quiet > quiet_ms || h.missed >= DEAF);
+            if h.vouched() {
+                if now > h.answered_ms.max(unbound_ms) + outlived && (!h.copies.is_empty() || !h.accounted) {
+                    lapsed.push(hix);
+                }
+                let zone = zones.entry(&h.zone).or_default();
+                zone.0 += 1;
+                zone.1 += usize::from(quiet > quiet_ms || h.missed >= DEAF);
+            }
             // One that is heard and can't be told anything is of no use either.
             let deaf = h.missed >= DEAF && (quiet > lost_ms || u64::from(h.missed) * self.policy.react_ms > lease);
             if deaf || (h.addr.is_none() && quiet > lease) {
                 silent.push(hix);
             }
             // After a takeover all are asked at once: most look for us elsewhere first.
-            if quiet > quiet_ms || !h.accounted || h.missed > 0 {
+            if quiet > quiet_ms || !h.shown() || h.missed > 0 {
                 probe.push(hix);
             }
         }
@@ -470,7 +483,7 @@
         }
         let mut release = Vec::new();
         for hix in silent {
-            let Some(h) = self.world.host_mut(hix).filter(|h| !cut.contains(&h.zone)) else { continue };
+            let Some(h) = self.world.host_mut(hix).filter(|h| !h.vouched() || !cut.contains(&h.zone)) else { continue };
             h.releasing = true;
             tracing::info!(host = h.id, "machine is silent, releasing it");
             release.push(h.id.clone());
@@ -518,7 +531,7 @@
     /// may not be.
     pub fn cut_off(&self, now: u64) -> bool {
         let (mut all, mut known, mut silent) = (0, 0, 0);
-        for (_, h) in self.world.each_host().filter(|(_, h)| !h.releasing) {
+        for (_, h) in self.world.each_host().filter(|(_, h)| !h.releasing && h.vouched()) {
             all += 1;
             // After a takeover those that were not asked yet may be on their way here.
             let heard = h.tenure > 0;
--- a/src/part/records.rs
+++ b/src/part/records.rs
@@ -50,8 +50,10 @@
                     }
                     commit.guards.push(wire::guard(&key, job.version));
                     commit.apply.push(wire::put(&key, &value, None));
-                    saved.push(Saved::Job(*ix, job.unsaved));
+                    saved.push(Saved::Job(*ix, job.unsaved, job.end_open));
                     job.saving = true;
+                    // From its sending on another node may read the end.
+                    job.end_open |= end.is_some();
                     job.unsaved = Unsaved::Nothing;
                     me.dirty.remove(ix);
                 }
@@ -92,11 +94,13 @@
     pub fn committed(&mut self, result: CommitResult) -> Result<Vec<String>, Superseded> {
         let saved = self.in_flight.take().unwrap_or_default();
         let mut reread = Vec::new();
+        let mut superseded = false;
+        let unclear = matches!(result, CommitResult::Unclear);
         match result {
             CommitResult::Done { revision } => {
                 for s in saved {
                     match s {
-                        Saved::Job(ix, what) => self.job_saved(ix, what, revision),
+                        Saved::Job(ix, what, _) => self.job_saved(ix, what, revision),
                         Saved::Host(hix) => {
                             if let Some(h) = self.world.host_mut(hix) {
                                 h.registered = true;
@@ -115,18 +119,18 @@
                 return Ok(reread);
             }
             CommitResult::Conflict { failed } => {
-                if failed.contains(&self.part_key) {
-                    return Err(Superseded);
-                }
+                superseded = failed.contains(&self.part_key);
                 reread = failed.into_iter().filter(|k| k.starts_with("job/")).collect();
             }
             CommitResult::Refused | CommitResult::Unclear => {}
         }
         for s in saved {
             match s {
-                Saved::Job(ix, what) => {
+                Saved::Job(ix, what, end_was_open) => {
                     let job = &mut self.world.jobs[ix];
                     job.saving = false;
+                    // What was certainly refused is not open; an earlier write may be.
+                    job.end_open &= unclear || end_was_open;
                     // What came meanwhile weighs more, except against a creation or an end.
                     if !matches!(job.unsaved, Unsaved::End(_)) || matches!(what, Unsaved::End(_)) {
                         job.unsaved = what;
@@ -141,13 +145,15 @@
                 }
             }
         }
-        Ok(reread)
+        if superseded { Err(Superseded) } else { Ok(reread) }
     }
 
     pub(super) fn job_saved(&mut self, ix: JobIx, what: Unsaved, version: u64) {
         let job = &mut self.world.jobs[ix];
         job.saving = false;
         job.version = version;
+        // Earlier writes guard on an older version: they can't be carried out any more.
+        job.end_open = false;
         match what {
             Unsaved::End(end) => self.ended(ix, end),
             Unsaved::Creation => {
@@ -197,7 +203,12 @@
         let Some(&ix) = item.key.strip_prefix("job/").and_then(|id| self.world.job_ix.get(id)) else { return };
         let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else { return };
         let job = &mut self.world.jobs[ix];
+        // Read before the last write that is known to have been carried out.
+        if item.version < job.version {
+            return;
+        }
         let created = job.version == 0;
+        job.end_open &= item.version == job.version;
         job.version = item.version;
         if let Some(end) = record.end {
             if job.end.is_none() {
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -71,14 +71,10 @@
             None => {
                 let flavor = self.world.flavor(&r.flavor);
                 let mut h = Host::new(r.host.clone(), r.zone.clone(), r.spot, flavor, now);
-                // Not in the registry: no holder before us placed anything on it.
-                h.accounted = true;
+                h.min_fence = self.first_term;
                 // Rented for another part: it is given away once it is registered.
                 h.giving = self.destined.remove(&r.host).filter(|p| *p != self.id);
-                let hix = self.world.add_host(h);
-                self.new_hosts.insert(hix);
-                tracing::info!(host = r.host, flavor = r.flavor, zone = r.zone, spot = r.spot, "machine is up");
-                hix
+                self.world.add_host(h)
             }
         };
         let flavor = self.world.flavor(&r.flavor);
@@ -94,12 +90,14 @@
             tracing::info!(host = h.id, tenure = r.tenure, "machine lost its lease");
             self.lose_all(hix);
         }
-        let term = self.term;
         let Some(h) = self.world.host_mut(hix) else { return Vec::new() };
         if r.tenure > h.tenure {
             // A session's lease counts from its beginning, whenever we answered.
             h.answered_ms = h.answered_ms.max(now);
         }
+        // A late copy of a report from before this holder's time may be the first that
+        // it sees of a machine, which may be gone, and its tasks elsewhere.
+        let news = r.fence >= h.min_fence;
         h.tenure = r.tenure;
         h.serial = r.serial;
         h.fence = h.fence.max(r.fence);
@@ -120,7 +118,16 @@
                 c.risk = None;
             }
         }
-        if !h.accounted && r.fence >= term {
+        if !news {
+            self.kick.insert(hix);
+            return Vec::new();
+        }
+        if !h.vouched() {
+            // Not in the registry: no holder before us placed anything on it.
+            tracing::info!(host = r.host, flavor = r.flavor, zone = r.zone, spot = r.spot, "machine is up");
+            self.new_hosts.insert(hix);
+        }
+        if !h.accounted {
             h.accounted = true;
             self.recount();
         }
@@ -133,13 +140,8 @@
         if via == Via::Beat {
             self.orders_for(hix, &mut orders);
         }
-        if let Some(h) = self.world.host_mut(hix) {
-            if !h.copies.is_empty() {
-                h.idle_since_ms = now;
-            }
-            if !h.accounted && via == Via::Beat {
-                self.kick.insert(hix);
-            }
+        if let Some(h) = self.world.host_mut(hix).filter(|h| !h.copies.is_empty()) {
+            h.idle_since_ms = now;
         }
         orders
     }
@@ -195,9 +197,10 @@
     /// A copy that we did not start: an earlier holder did, or a late order.
     pub(super) fn adopt(&mut self, hix: HostIx, key: TaskKey, attempt: u64, phase: TaskPhase, now: u64) {
         let job = &mut self.world.jobs[key.job];
-        let task = &mut job.tasks[key.task as usize];
+        let idle = job.tasks[key.task as usize].place == Place::Idle;
         let ended = matches!(phase, TaskPhase::Ended(_));
-        let mut wanted = job.end.is_none() && !ended && task.place == Place::Idle;
+        // What is first seen after its user asked for the cancellation must go, too.
+        let mut wanted = job.active() && !ended && idle;
         if wanted && job.spec.shape == Shape::Gang {
             if attempt > job.gang_attempt {
                 job.gang_attempt = attempt;
@@ -226,18 +229,12 @@
         phase: TaskPhase,
         now: u64,
     ) {
-        let term = self.term;
         let World { jobs, hosts, .. } = &mut self.world;
         let Some(h) = hosts[hix].as_mut() else { return };
-        // Only what was said under our token is news: a late copy may speak for a
-        // machine that is gone.
-        let current = h.accounted && h.fence >= term;
         let Some(c) = h.copy_mut(key, attempt) else { return };
         c.phase = phase;
         let task = &mut jobs[key.job].tasks[key.task as usize];
-        if current && !c.ended() && task.place == Place::On(hix, attempt) {
-            task.located = true;
-        }
+        task.located |= !c.ended();
         let image = jobs[key.job].spec.image.clone();
         let since = c.since_ms;
         match phase {
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -19,7 +19,7 @@
     }
 }
 
-fn part_of(term: u64, jobs: Vec<Item>, hosts: Vec<Item>) -> Part {
+pub fn part_of(term: u64, jobs: Vec<Item>, hosts: Vec<Item>) -> Part {
     let s = settings();
     let policy = Policy::new(&s, &Operator::default(), 0);
     let mut p = Part::new(policy, 0, s.parts_of_teams(1), 32, 32.0);
@@ -27,11 +27,11 @@
     p
 }
 
-fn part() -> Part {
+pub fn part() -> Part {
     part_of(1, vec![], vec![])
 }
 
-fn report(host: &str, tenure: u64, serial: u64, fence: u64, tasks: Vec<wire::ReportedTask>) -> Report {
+pub fn report(host: &str, tenure: u64, serial: u64, fence: u64, tasks: Vec<wire::ReportedTask>) -> Report {
     let mut r: Report = serde_json::from_value(json!({"host": host, "addr": "10.1.0.1:9000", "flavor": "g8",
         "region": "a", "tenure": tenure, "serial": serial, "fence": fence}))
     .unwrap();
@@ -39,7 +39,7 @@
     r
 }
 
-fn body(id: &str, shape: &str, tasks: u32) -> Vec<u8> {
+pub fn body(id: &str, shape: &str, tasks: u32) -> Vec<u8> {
     json!({"id": id, "jobclass": "chat", "owner": "red", "shape": shape, "urgency": "standard", "shards": tasks,
         "cores": 2.0, "cards": 1.0, "mem_gb": 8.0, "bundle": "i", "size_gb": 1.0, "flavors": null, "region": null,
         "same_place": false, "apart": false, "preemptible": false, "expected_s": 10.0,
@@ -48,19 +48,19 @@
     .into_bytes()
 }
 
-fn submit(p: &mut Part, b: &[u8], now: u64) -> oneshot::Receiver<UserAnswer> {
+pub fn submit(p: &mut Part, b: &[u8], now: u64) -> oneshot::Receiver<UserAnswer> {
     let (tx, rx) = oneshot::channel();
     p.submit(b, now, now, tx);
     rx
 }
 
-fn commit(p: &mut Part, now: u64, revision: u64) {
+pub fn commit(p: &mut Part, now: u64, revision: u64) {
     assert!(p.next_commit(now, 32).is_some());
     assert_eq!(p.committed(CommitResult::Done { revision }), Ok(vec![]));
 }
 
 /// A part with one machine in use and one accepted job, placed.
-fn running(shape: &str, tasks: u32) -> Part {
+pub fn running(shape: &str, tasks: u32) -> Part {
     let mut p = part();
     p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
     let _rx = submit(&mut p, &body("run-000001", shape, tasks), 1000);
@@ -70,7 +70,7 @@
     p
 }
 
-fn attempt(p: &Part, n: usize) -> u64 {
+pub fn attempt(p: &Part, n: usize) -> u64 {
     p.world.host(0).unwrap().copies[n].attempt
 }
 
@@ -184,7 +184,7 @@
     assert_eq!(reaps(&p.report(&report("h1", 1, 3, 1, done()), Via::Beat, 1200)), 1);
     // It is over: a cancellation that comes now changes nothing.
     let (tx, mut rx) = oneshot::channel();
-    p.cancel("run-000001", tx);
+    p.cancel("run-000001", 1000, true, tx);
     assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Done, .. })));
 }
 
@@ -193,7 +193,7 @@
     let mut p = running("service", 2);
     let (tx, mut rx) = oneshot::channel();
     let a = [attempt(&p, 0), attempt(&p, 1)];
-    p.cancel("run-000001", tx);
+    p.cancel("run-000001", 1000, true, tx);
     let d = p.direct(0, 1100, false).unwrap();
     assert!(d.orders.iter().all(|o| matches!(o, Order::Stop { .. })) && d.orders.len() == 2);
     p.pass(1200, 1200);
@@ -220,7 +220,7 @@
     assert_eq!(runs(&orders), 1, "the same attempt, again");
     assert!(!p.needs_new_term());
     let (tx, _rx) = oneshot::channel();
-    p.cancel("run-000001", tx);
+    p.cancel("run-000001", 1000, true, tx);
     assert!(p.next_commit(2200, 32).is_none(), "not said while it may still come");
     assert!(p.needs_new_term());
     p.report(&report("h1", 1, 3, 1, vec![]), Via::Beat, 2300);
@@ -267,7 +267,7 @@
     assert!(p.next_attempt > last);
 }
 
-fn items(p: &mut Part) -> (Vec<Item>, Vec<Item>) {
+pub fn items(p: &mut Part) -> (Vec<Item>, Vec<Item>) {
     let item = |key, value, version| Item { key, value, version };
     let job = |j: &Job| item(job_key(&j.spec.id), serde_json::to_value(JobRecord::of(j, None, 10)).unwrap(), 100);
     let record = HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, part: 0 };
@@ -337,7 +337,7 @@
     assert!(matches!(p.world.jobs[0].tasks[0].place, Place::On(..)));
     assert_eq!(p.world.jobs[1].tasks[0].place, Place::Idle, "this one may be on h2");
     let (tx, mut rx) = oneshot::channel();
-    p.cancel("run-000001", tx);
+    p.cancel("run-000001", 1000, true, tx);
     assert!(p.next_commit(1300, 32).is_none() && rx.try_recv().is_err(), "nor is its end said");
     p.host_gone("h2");
     while p.next_commit(1400, 32).is_some() {
--- a/src/part/users.rs
+++ b/src/part/users.rs
@@ -24,9 +24,7 @@
             Ok(_) if self.world.flavors.is_empty() => UserAnswer::Later("the machine types are not known yet"),
             Ok(spec) => match sched::impossible(&spec, &self.policy, &self.world.flavors) {
                 Some(message) => UserAnswer::Impossible(message),
-                None if !fits(&spec, self.value_bytes) => {
-                    UserAnswer::Malformed("bundle: the job's texts are too long".into())
-                }
+                None if !fits(&spec, self.value_bytes) => UserAnswer::Malformed(TOO_LONG.into()),
                 None if self.backlog_s() * 4000.0 > self.policy.lease_ms as f64 => {
                     UserAnswer::Busy(self.backlog_s().ceil() as u64)
                 }
@@ -50,9 +48,27 @@
         new as f64 / self.policy.writes_per_s
     }
 
-    pub(super) fn accepted(&self, ix: JobIx, created: bool) -> UserAnswer {
+    /// The one place that decides whether a user may be told of a job from memory, and
+    /// what: its phase and how many of its tasks run. While a write of its end may have
+    /// been carried out, another node may have read the end and told it: nothing older
+    /// may be said then, and the record must be read afresh.
+    fn told(&self, ix: JobIx) -> Result<(JobPhase, u32), UserAnswer> {
         let job = &self.world.jobs[ix];
-        UserAnswer::Accepted { created, id: job.spec.id.clone(), phase: job.phase(self.running(ix)) }
+        if job.version == 0 {
+            return Err(UserAnswer::Later("the job is not accepted yet"));
+        }
+        if job.end.is_none() && job.end_open {
+            return Err(UserAnswer::Later("the job's end is being recorded"));
+        }
+        let running = if job.end.is_some() { 0 } else { self.running(ix) };
+        Ok((job.phase(running), running))
+    }
+
+    pub(super) fn accepted(&self, ix: JobIx, created: bool) -> UserAnswer {
+        match self.told(ix) {
+            Ok((phase, _)) => UserAnswer::Accepted { created, id: self.world.jobs[ix].spec.id.clone(), phase },
+            Err(later) => later,
+        }
     }
 
     pub(super) fn running(&self, ix: JobIx) -> u32 {
@@ -69,61 +85,65 @@
 
     pub fn status(&self, id: &str) -> UserAnswer {
         match self.world.job_ix.get(id) {
-            Some(&ix) if self.world.jobs[ix].version > 0 => self.status_of(ix),
-            Some(_) => UserAnswer::Later("the job is not accepted yet"),
+            Some(&ix) => self.status_of(ix),
             None => UserAnswer::Unknown,
         }
     }
 
     pub(super) fn status_of(&self, ix: JobIx) -> UserAnswer {
         let job = &self.world.jobs[ix];
-        let running = if job.end.is_some() { 0 } else { self.running(ix) };
         // All tasks may be done before the record says so; the end is said later.
-        let done = if job.end.is_some() { job.done } else { job.done.min(job.spec.tasks) };
-        UserAnswer::Status { id: job.spec.id.clone(), phase: job.phase(running), done, running }
+        let done = job.done.min(job.spec.tasks);
+        match self.told(ix) {
+            Ok((phase, running)) => UserAnswer::Status { id: job.spec.id.clone(), phase, done, running },
+            Err(later) => later,
+        }
     }
 
-    /// A cancellation; answered after its commit.
-    pub fn cancel(&mut self, id: &str, waiter: Waiter) {
+    /// A cancellation; answered after its commit, or at once where that can't come
+    /// soon. What can be reached is stopped in any case.
+    pub fn cancel(&mut self, id: &str, now: u64, recordable: bool, waiter: Waiter) {
         let Some(&ix) = self.world.job_ix.get(id) else {
             let _ = waiter.send(UserAnswer::Unknown);
             return;
         };
         let job = &mut self.world.jobs[ix];
-        if job.end.is_some() {
+        if job.end.is_some() || job.version == 0 {
             let _ = waiter.send(self.status_of(ix));
             return;
         }
-        if job.version == 0 {
-            let _ = waiter.send(UserAnswer::Later("the job's record is being written"));
-            return;
-        }
-        let waiters = self.waiters.entry(ix).or_default();
-        waiters.retain(|w| !w.is_closed());
-        waiters.push(waiter);
         if !std::mem::replace(&mut job.cancelling, true) {
             self.stop_all(ix);
             self.cancelling.insert(ix);
         }
+        if !recordable {
+            let _ = waiter.send(UserAnswer::Later("the state service gives no answer"));
+        } else if self.out_of_reach(ix, now) {
+            let _ = waiter.send(UserAnswer::Later("some of the job's machines can't be reached"));
+        } else {
+            let waiters = self.waiters.entry(ix).or_default();
+            waiters.retain(|w| !w.is_closed());
+            waiters.push(waiter);
+        }
+    }
+
+    /// May one of the job's tasks be on a machine that does not answer?
+    fn out_of_reach(&self, ix: JobIx, now: u64) -> bool {
+        let silent = |h: &Host| h.missed >= DEAF || now.saturating_sub(h.heard_ms) > self.lost_ms();
+        let there = |h: &Host| h.copies.iter().any(|c| c.key.job == ix && !c.ended());
+        self.world.each_host().any(|(_, h)| silent(h) && there(h))
     }
 
     /// Cancellations whose tasks are certainly gone are to be recorded, and said
     /// then. Said before, `cancel_s` would count while a machine that nobody can
     /// reach goes on with a task, kept alive by another controller.
     pub(super) fn settle_cancellations(&mut self) {
-        let gone = |ix: &JobIx| {
-            let job = &self.world.jobs[*ix];
-            let clear = self.world.clear(job);
-            let here = |h: &Host| h.copies.iter().any(|c| c.key.job == *ix && !c.ended());
-            // A completion may be in a commit under way: it goes first.
-            !job.saving
-                && job.tasks.iter().all(|t| match t.place {
-                    Place::On(..) => false,
-                    Place::Idle => clear || t.located,
-                    Place::Done => true,
-                })
-                && !self.world.each_host().any(|(_, h)| here(h))
-        };
+        if self.cancelling.is_empty() {
+            return;
+        }
+        let on_machines = self.world.jobs_on_machines();
+        // A completion may be in a commit under way: it goes first.
+        let gone = |ix: &JobIx| !self.world.jobs[*ix].saving && self.world.gone(*ix, &on_machines);
         let settled: Vec<JobIx> = self.cancelling.iter().copied().filter(gone).collect();
         for ix in settled {
             self.cancelling.remove(&ix);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -126,13 +126,12 @@
 /// May tasks be placed on the machine now?
 pub fn usable(h: &Host, now: u64) -> bool {
     h.registered
-        && h.accounted
         && !h.strays
         && !h.notice
         && !h.releasing
         && !h.draining
         && h.giving.is_none()
-        && h.fence >= h.min_fence
+        && h.shown()
         && h.blocked_until_ms <= now
         && h.failed_jobs.len() < SHUNNED
         && h.addr.is_some()
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -113,23 +113,6 @@
     out: Outcome,
 }
 
-/// No more than the tasks that were not seen, and no more than fits there.
-fn unseen(world: &World) -> HashMap<String, Demand> {
-    let mut sums: HashMap<String, Demand> = HashMap::new();
-    if world.all_accounted {
-        return sums;
-    }
-    for job in world.live.iter().map(|ix| &world.jobs[*ix]).filter(|j| !world.clear(j)) {
-        let n = job.tasks.iter().filter(|t| t.place == Place::Idle && !t.located).count();
-        sums.entry(job.spec.team.clone()).or_default().add(&job.spec.demand.times(n as f64));
-    }
-    let most = world.unaccounted;
-    for d in sums.values_mut() {
-        *d = Demand { cpus: d.cpus.min(most.cpus), gpus: d.gpus.min(most.gpus), mem: d.mem.min(most.mem) };
-    }
-    sums
-}
-
 /// One pass over the bins, lowest first. `attempt` yields numbers that never
 /// repeat.
 ///
@@ -159,7 +142,7 @@
         host.claims.retain(|c| c.until_ms > now);
     }
     let index = Index::new(world, now);
-    let unseen = unseen(world);
+    let unseen = world.unseen();
     let mut p = Pass {
         scarce: scarce(world, &index),
         index,
@@ -441,9 +424,10 @@
         let mut counts = self.index.counts(ix);
         let mut candidates = None;
         let placeable = self.world.placeable(&self.world.jobs[ix]);
+        let lingering = self.world.lingering(ix, self.index.hosts_of(ix));
         for n in 0..self.world.jobs[ix].tasks.len() {
             let t = self.world.jobs[ix].tasks[n];
-            if t.retry_ms > self.now || !placeable.open(&t) {
+            if t.retry_ms > self.now || !placeable.open(&t) || lingering.contains(&(n as u32)) {
                 continue;
             }
             if !self.within_limit(&self.world.jobs[ix].spec, 1.0) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,10 +5,6 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 
-/// Field names of a submission that routing reads.
-pub const ID: &str = "id";
-pub const TEAM: &str = "owner";
-
 /// Most tasks of a job.
 pub const MAX_TASKS: u64 = 100_000;
 
