A part's records are read by one task until they are in, and the part begins once

Cause, from reading the code for takeovers that an outage meets: each failed read asked for another at once and for one more after a pause, so that reads multiplied for as long as the outage lasted; when the service was back several came in, and each began the part anew on top of what it had ordered since. A task could then be started twice.

Also: a direct command of an earlier tenancy of the same node could pass for the one under way, whose loss would then have bound nothing; and a node that knows the state service to be silent says so at once instead of waiting for a time-out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -276,6 +276,10 @@
 
     /// Answers from the job's record, read now.
     async fn fresh(&self, id: &str, status: bool) -> Response {
+        // Known to be silent: refused at once, not after a time-out.
+        if !self.state.answers(self.doors.life_ms) {
+            return Response::later("the state service gives no answer");
+        }
         if !self.state.within_budget() {
             return Response::later("too many requests");
         }
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -30,8 +30,8 @@
     Coming(u64, Vec<Machines>, Vec<Machines>),
     Rechecked(u64, String, Option<HostRecord>),
     Metrics(oneshot::Sender<String>),
-    Loaded(u64, Option<Loaded>),
-    DirectDone(Direct, DirectResult),
+    Loaded(u64, Loaded),
+    DirectDone(u64, Direct, DirectResult),
     Committed(u64, CommitResult),
     Reread(u64, Vec<Item>),
     /// Jobs that other nodes accepted.
@@ -64,6 +64,16 @@
     flavors: Vec<Flavor>,
 }
 
+impl Loaded {
+    async fn read(state: &State) -> Option<Loaded> {
+        let jobs = state.list("job/").await.ok()?;
+        let hosts = state.list("host/").await.ok()?;
+        let flavors = state.get(FLAVORS_KEY).await.ok()?.0;
+        let flavors = flavors.and_then(|i| serde_json::from_value(i.value).ok()).unwrap_or_default();
+        Some(Loaded { jobs, hosts, flavors })
+    }
+}
+
 /// What the actor works with.
 pub struct Holder {
     pub id: u32,
@@ -190,17 +200,17 @@
         }
     }
 
+    /// Reads what the state service holds, until that succeeds or the tenancy is over.
     fn load(&self, n: u64) {
-        let (state, tx) = (self.state.clone(), self.tx.clone());
+        let (state, tx, current) = (self.state.clone(), self.tx.clone(), self.current.clone());
         tokio::spawn(async move {
-            let loaded = async {
-                let jobs = state.list("job/").await.ok()?;
-                let hosts = state.list("host/").await.ok()?;
-                let flavors = state.get(FLAVORS_KEY).await.ok()?.0;
-                let flavors = flavors.and_then(|i| serde_json::from_value(i.value).ok()).unwrap_or_default();
-                Some(Loaded { jobs, hosts, flavors })
-            };
-            let _ = tx.send(Msg::Loaded(n, loaded.await)).await;
+            while current.load(Ordering::Relaxed) == n {
+                if let Some(loaded) = Loaded::read(&state).await {
+                    let _ = tx.send(Msg::Loaded(n, loaded)).await;
+                    return;
+                }
+                sleep(state.pause()).await;
+            }
         });
     }
 
@@ -260,25 +270,17 @@
             Msg::Metrics(reply) => {
                 let _ = reply.send(h.part.metrics.text());
             }
-            Msg::Loaded(of, loaded) if of == n => match loaded {
-                Some(l) => {
-                    let (term, version) = (h.part.term, h.version);
-                    h.part.begin(term, version, l.jobs, l.hosts, l.flavors, now);
-                    h.loaded = true;
-                    tracing::info!(term, jobs = h.part.world.live.len(), hosts = h.part.world.host_ix.len(), "loaded");
-                    self.watch_cloud(n, h.part.world.flavors.clone());
-                    self.watch_inbox(n);
-                }
-                None => {
-                    let again = (self.tx.clone(), self.settings.react_ms() / 4);
-                    tokio::spawn(async move {
-                        sleep(Duration::from_millis(again.1)).await;
-                        let _ = again.0.send(Msg::Loaded(n, None)).await;
-                    });
-                    self.load(n);
-                }
-            },
-            Msg::DirectDone(d, result) => h.part.direct_done(&d, result, now),
+            // Once: begun anew, the part would forget what it has ordered since.
+            Msg::Loaded(of, l) if of == n && !h.loaded => {
+                let (term, version) = (h.part.term, h.version);
+                h.part.begin(term, version, l.jobs, l.hosts, l.flavors, now);
+                h.loaded = true;
+                tracing::info!(term, jobs = h.part.world.live.len(), hosts = h.part.world.host_ix.len(), "loaded");
+                self.watch_cloud(n, h.part.world.flavors.clone());
+                self.watch_inbox(n);
+            }
+            // One of an earlier tenancy must not pass for the one that is under way.
+            Msg::DirectDone(of, d, result) if of == n => h.part.direct_done(&d, result, now),
             Msg::Committed(of, result) if of == n => {
                 if matches!(result, CommitResult::Refused | CommitResult::Unclear) {
                     h.commit_after_ms = now + self.settings.react_ms() / 5;
@@ -522,10 +524,10 @@
     fn send_direct(&self, h: &mut Tenure, hix: HostIx, now: u64, probe: bool) -> bool {
         let Some(d) = h.part.direct(hix, now, probe) else { return false };
         let body = wire::direct(d.term, d.tenure, &d.orders);
-        let (worker, tx) = (self.worker.clone(), self.tx.clone());
+        let (worker, tx, n) = (self.worker.clone(), self.tx.clone(), h.n);
         tokio::spawn(async move {
             let result = worker.direct(d.addr, &body).await;
-            let _ = tx.send(Msg::DirectDone(d, result)).await;
+            let _ = tx.send(Msg::DirectDone(n, d, result)).await;
         });
         true
     }
