--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+
+pub fn example() -> String {
+    r#"
+node = "n0"
+site = "a"
+serve_on = "127.0.0.1:8080"
+internal_addr = "127.0.0.1:8081"
+novelty = 3
+[[seeds]]
+node = "n1"
+site = "b"
+endpoint = "127.0.0.1:9081"
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+nodes = 2
+zones = ["a", "b"]
+time_bound_ms = 25.0
+[[params.teams]]
+name = "red"
+gpus = 8.0
+gpus_max = 16.0
+[[params.teams]]
+name = "blue"
+gpus = 4.0
+gpus_max = 0.0
+[[params.objectives]]
+kind = "wait"
+class = "chat"
+within_s = 2.0
+share = 0.9
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[params.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 32
+[params.cloud]
+rps = 6.0
+list_lag_s = 4.0
+[params.limits]
+core_share = 0.12
+memory_mb = 56.0
+max_sockets = 800
+"#
+    .to_string()
+}
+
+pub fn settings() -> Settings {
+    toml::from_str(&example()).unwrap()
+}
+
+#[test]
+fn unknown_settings_are_ignored_and_bad_ones_named() {
+    check_settings(&settings()).unwrap();
+    let mut s = settings();
+    s.params.workers.lease_s = f64::NAN;
+    assert!(check_settings(&s).unwrap_err().contains("lease_s"));
+    let mut s = settings();
+    s.site = "elsewhere".into();
+    assert!(check_settings(&s).unwrap_err().starts_with("site"));
+    let mut s = settings();
+    s.params.teams[0].gpus = 99.0;
+    assert!(check_settings(&s).unwrap_err().contains("gpus of red"));
+}
+
+#[test]
+fn operators_names_are_checked() {
+    let o: Operator = hcl::from_str("bin_width_s = 2").unwrap();
+    assert_eq!(o.bin_width_s, 2.0);
+    assert!(hcl::from_str::<Operator>("bin_widht_s = 2").is_err());
+    assert!(check_operator(&Operator { headroom: -1.0, ..Operator::default() }).is_err());
+}
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,122 @@
+use super::*;
+
+const LIFE: u64 = 2500;
+
+fn holding(peers: usize) -> Rules {
+    let mut r = Rules::new("a", LIFE, peers, 0);
+    r.begin(&Taken { grant: 1, term: 7, version: 3, start_ms: 0 }, 1000);
+    r
+}
+
+#[test]
+fn entitlement_counts_from_when_the_renewal_was_sent() {
+    let mut r = holding(2);
+    let first = r.entitled_until();
+    assert!(first < 1000 + LIFE && first > 1000 + LIFE - 10, "less drift");
+    r.extended(1, 2000);
+    assert_eq!(r.entitled_until(), first + 1000);
+    r.extended(1, 1500);
+    assert_eq!(r.entitled_until(), first + 1000, "a late answer takes nothing back");
+    r.extended(2, 9000);
+    assert_eq!(r.entitled_until(), first + 1000, "another grant is another's");
+}
+
+#[tokio::test(start_paused = true)]
+async fn entitlement_ends_by_itself_on_the_steady_clock() {
+    let (e, now) = (Entitlement::default(), clock::now_ms());
+    assert!(!e.holds(now), "none before the first grant");
+    e.set(now + LIFE);
+    tokio::time::advance(Duration::from_millis(LIFE - 10)).await;
+    assert!(e.holds(clock::now_ms()));
+    tokio::time::advance(Duration::from_millis(20)).await;
+    assert!(!e.holds(clock::now_ms()), "no message is needed for it to end");
+}
+
+#[test]
+fn promises_count_only_if_all_others_gave_them() {
+    let mut r = holding(2);
+    let first = r.entitled_until();
+    r.promised(0, 5000, 5001);
+    assert_eq!(r.entitled_until(), first);
+    r.promised(1, 4000, 4001);
+    assert!(r.entitled_until() > 4000 && r.entitled_until() < 4000 + LIFE, "the earliest one counts");
+}
+
+// Leases may be kept alive by a controller that is bound by no promise: the
+// holder must know of every moment in which one was not.
+#[test]
+fn a_break_between_promises_is_known_to_the_holder_and_frees_the_other() {
+    let mut r = holding(1);
+    r.promised(0, 2000, 2010);
+    assert_eq!(r.bound_to_us().0, 2010, "unbound until the first answer");
+    r.promised(0, 3000, 3010);
+    assert_eq!(r.bound_to_us().0, 2010, "without a break since");
+    let until = r.bound_to_us().1;
+    assert!(until > 3000 && until < 3000 + LIFE);
+    r.promised(0, until - 100, until + 1);
+    assert_eq!(r.bound_to_us().0, until + 1, "asked in time, and maybe heard too late");
+
+    let mut b = Rules::new("b", LIFE, 1, 1000);
+    assert!(b.bound_until() > 1000 + LIFE, "a restarted node has forgotten what it promised");
+    assert!(b.promise(9000, 7, LIFE, true, true));
+    assert!(b.bound_until() > 9000 + LIFE, "longer than the asker counts");
+}
+
+#[test]
+fn a_holder_without_the_state_service_learns_from_the_next_one_that_it_is_over() {
+    let r = holding(1);
+    let end = r.entitled_until();
+    assert!(!r.succeeded_by(end - 1, 8), "its entitlement holds");
+    assert!(!r.succeeded_by(end, 7) && r.succeeded_by(end, 8));
+}
+
+#[test]
+fn a_promise_binds_longer_than_the_asker_counts_it() {
+    let mut r = Rules::new("b", LIFE, 2, 0);
+    r.unbound();
+    assert!(r.may_take(10));
+    assert!(r.promise(1000, 7, LIFE, true, true));
+    let mut asker = holding(1);
+    asker.promised(0, 1000, 1001);
+    assert!(!r.may_take(asker.entitled_until()));
+    assert!(r.may_take(1000 + LIFE + 10));
+}
+
+#[test]
+fn only_the_one_without_the_state_service_gets_no_promise() {
+    let mut r = Rules::new("b", LIFE, 2, 0);
+    assert!(!r.promise(1000, 7, LIFE, false, true), "others have it");
+    assert!(r.promise(1000, 7, LIFE, false, false), "an outage");
+    assert!(!holding(2).promise(1000, 7, LIFE, true, true), "a holder promises nothing");
+}
+
+#[test]
+fn a_restarted_node_waits_out_promises_it_has_forgotten() {
+    let mut r = Rules::new("b", LIFE, 2, 10_000);
+    assert!(!r.may_take(10_000 + LIFE));
+    assert!(r.may_take(10_000 + LIFE + 10));
+    r = Rules::new("b", LIFE, 2, 10_000);
+    r.unbound();
+    assert!(r.may_take(10_000), "nobody relied on them");
+}
+
+#[test]
+fn a_late_release_does_not_undo_a_later_promise() {
+    let mut r = Rules::new("b", LIFE, 2, 0);
+    r.unbound();
+    assert!(r.promise(1000, 7, LIFE, true, true));
+    r.release(1100, 7);
+    assert!(r.may_take(1100));
+    assert!(r.promise(1200, 8, LIFE, true, true));
+    r.release(1300, 7);
+    assert!(!r.may_take(1300));
+}
+
+#[test]
+fn a_holder_does_not_abdicate_again_and_again() {
+    let mut r = holding(2);
+    assert!(r.may_abdicate(1000, 20_000));
+    assert!(!r.may_abdicate(30_000, 20_000));
+    assert!(r.may_abdicate(50_000, 20_000));
+    assert!(!holding(0).may_abdicate(1000, 20_000), "there is nobody else");
+}
--- a/src/part/fleet_tests.rs
+++ b/src/part/fleet_tests.rs
@@ -5,7 +5,7 @@
 use crate::clients::RentResult;
 use crate::config::{Objective, Operator, tests::settings};
 use crate::leader::{CloudOp, Leader};
-use crate::wire::reported;
+use crate::wire::tests::reported;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::config::{Operator, tests::settings};
-use crate::wire::reported;
+use crate::wire::tests::reported;
 use serde_json::json;
 use tokio::sync::oneshot;
 
