--- a/src/part/meeting_tests.rs
+++ b/src/part/meeting_tests.rs
@@ -2,7 +2,7 @@
 
 use super::tests::*;
 use super::*;
-use crate::wire::reported;
+use crate::wire::tests::reported;
 use tokio::sync::oneshot;
 
 /// Takes all commits that are due, with this answer to each.
