--- a/src/clients.rs
+++ b/src/clients.rs
@@ -3,8 +3,9 @@
 
 use crate::clock;
 use crate::config::Settings;
-use crate::http::{CallError, Client};
+use crate::http::{CallError, Client, FEW};
 use crate::model::Flavor;
+use crate::net::Net;
 use crate::part::{CommitResult, DirectResult};
 use crate::wire::{self, Changes, Grant, Item, Listed, Page, Revision, store};
 use serde_json::Value;
@@ -82,9 +83,13 @@
 
 impl State {
     pub fn new(s: &Settings) -> State {
+        State::on(&Net::default(), s)
+    }
+
+    pub fn on(net: &Net, s: &Settings) -> State {
         let now = clock::now_ms();
         State {
-            http: Client::default(),
+            http: Client::on(net, FEW),
             addr: s.endpoints.state,
             timeout: Duration::from_millis(s.react_ms()),
             // Half for each controller: the holder needs most, and seldom that.
@@ -236,8 +241,12 @@
 
 impl Cloud {
     pub fn new(s: &Settings) -> Cloud {
+        Cloud::on(&Net::default(), s)
+    }
+
+    pub fn on(net: &Net, s: &Settings) -> Cloud {
         Cloud {
-            http: Client::default(),
+            http: Client::on(net, FEW),
             addr: s.endpoints.cloud,
             timeout: Duration::from_millis(s.lease_ms() / 4),
             budget: Arc::new(std::sync::Mutex::new(Bucket::new(s.params.cloud.rps * 0.8, 1.0, clock::now_ms()))),
@@ -308,11 +317,15 @@
 
 impl Worker {
     pub fn new(s: &Settings) -> Worker {
+        Worker::on(&Net::default(), s)
+    }
+
+    pub fn on(net: &Net, s: &Settings) -> Worker {
         // Of a thousand machines few are sent orders at a time: what stays open
         // to the others would use up the sockets that their reports need.
         let share = s.params.limits.max_sockets / 16;
         Worker {
-            http: Client::keeping(share.max(1)),
+            http: Client::on(net, share.max(1)),
             under_way: Arc::new(tokio::sync::Semaphore::new((2 * share).max(1))),
             kept: share,
             // Two questions in vain make a machine lost: both fit into one `react_ms`.
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP/1.1 server and client on one shared framing.
 
+use crate::net::{Listener, Net, Stream};
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -7,7 +8,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -103,7 +103,7 @@
 
 /// Reads from `stream` into `buf` until `parse` finds a head and its body is in.
 async fn read_message<T>(
-    stream: &mut TcpStream,
+    stream: &mut Box<dyn Stream>,
     buf: &mut Vec<u8>,
     parse: impl Fn(&[u8]) -> Parsed<T>,
 ) -> Result<(T, Vec<u8>, bool), ReadError> {
@@ -206,7 +206,7 @@
 /// Serves `listener` for ever. `patience` bounds how long a request may take
 /// to arrive; idle connections may stay until there are too many, when the one
 /// that waited longest goes: workers that were cut off leave theirs behind.
-pub async fn serve<H, F>(listener: TcpListener, max_open: usize, patience: Duration, handler: H)
+pub async fn serve<H, F>(listener: impl Listener, max_open: usize, patience: Duration, handler: H)
 where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
@@ -215,7 +215,7 @@
     let open = Arc::new(AtomicUsize::new(0));
     let idle = Arc::new(Mutex::new(Idle::default()));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = listener.accept().await else {
             // No free socket: wait for one instead of spinning.
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
@@ -236,12 +236,11 @@
     }
 }
 
-async fn connection<H, F>(mut stream: TcpStream, patience: Duration, handler: &H, idle: &Mutex<Idle>)
+async fn connection<H, F>(mut stream: Box<dyn Stream>, patience: Duration, handler: &H, idle: &Mutex<Idle>)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
-    let _ = stream.set_nodelay(true);
     let mut buf = Vec::new();
     loop {
         if buf.is_empty() {
@@ -304,23 +303,25 @@
     Unclear,
 }
 
+type Open = Box<dyn Stream>;
+
 /// Idle connections by address; the one that was used longest ago goes first.
 #[derive(Default)]
 struct Pool {
     most: usize,
     next: u64,
-    by_addr: HashMap<SocketAddr, Vec<(u64, TcpStream)>>,
+    by_addr: HashMap<SocketAddr, Vec<(u64, Open)>>,
     by_age: BTreeMap<u64, SocketAddr>,
 }
 
 impl Pool {
-    fn take(&mut self, addr: SocketAddr) -> Option<TcpStream> {
+    fn take(&mut self, addr: SocketAddr) -> Option<Open> {
         let (age, stream) = self.by_addr.get_mut(&addr)?.pop()?;
         self.by_age.remove(&age);
         Some(stream)
     }
 
-    fn keep(&mut self, addr: SocketAddr, stream: TcpStream) {
+    fn keep(&mut self, addr: SocketAddr, stream: Open) {
         let same = self.by_addr.entry(addr).or_default();
         if same.len() >= IDLE_PER_HOST || self.most == 0 {
             return;
@@ -350,21 +351,29 @@
 #[derive(Clone)]
 pub struct Client {
     idle: Arc<Mutex<Pool>>,
+    net: Net,
 }
 
 impl Default for Client {
     /// For a few servers that are asked all the time.
     fn default() -> Client {
-        Client::keeping(16)
+        Client::keeping(FEW)
     }
 }
 
 const IDLE_PER_HOST: usize = 4;
+/// Idle connections kept by a client of a few servers.
+pub const FEW: usize = 16;
 
 impl Client {
     /// A client that keeps so many idle connections at the most.
     pub fn keeping(most: usize) -> Client {
-        Client { idle: Arc::new(Mutex::new(Pool { most, ..Pool::default() })) }
+        Client::on(&Net::default(), most)
+    }
+
+    /// The same over a given network.
+    pub fn on(net: &Net, most: usize) -> Client {
+        Client { idle: Arc::new(Mutex::new(Pool { most, ..Pool::default() })), net: net.clone() }
     }
 
     pub async fn call(
@@ -378,13 +387,12 @@
         let deadline = Instant::now() + limit;
         let reused = self.idle.lock().ok().and_then(|mut p| p.take(addr));
         let mut stream = match reused {
-            Some(s) if !is_closed(&s) => s,
-            _ => match timeout_at(deadline, TcpStream::connect(addr)).await {
+            Some(s) if !s.is_closed() => s,
+            _ => match timeout_at(deadline, self.net.connect(addr)).await {
                 Ok(Ok(s)) => s,
                 _ => return Err(CallError::NotSent),
             },
         };
-        let _ = stream.set_nodelay(true);
         let mut out = Vec::with_capacity(128 + body.map_or(0, <[u8]>::len));
         out.extend_from_slice(format!("{method} {path} HTTP/1.1\r\nHost: {addr}\r\n").as_bytes());
         if let Some(b) = body {
@@ -421,15 +429,10 @@
     }
 }
 
-/// True if the other side has closed an idle connection meanwhile.
-fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [0u8; 1];
-    !matches!(stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::net::{TcpListener, TcpStream};
 
     async fn server(patience_ms: u64) -> SocketAddr {
         let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -496,7 +499,7 @@
         let late = Client::default();
         assert!(late.call(addr, "GET", "/", None, limit).await.is_ok());
         tokio::time::sleep(Duration::from_millis(50)).await;
-        let open = |c: &Client| c.idle.lock().unwrap().take(addr).is_some_and(|s| !is_closed(&s));
+        let open = |c: &Client| c.idle.lock().unwrap().take(addr).is_some_and(|s| !s.is_closed());
         assert!(!open(&kept[0]), "the first one was closed");
         assert!(kept[1..].iter().all(open));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod model;
+pub mod net;
 pub mod node;
 pub mod part;
 pub mod peer;
--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,97 @@
+//! How connections are made: over TCP, unless a test puts its own network in place.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+
+pub type Later<'a, T> = Pin<Box<dyn Future<Output = io::Result<T>> + Send + 'a>>;
+pub type ReadHalf = Box<dyn AsyncRead + Send + Unpin>;
+pub type WriteHalf = Box<dyn AsyncWrite + Send + Unpin>;
+
+/// An open connection.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {
+    /// True if the other side has closed an idle connection meanwhile.
+    fn is_closed(&self) -> bool;
+    /// Both directions, to be used by different tasks.
+    fn halves(self: Box<Self>) -> (ReadHalf, WriteHalf);
+}
+
+/// A bound address.
+pub trait Listener: Send + Sync + 'static {
+    fn accept(&self) -> Later<'_, Box<dyn Stream>>;
+}
+
+/// What connections are made over.
+pub trait Network: Send + Sync + 'static {
+    fn connect(&self, addr: SocketAddr) -> Later<'_, Box<dyn Stream>>;
+    fn bind(&self, addr: SocketAddr) -> Later<'_, Box<dyn Listener>>;
+}
+
+/// A handle of the network; cheap to clone. TCP by default.
+#[derive(Clone)]
+pub struct Net(Arc<dyn Network>);
+
+impl Net {
+    pub fn new(network: impl Network) -> Net {
+        Net(Arc::new(network))
+    }
+
+    pub async fn connect(&self, addr: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        self.0.connect(addr).await
+    }
+
+    pub async fn bind(&self, addr: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        self.0.bind(addr).await
+    }
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        Net::new(Tcp)
+    }
+}
+
+struct Tcp;
+
+impl Network for Tcp {
+    fn connect(&self, addr: SocketAddr) -> Later<'_, Box<dyn Stream>> {
+        Box::pin(async move { TcpStream::connect(addr).await.map(without_delay) })
+    }
+
+    fn bind(&self, addr: SocketAddr) -> Later<'_, Box<dyn Listener>> {
+        Box::pin(async move { Ok(Box::new(TcpListener::bind(addr).await?) as Box<dyn Listener>) })
+    }
+}
+
+fn without_delay(stream: TcpStream) -> Box<dyn Stream> {
+    let _ = stream.set_nodelay(true);
+    Box::new(stream)
+}
+
+impl Listener for TcpListener {
+    fn accept(&self) -> Later<'_, Box<dyn Stream>> {
+        Box::pin(async move { TcpListener::accept(self).await.map(|(stream, _)| without_delay(stream)) })
+    }
+}
+
+impl Listener for Box<dyn Listener> {
+    fn accept(&self) -> Later<'_, Box<dyn Stream>> {
+        (**self).accept()
+    }
+}
+
+impl Stream for TcpStream {
+    fn is_closed(&self) -> bool {
+        let mut byte = [0u8; 1];
+        !matches!(self.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn halves(self: Box<Self>) -> (ReadHalf, WriteHalf) {
+        let (read, write) = self.into_split();
+        (Box::new(read), Box::new(write))
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,32 +2,37 @@
 
 use crate::api::Api;
 use crate::clients::{Cloud, State, Worker};
-use crate::config::{Operator, Settings};
+use crate::config::{Operator, Seed, Settings};
 use crate::doors::{Door, Doors};
 use crate::holder::Holder;
 use crate::membership::{Bonds, Entitlement, Membership, Seat};
+use crate::net::Net;
 use crate::peer::{self, Peer};
 use crate::sched::Policy;
 use crate::{clock, http};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 /// Serves for ever; an error means that a port can't be opened.
 pub async fn run(settings: Settings, operator: Operator) -> std::io::Result<()> {
+    run_on(Net::default(), settings, operator).await
+}
+
+/// The same over a given network.
+pub async fn run_on(net: Net, settings: Settings, operator: Operator) -> std::io::Result<()> {
     clock::now_ms();
-    let users = TcpListener::bind(settings.serve_on).await?;
-    let internal = TcpListener::bind(settings.internal_addr).await?;
+    let users = net.bind(settings.serve_on).await?;
+    let internal = net.bind(settings.internal_addr).await?;
     tracing::info!(node = settings.node, serve_on = %settings.serve_on, "serving");
 
     let life_ms = settings.grant_life_ms();
-    let state = State::new(&settings);
-    let cloud = Cloud::new(&settings);
+    let state = State::on(&net, &settings);
+    let cloud = Cloud::on(&net, &settings);
     let connect_limit = Duration::from_millis(life_ms / 4);
-    let peers: Vec<Peer> =
-        settings.seeds.iter().map(|s| Peer::start(s.node.clone(), s.endpoint, connect_limit)).collect();
+    let start = |s: &Seed| Peer::start_on(net.clone(), s.node.clone(), s.endpoint, connect_limit);
+    let peers: Vec<Peer> = settings.seeds.iter().map(start).collect();
 
     let held = Arc::new(AtomicUsize::new(0));
     let mut nodes: Vec<&str> = settings.seeds.iter().map(|s| s.node.as_str()).collect();
@@ -76,7 +81,7 @@
             operator: operator.clone(),
             state: state.clone(),
             cloud: cloud.clone(),
-            worker: Worker::new(&settings),
+            worker: Worker::on(&net, &settings),
             entitled: door.entitled.clone(),
             bonds: door.bonds.clone(),
             members: door.members.clone(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,7 @@
 //! What controllers say to each other: CBOR messages in frames of a length and
 //! a body, requests and replies matched by number.
 
+use crate::net::{Listener, Net, ReadHalf, WriteHalf};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::future::Future;
@@ -8,8 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -91,7 +90,7 @@
     Some(out)
 }
 
-async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut OwnedReadHalf) -> Option<(u64, T)> {
+async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut ReadHalf) -> Option<(u64, T)> {
     let mut len = [0; 4];
     stream.read_exact(&mut len).await.ok()?;
     let len = u32::from_be_bytes(len) as usize;
@@ -105,19 +104,18 @@
 }
 
 /// Serves the other controllers for ever.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F>(listener: impl Listener, handler: H)
 where
     H: Fn(Ask) -> F + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
     let handler = Arc::new(handler);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let (mut read, write) = stream.into_split();
+        let (mut read, write) = stream.halves();
         let handler = handler.clone();
         let (tx, rx) = mpsc::channel::<Vec<u8>>(64);
         tokio::spawn(write_frames(write, rx));
@@ -134,7 +132,7 @@
     }
 }
 
-async fn write_frames(mut write: OwnedWriteHalf, mut rx: mpsc::Receiver<Vec<u8>>) {
+async fn write_frames(mut write: WriteHalf, mut rx: mpsc::Receiver<Vec<u8>>) {
     while let Some(frame) = rx.recv().await {
         if write.write_all(&frame).await.is_err() {
             return;
@@ -160,8 +158,13 @@
     /// Starts the actor that owns the connection. One that leaves requests
     /// unanswered is given up, as a cut may hold what is sent on it.
     pub fn start(name: String, addr: SocketAddr, connect_limit: Duration) -> Peer {
+        Peer::start_on(Net::default(), name, addr, connect_limit)
+    }
+
+    /// The same over a given network.
+    pub fn start_on(net: Net, name: String, addr: SocketAddr, connect_limit: Duration) -> Peer {
         let (tx, rx) = mpsc::channel(256);
-        tokio::spawn(run(addr, connect_limit, tx.clone(), rx));
+        tokio::spawn(run(net, addr, connect_limit, tx.clone(), rx));
         Peer { name, tx }
     }
 
@@ -178,7 +181,13 @@
     }
 }
 
-async fn run(addr: SocketAddr, connect_limit: Duration, tx: mpsc::Sender<ToPeer>, mut rx: mpsc::Receiver<ToPeer>) {
+async fn run(
+    net: Net,
+    addr: SocketAddr,
+    connect_limit: Duration,
+    tx: mpsc::Sender<ToPeer>,
+    mut rx: mpsc::Receiver<ToPeer>,
+) {
     let mut next = 0u64;
     let mut life = 0u64;
     let mut open: Option<mpsc::Sender<Vec<u8>>> = None;
@@ -188,7 +197,7 @@
             ToPeer::Ask(ask, reply) => {
                 if open.is_none() {
                     life += 1;
-                    open = connect(addr, connect_limit, life, &tx).await;
+                    open = connect(&net, addr, connect_limit, life, &tx).await;
                 }
                 next += 1;
                 if let (Some(frame), Some(out)) = (encode(next, ask), open.as_ref())
@@ -217,14 +226,14 @@
 }
 
 async fn connect(
+    net: &Net,
     addr: SocketAddr,
     limit: Duration,
     life: u64,
     tx: &mpsc::Sender<ToPeer>,
 ) -> Option<mpsc::Sender<Vec<u8>>> {
-    let stream = timeout(limit, TcpStream::connect(addr)).await.ok()?.ok()?;
-    let _ = stream.set_nodelay(true);
-    let (mut read, write) = stream.into_split();
+    let stream = timeout(limit, net.connect(addr)).await.ok()?.ok()?;
+    let (mut read, write) = stream.halves();
     let (out, frames) = mpsc::channel(256);
     tokio::spawn(write_frames(write, frames));
     let tx = tx.clone();
@@ -242,6 +251,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::net::TcpListener;
 
     #[tokio::test]
     async fn peers_ask_and_answer_and_survive_a_silent_one() {
