--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,13 +1,17 @@
 //! Stand-ins for the outside world, written from the protocol: a state service,
 //! a cloud whose machines are up at once, and their workers.
 
+pub mod store;
+
 use badgerdrift::http::{self, Client, Request, Response};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use store::{Store, query};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 pub const LEASE: Duration = Duration::from_secs(3);
 pub const REPORT: Duration = Duration::from_millis(100);
@@ -18,133 +22,6 @@
     (l, a)
 }
 
-fn query(path: &str) -> HashMap<String, String> {
-    let q = path.split_once('?').map_or("", |p| p.1);
-    q.split('&').filter_map(|kv| kv.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
-}
-
-#[derive(Default)]
-pub struct Store {
-    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
-    revision: u64,
-    grants: HashMap<u64, (Instant, Duration)>,
-    next_grant: u64,
-    log: Vec<Value>,
-    pub down: bool,
-}
-
-impl Store {
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let ended: Vec<u64> = self.grants.iter().filter(|(_, g)| g.0 + g.1 < now).map(|(id, _)| *id).collect();
-        ended.into_iter().for_each(|id| self.end(id));
-    }
-
-    fn end(&mut self, id: u64) {
-        self.grants.remove(&id);
-        let keys: Vec<String> = self.keys.iter().filter(|(_, v)| v.2 == Some(id)).map(|(k, _)| k.clone()).collect();
-        if !keys.is_empty() {
-            self.revision += 1;
-        }
-        for k in keys {
-            self.keys.remove(&k);
-            self.log.push(json!({"delete": k, "stamp": self.revision}));
-        }
-    }
-
-    /// After an outage every lease has its full time again.
-    pub fn set_down(&mut self, down: bool) {
-        self.down = down;
-        let now = Instant::now();
-        self.grants.values_mut().for_each(|g| g.0 = now);
-    }
-
-    fn commit(&mut self, body: &Value) -> Response {
-        let failed: Vec<&Value> = body["guards"]
-            .as_array()
-            .unwrap()
-            .iter()
-            .filter(|g| self.keys.get(g["path"].as_str().unwrap()).map_or(0, |k| k.1) != g["stamp"].as_u64().unwrap())
-            .map(|g| &g["path"])
-            .collect();
-        if !failed.is_empty() {
-            return Response::json(409, &json!({"failed": failed, "epoch": self.revision}));
-        }
-        let apply = body["apply"].as_array().unwrap();
-        if apply.iter().filter_map(|a| a["grant"].as_u64()).any(|g| !self.grants.contains_key(&g)) {
-            return Response::json(400, &json!({"error": "no such lease"}));
-        }
-        self.revision += 1;
-        for a in apply {
-            if let Some(k) = a["put"].as_str() {
-                self.keys.insert(k.into(), (a["data"].clone(), self.revision, a["grant"].as_u64()));
-                self.log.push(json!({"put": k, "data": a["data"], "stamp": self.revision}));
-            } else if let Some(k) = a["delete"].as_str() {
-                self.keys.remove(k);
-                self.log.push(json!({"delete": k, "stamp": self.revision}));
-            }
-        }
-        Response::json(200, &json!({"epoch": self.revision}))
-    }
-
-    fn handle(&mut self, req: &Request) -> Response {
-        if self.down {
-            return Response::error(503, "outage");
-        }
-        self.expire();
-        let path = req.path.split('?').next().unwrap();
-        let q = query(&req.path);
-        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
-        if path == "/commit" {
-            return self.commit(&body);
-        }
-        if path == "/store" {
-            let (under, from) = (&q["under"], q.get("from").cloned().unwrap_or_default());
-            let items: Vec<Value> = self
-                .keys
-                .iter()
-                .filter(|(k, _)| k.starts_with(under) && **k > from)
-                .map(|(k, v)| json!({"path": k, "data": v.0, "stamp": v.1}))
-                .collect();
-            return Response::json(200, &json!({"items": items, "more": false, "epoch": self.revision}));
-        }
-        if let Some(k) = path.strip_prefix("/store/") {
-            return match self.keys.get(k) {
-                Some(v) => Response::json(200, &json!({"path": k, "data": v.0, "stamp": v.1})),
-                None => Response::json(404, &json!({"epoch": self.revision})),
-            };
-        }
-        if path == "/grants" {
-            self.next_grant += 1;
-            let life = Duration::from_millis(body["life_ms"].as_u64().unwrap());
-            self.grants.insert(self.next_grant, (Instant::now(), life));
-            return Response::json(200, &json!({"grant": self.next_grant}));
-        }
-        let id: u64 = path.split('/').nth(2).and_then(|s| s.parse().ok()).unwrap();
-        if req.method == "DELETE" {
-            self.end(id);
-            return Response::json(200, &json!({}));
-        }
-        match self.grants.get_mut(&id) {
-            Some(g) => {
-                g.0 = Instant::now();
-                Response::json(200, &json!({"grant": id}))
-            }
-            None => Response::error(404, "no such lease"),
-        }
-    }
-
-    fn changes(&self, q: &HashMap<String, String>) -> Option<Response> {
-        let from: u64 = q["from"].parse().unwrap();
-        let hit = |e: &&Value| {
-            let k = e["put"].as_str().or(e["delete"].as_str()).unwrap();
-            e["stamp"].as_u64().unwrap() > from && k.starts_with(&q["under"])
-        };
-        let log: Vec<&Value> = self.log.iter().filter(hit).collect();
-        (!log.is_empty()).then(|| Response::json(200, &json!({"epoch": self.revision, "log": log})))
-    }
-}
-
 struct Machine {
     addr: SocketAddr,
     flavor: String,
@@ -173,15 +50,8 @@
     let q = query(&req.path);
     let until = Instant::now() + Duration::from_millis(q["hold_ms"].parse().unwrap());
     loop {
-        {
-            let mut w = w.lock().unwrap();
-            w.store.expire();
-            if let Some(r) = w.store.changes(&q) {
-                return r;
-            }
-            if Instant::now() > until {
-                return Response::json(200, &json!({"epoch": w.store.revision, "log": []}));
-            }
+        if let Some(r) = w.lock().unwrap().store.changes(&q, Instant::now() > until) {
+            return r;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
