--- /dev/null
+++ b/tests/sim/machines.rs
@@ -0,0 +1,227 @@
+//! The workers' side of the protocol: reports, direct commands, late copies.
+
+use super::world::{LEASE_S, REPORT_S, secs};
+use super::{Ground, NODES, PATIENCE, door};
+use badgerdrift::http::{self, Client, Response};
+use rand::RngExt;
+use serde_json::Value;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Starts the worker of a machine that was rented.
+pub fn boot(g: &Ground, id: String) {
+    let (net, life, addr, up) = {
+        let mut w = g.w.lock().unwrap();
+        let m = w.machines.get_mut(&id).unwrap();
+        let (net, life) = g.process(m.addr.ip());
+        m.life = life;
+        (net, life, m.addr, m.up)
+    };
+    let _ = life;
+    let g = g.clone();
+    tokio::spawn(async move {
+        sleep_until(up).await;
+        if !exists(&g, &id) {
+            return;
+        }
+        g.log(format!("{id} is up"));
+        let Ok(listener) = net.bind(addr).await else { return };
+        let (g2, id2) = (g.clone(), id.clone());
+        tokio::spawn(http::serve(listener, 100, PATIENCE, move |req| direct(g2.clone(), id2.clone(), req)));
+        reports(g, id, Client::on(&net, 4)).await;
+    });
+}
+
+pub fn remove(g: &Ground, id: &str, why: &str) {
+    let life = {
+        let mut w = g.w.lock().unwrap();
+        w.remove(id, why);
+        w.machines.get(id).map(|m| m.life)
+    };
+    if let Some(life) = life {
+        g.fabric.kill(life);
+    }
+}
+
+pub fn die(g: &Ground, id: &str) {
+    let life = {
+        let mut w = g.w.lock().unwrap();
+        w.die(id);
+        w.machines.get(id).map(|m| m.life)
+    };
+    if let Some(life) = life {
+        g.fabric.kill(life);
+    }
+}
+
+fn exists(g: &Ground, id: &str) -> bool {
+    g.w.lock().unwrap().machines[id].exists()
+}
+
+/// A machine that hangs does nothing; false if it is gone after that.
+async fn awake(g: &Ground, id: &str) -> bool {
+    loop {
+        let until = g.w.lock().unwrap().machines[id].hang;
+        if until <= Instant::now() {
+            return exists(g, id);
+        }
+        sleep_until(until).await;
+    }
+}
+
+async fn direct(g: Ground, id: String, req: http::Request) -> Response {
+    let deaf = g.w.lock().unwrap().machines[&id].deaf > Instant::now();
+    if deaf || !awake(&g, &id).await {
+        sleep(PATIENCE).await;
+        return Response::error(503, "lost");
+    }
+    let mut w = g.w.lock().unwrap();
+    if req.path == "/inspect" {
+        return Response::json(200, &w.report(&id));
+    }
+    let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+    if body["fence"].is_null() || body["tenure"].is_null() {
+        return Response::error(400, "fence or tenure is missing");
+    }
+    let done = w.direct(&id, &body);
+    Response::json(if done { 200 } else { 409 }, &w.report(&id))
+}
+
+async fn reports(g: Ground, id: String, client: Client) {
+    let mut at = {
+        let mut w = g.w.lock().unwrap();
+        w.rng.random_range(0..NODES)
+    };
+    loop {
+        // The next one is due, or something has changed.
+        let last = Instant::now();
+        let due = last + secs(REPORT_S * g.w.lock().unwrap().rng.random_range(0.75..1.25));
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            if !awake(&g, &id).await {
+                return;
+            }
+            let changed = g.w.lock().unwrap().machines[&id].changed;
+            if Instant::now() >= due || (changed && last.elapsed() >= secs(0.5)) {
+                break;
+            }
+        }
+        let (sent, tenure, body, mute) = {
+            let mut w = g.w.lock().unwrap();
+            w.tick();
+            if !w.machines[&id].exists() {
+                return;
+            }
+            let m = w.machines.get_mut(&id).unwrap();
+            m.changed = false;
+            let mute = m.mute > Instant::now();
+            let body = w.report(&id).to_string();
+            (Instant::now(), w.tenure(&id), body, mute)
+        };
+        copies(&g, &id, &body);
+        let mut next = false;
+        // A redirection is followed at once.
+        for _ in 0..NODES {
+            if mute {
+                sleep(Duration::from_secs(4)).await;
+                next = true;
+                break;
+            }
+            let limit = Duration::from_secs(4).saturating_sub(sent.elapsed());
+            let r = client.call(door(at), "POST", "/agent/beat", Some(body.as_bytes()), limit).await;
+            let deaf = g.w.lock().unwrap().machines[&id].deaf > Instant::now();
+            if deaf {
+                sleep(Duration::from_secs(4).saturating_sub(sent.elapsed())).await;
+                next = true;
+                break;
+            }
+            if !awake(&g, &id).await {
+                return;
+            }
+            if sent.elapsed() > Duration::from_secs(4) {
+                next = true;
+                break;
+            }
+            match r {
+                Ok((200, b)) => {
+                    let v: Value = serde_json::from_slice(&b).unwrap_or_default();
+                    g.w.lock().unwrap().reply(&id, tenure, sent, &v);
+                    break;
+                }
+                Ok((421, b)) => {
+                    let v: Value = serde_json::from_slice(&b).unwrap_or_default();
+                    let to = v["reports_to"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
+                    match to.filter(|n| *n != at && *n < NODES) {
+                        Some(n) => at = n,
+                        None => {
+                            next = true;
+                            break;
+                        }
+                    }
+                }
+                _ => {
+                    next = true;
+                    break;
+                }
+            }
+        }
+        if next {
+            at = (at + 1) % NODES;
+            sleep(Duration::from_secs(1)).await;
+        }
+    }
+}
+
+/// Some reports are copied, and the copies come late: at one or all controllers,
+/// after seconds or more than a lease, or as the next leader begins.
+fn copies(g: &Ground, id: &str, body: &str) {
+    let (ip, after, to) = {
+        let mut w = g.w.lock().unwrap();
+        let ip = w.machines[id].addr.ip();
+        if w.keeping {
+            let kept = w.kept.entry(id.into()).or_default();
+            kept.push((ip, body.into()));
+            if kept.len() > 8 {
+                kept.remove(0);
+            }
+        }
+        let share = w.late_reports;
+        if !w.rng.random_bool(share) {
+            return;
+        }
+        if w.rng.random_bool(0.3) {
+            w.kept.entry(id.into()).or_default().push((ip, body.into()));
+            return;
+        }
+        let all = w.rng.random_bool(0.5);
+        let one = w.rng.random_range(0..NODES);
+        let to: Vec<usize> = if all { (0..NODES).collect() } else { vec![one] };
+        (ip, secs(w.rng.random_range(1.0..LEASE_S * 2.5)), to)
+    };
+    send_copy(g, ip, body.into(), after, to);
+}
+
+fn send_copy(g: &Ground, ip: IpAddr, body: String, after: Duration, to: Vec<usize>) {
+    for node in to {
+        let (g, body) = (g.clone(), body.clone());
+        tokio::spawn(async move {
+            sleep(after).await;
+            let client = Client::on(&g.process(ip).0, 0);
+            let r = client.call(door(node), "POST", "/agent/beat", Some(body.as_bytes()), Duration::from_secs(2)).await;
+            let status = r.map_or(0, |r| r.0);
+            g.log(format!("late copy at n{node} answered {status}: {body}"));
+        });
+    }
+}
+
+/// A leader begins: what was kept reaches every controller, again and again in
+/// its first moments.
+pub fn release_kept(g: &Ground) {
+    let kept: Vec<(IpAddr, String)> = std::mem::take(&mut g.w.lock().unwrap().kept).into_values().flatten().collect();
+    for (ip, body) in kept {
+        for ms in [0, 20, 60, 150, 400, 1000] {
+            send_copy(g, ip, body.clone(), Duration::from_millis(ms), (0..NODES).collect());
+        }
+    }
+}
--- /dev/null
+++ b/tests/sim/users.rs
@@ -0,0 +1,107 @@
+//! Users: they submit, poll, repeat themselves, cancel, and ask at every node.
+
+use super::{Ground, NODES, door};
+use crate::sim::world::secs;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// One request; what is answered is checked.
+async fn ask(g: &Ground, id: &str, node: usize, what: &str) -> (u16, Value) {
+    let (method, path, body, limit) = match what {
+        "submit" => {
+            let mut w = g.w.lock().unwrap();
+            let job = w.jobs.get_mut(id).unwrap();
+            job.submitted = true;
+            ("POST", "/v1/jobs".to_string(), Some(job.body()), 5.0)
+        }
+        "withdraw" => {
+            g.w.lock().unwrap().jobs.get_mut(id).unwrap().cancel_asked = true;
+            ("POST", format!("/v1/jobs/{id}/withdraw"), None, 5.0)
+        }
+        _ => ("GET", format!("/v1/jobs/{id}"), None, 2.0),
+    };
+    let sent = Instant::now();
+    match g.user.call(door(node), method, &path, body.as_deref().map(str::as_bytes), secs(limit)).await {
+        Ok((status, b)) => {
+            let v: Value = serde_json::from_slice(&b).unwrap_or_default();
+            g.w.lock().unwrap().heard(id, sent, node, what, status, &v);
+            (status, v)
+        }
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// Right after an answer, at every node.
+pub fn ask_all(g: &Ground, id: &str) {
+    for node in 0..NODES {
+        let (g, id) = (g.clone(), id.to_string());
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(1)).await;
+            ask(&g, &id, node, "poll").await;
+        });
+    }
+}
+
+pub async fn cancel(g: Ground, id: String, nodes: Vec<usize>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut i = rng.random_range(0..nodes.len());
+    loop {
+        let (status, _) = ask(&g, &id, nodes[i], "withdraw").await;
+        if matches!(status, 200 | 404) {
+            ask_all(&g, &id);
+            return;
+        }
+        i = (i + 1) % nodes.len();
+        sleep(secs(rng.random_range(1.0..2.0))).await;
+    }
+}
+
+/// The whole life of a job as its user sees it.
+pub async fn user(g: Ground, id: String, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let began = Instant::now();
+    loop {
+        let (status, _) = ask(&g, &id, rng.random_range(0..NODES), "submit").await;
+        match status {
+            200 | 201 => break,
+            400 | 422 => return,
+            _ if began.elapsed() > secs(60.0) => return,
+            _ => sleep(secs(rng.random_range(1.0..2.5))).await,
+        }
+    }
+    if rng.random_bool(0.5) {
+        ask_all(&g, &id);
+    }
+    let mut again = 0;
+    loop {
+        sleep(secs(rng.random_range(1.0..5.0))).await;
+        let what = if rng.random_bool(0.1) { "submit" } else { "poll" };
+        let over = g.w.lock().unwrap().jobs[&id].over();
+        ask(&g, &id, rng.random_range(0..NODES), what).await;
+        if !over && g.w.lock().unwrap().jobs[&id].over() {
+            ask_all(&g, &id);
+        }
+        again += u32::from(over);
+        if again > 4 {
+            // Now and then, long after.
+            sleep(secs(rng.random_range(5.0..20.0))).await;
+        }
+    }
+}
+
+/// Asks about jobs that nobody has submitted.
+pub async fn stranger(g: Ground, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    loop {
+        sleep(secs(rng.random_range(2.0..6.0))).await;
+        let id = format!("run-9{:05}", rng.random_range(0..100_000));
+        let node = rng.random_range(0..NODES);
+        let r = g.user.call(door(node), "GET", &format!("/v1/jobs/{id}"), None, secs(2.0)).await;
+        if let Ok((200, _)) = r {
+            g.w.lock().unwrap().fail(format!("invented: {id} is answered 200 by n{node}"));
+        }
+    }
+}
--- a/tests/stand_ins/store.rs
+++ b/tests/stand_ins/store.rs
@@ -54,11 +54,6 @@
         self.grants.values_mut().for_each(|g| g.0 = now);
     }
 
-    /// What a key holds.
-    pub fn value(&self, key: &str) -> Option<Value> {
-        self.keys.get(key).map(|k| k.0.clone())
-    }
-
     fn commit(&mut self, body: &Value) -> Response {
         let apply = body["apply"].as_array().unwrap();
         if apply.iter().filter_map(|a| a["grant"].as_u64()).any(|g| !self.grants.contains_key(&g)) {
@@ -89,9 +84,11 @@
     }
 
     pub fn handle(&mut self, req: &Request) -> Response {
-        if self.down {
-            return Response::error(503, "outage");
-        }
+        if self.down { Response::error(503, "outage") } else { self.read(req) }
+    }
+
+    /// What the service would answer if it were up.
+    pub fn read(&mut self, req: &Request) -> Response {
         self.expire();
         let path = req.path.split('?').next().unwrap();
         let q = query(&req.path);
