--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use tokio::net::{TcpListener, TcpStream};
 
 async fn server(patience_ms: u64) -> SocketAddr {
     let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -65,7 +66,7 @@
     let late = Client::default();
     assert!(late.call(addr, "GET", "/", None, limit).await.is_ok());
     tokio::time::sleep(Duration::from_millis(50)).await;
-    let open = |c: &Client| c.idle.lock().unwrap().take(addr).is_some_and(|s| !is_closed(&s));
+    let open = |c: &Client| c.idle.lock().unwrap().take(addr).is_some_and(|s| !s.is_closed());
     assert!(!open(&kept[0]), "the first one was closed");
     assert!(kept[1..].iter().all(open));
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use tokio::net::TcpListener;
 
 #[tokio::test]
 async fn peers_ask_and_answer_and_survive_a_silent_one() {
