--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -320,6 +320,9 @@
 
     /// What happened last, and what happened to the job or task that is named.
     pub fn recent(&self, about: &str) -> String {
+        if std::env::var_os("BADGERDRIFT_HISTORY").is_some() {
+            return self.history.iter().map(|h| format!("{h}\n")).collect();
+        }
         let last = self.history.len().saturating_sub(40);
         let job = about.find("run-").map(|i| &about[i..(i + 10).min(about.len())]);
         let of_job: Vec<&String> =
@@ -875,7 +878,14 @@
                 .collect();
             let runs = running.iter().filter(|r| r.contains(" running ")).count();
             if j.shape != "service" || j.cancel_asked || runs < j.shards as usize {
-                out.push(format!("{} {} {} of {} done, {running:?}", j.id, j.shape, j.done.len(), j.shards));
+                out.push(format!(
+                    "{} {} {} of {} done, {running:?}: {}",
+                    j.id,
+                    j.shape,
+                    j.done.len(),
+                    j.shards,
+                    j.body()
+                ));
             }
         }
         out
