--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -107,6 +107,9 @@
 
 /// Runs one scripted day in simulated time, on a thread of its own.
 pub fn simulate<F: Future<Output = ()>>(seed: u64, day: impl FnOnce(Sim) -> F + Send) {
+    if std::env::var_os("BADGERDRIFT_TRACE").is_some() {
+        let _ = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG).with_ansi(false).try_init();
+    }
     let run = || {
         let rt = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
         rt.block_on(async { day(Sim::new(seed)).await });
@@ -294,13 +297,17 @@
                 break;
             }
             rounds += 1;
-            // Services may take up a team's limit: they have run by now.
+            // Services may take up a team's limit, each with a part of its replicas:
+            // those that run have done so by now, and the first of the others goes too.
             if rounds % 20 == 0 {
-                let runs = |j: &&Job| j.shape == "service" && j.accepted.is_some() && !j.over() && !j.cancel_asked;
-                let ids: Vec<String> =
-                    self.g.w.lock().unwrap().jobs.values().filter(runs).map(|j| j.id.clone()).collect();
-                let idle: Vec<String> = open.iter().filter_map(|o| o.split(' ').next().map(str::to_string)).collect();
-                for id in ids.iter().filter(|i| !idle.contains(i)) {
+                let services: Vec<String> = {
+                    let w = self.g.w.lock().unwrap();
+                    let open = w.jobs.values().filter(|j| j.accepted.is_some() && !j.over() && !j.cancel_asked);
+                    open.filter(|j| j.shape == "service").map(|j| j.id.clone()).collect()
+                };
+                let (waiting, run): (Vec<String>, Vec<String>) =
+                    services.into_iter().partition(|id| open.iter().any(|o| o.starts_with(id.as_str())));
+                for id in run.iter().chain(waiting.first()) {
                     self.cancel(id, &[0, 1, 2]);
                 }
             }
