--- a/src/model.rs
+++ b/src/model.rs
@@ -370,6 +370,9 @@
     Cancelled,
 }
 
+/// A job shuns so many machines at the most.
+const MOST_SHUNNED: usize = 3;
+
 #[derive(Debug, Clone)]
 pub struct Job {
     pub spec: Spec,
@@ -398,8 +401,9 @@
     pub fresh: bool,
     /// Its user has asked for its cancellation, which is said once all its tasks are gone.
     pub cancelling: bool,
-    /// Machines on which its tasks failed.
+    /// Machines on which its tasks failed, and until when it keeps away from them.
     pub failed_on: HashSet<HostIx>,
+    pub shuns_until_ms: u64,
 }
 
 impl Job {
@@ -423,6 +427,7 @@
             fresh: false,
             cancelling: false,
             failed_on: HashSet::new(),
+            shuns_until_ms: 0,
         }
     }
 
@@ -431,6 +436,14 @@
         self.version > 0 && self.end.is_none() && !self.cancelling && !matches!(self.unsaved, Unsaved::End(_))
     }
 
+    /// Machines that it is not placed on again for a while, as it failed there: they
+    /// are mostly faulty. One that fails on more of them is at fault itself.
+    pub fn shuns(&self, world: &World, now: u64) -> &HashSet<HostIx> {
+        static NONE: std::sync::LazyLock<HashSet<HostIx>> = std::sync::LazyLock::new(HashSet::new);
+        let few = self.failed_on.len() <= MOST_SHUNNED && self.failed_on.len() * 2 < world.host_ix.len();
+        if few && now < self.shuns_until_ms { &self.failed_on } else { &NONE }
+    }
+
     /// Frees what a job that is over no longer needs.
     pub fn retire(&mut self) {
         if self.end == Some(JobEnd::Done) {
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -295,6 +295,7 @@
                 }
                 if reason == ExitReason::Error {
                     job.failed_on.insert(hix);
+                    job.shuns_until_ms = now + 2 * self.policy.lease_ms;
                     let blames_job = job.failed_on.len() > 1 || hosts == 1;
                     for h in self.world.hosts.iter_mut().flatten() {
                         if blames_job {
--- a/src/sched/pass.rs
+++ b/src/sched/pass.rs
@@ -89,6 +89,8 @@
     /// What taking another class's room costs.
     trespass: Vec<(Reserve, f64)>,
     held: bool,
+    /// Machines on which it failed.
+    shuns: HashSet<HostIx>,
     /// Without accelerators, and not to take the places of work with them:
     /// there is too little room for that, and machines may still come.
     modest: bool,
@@ -253,6 +255,7 @@
                 .filter(|left| *left > 0.0 && self.within_guarantee(spec)),
             trespass: theirs.map(|r| (r.clone(), if self.scarce.contains(&r.class) { 5.0 } else { 1.0 })).collect(),
             held: self.index.claims_of(ix) > 0,
+            shuns: job.shuns(self.world, self.now).clone(),
             modest: modest
                 && self.world.hungry
                 && self.wall < job.accepted_ms + self.boot_ms(spec)
@@ -312,13 +315,14 @@
         for (hix, s) in self.index.slots.iter().enumerate() {
             if need.want.demand.fits(&s.free)
                 && need.want.takes(s, &none)
+                && !need.shuns.contains(&hix)
                 && !(need.modest && self.strands(need, s))
                 && (s.claims == 0 || need.want.demand.fits(&self.index.free_for(self.world, hix, need.ix)))
             {
                 found.push((self.cost(need, hix), hix));
             }
         }
-        if found.is_empty() && !need.held && !need.modest {
+        if found.is_empty() && !need.held && !need.modest && need.shuns.is_empty() {
             self.full.push(need.want.clone());
         }
         found
@@ -476,8 +480,8 @@
         let reach = self.reach(need);
         let mut best: Option<(f64, HostIx, Leavers)> = None;
         for (hix, s) in self.index.slots.iter().enumerate() {
-            if s.claims > 0 || !need.want.takes(s, counts) || self.image_late(need, hix).is_some_and(|m| m > most / 2.0)
-            {
+            let here = s.claims == 0 && need.want.takes(s, counts) && !need.shuns.contains(&hix);
+            if !here || self.image_late(need, hix).is_some_and(|m| m > most / 2.0) {
                 continue;
             }
             let Some((lost, leave)) = self.vacate(need, reach, hix, &demand) else { continue };
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -40,7 +40,7 @@
         let mut by_zone: Vec<Vec<(f64, u32, HostIx)>> = vec![Vec::new(); self.index.zones().len().max(1)];
         for (hix, s) in self.index.slots.iter().enumerate() {
             let Some(h) = self.world.host(hix) else { continue };
-            if !need.want.takes(s, &none) || h.claims.iter().any(|c| c.job != ix) {
+            if !need.want.takes(s, &none) || need.shuns.contains(&hix) || h.claims.iter().any(|c| c.job != ix) {
                 continue;
             }
             let mut n = 0;
@@ -325,7 +325,7 @@
                 costs.push((cost, hix));
             }
         }
-        if in_vain && !need.modest {
+        if in_vain && !need.modest && need.shuns.is_empty() {
             // How far a job may go for its guarantee depends on its image, too.
             let image = (reach == Reach::Begun).then(|| need.image.clone());
             self.walled.push(Wall { want: need.want.clone(), urgency, team, reach, image });
@@ -391,7 +391,8 @@
         let s = &self.index.slots[hix];
         // Room that is held for a gang is left to it; beside others' there may be more.
         let gangs = |c: &Claim| c.job != need.ix && self.world.jobs[c.job].spec.shape == Shape::Gang;
-        if s.claims > 0 && self.world.host(hix).is_some_and(|h| h.claims.iter().any(gangs)) {
+        if need.shuns.contains(&hix) || s.claims > 0 && self.world.host(hix).is_some_and(|h| h.claims.iter().any(gangs))
+        {
             return None;
         }
         let mut demand = need.want.demand;
--- a/src/sched/plan.rs
+++ b/src/sched/plan.rs
@@ -3,7 +3,7 @@
 use super::Policy;
 use super::index::{Counts, Index};
 use crate::model::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Machines that were asked for and are not up yet.
 #[derive(Debug, Clone, PartialEq)]
@@ -89,11 +89,11 @@
         let job = &world.jobs[*ix];
         let placeable = world.placeable(job);
         let n = job.tasks.iter().filter(|t| placeable.open(t)).count();
-        fit(world, &index, &mut bins, &job.spec, n, refused);
+        fit(world, &index, &mut bins, &job.spec, n, job.shuns(world, now), refused);
     }
     for flow in flows {
         let n = headroom(world, policy, flow);
-        fit(world, &index, &mut bins, &flow.spec, n, refused);
+        fit(world, &index, &mut bins, &flow.spec, n, &HashSet::new(), refused);
     }
     let mut rent: Vec<Rental> = Vec::new();
     for b in &bins[have..] {
@@ -120,6 +120,7 @@
     bins: &mut Vec<Bin>,
     spec: &Spec,
     n: usize,
+    shuns: &HashSet<HostIx>,
     refused: &dyn Fn(usize, &str, bool) -> bool,
 ) {
     let want = index.want(world, spec);
@@ -143,7 +144,9 @@
             // What one task of them does not fit into, none does.
             while order.get(at).is_some_and(|i| {
                 let b = &bins[*i];
-                let allowed = want.allows(b.flavor, b.zone, b.spot, &counts) && (b.spot || !only_spot);
+                let allowed = want.allows(b.flavor, b.zone, b.spot, &counts)
+                    && (b.spot || !only_spot)
+                    && !b.host.is_some_and(|h| shuns.contains(&h));
                 !allowed || !spec.demand.fits(&b.free) || (modest && strands(world, spec, b.flavor, &b.free))
             }) {
                 at += 1;
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -436,3 +436,27 @@
         }
     }
 }
+
+// Found in simulated time (random troubles, seed 181): an array's last task was placed on
+// the one faulty machine again and again, ever later, while it would have run elsewhere.
+#[test]
+fn a_job_keeps_away_for_a_while_from_where_it_failed_unless_it_fails_everywhere() {
+    let mut w = world(&[("a", false), ("a", false), ("a", false)]);
+    let ix = add(&mut w, spec("run-000001", Shape::Batch, 1, 1.0), 0);
+    w.jobs[ix].failed_on.insert(0);
+    w.jobs[ix].shuns_until_ms = 2000;
+    for h in [1, 2] {
+        w.hosts[h].as_mut().unwrap().notice = true;
+    }
+    let placed = |w: &mut World, now| !run(w, now).starts.is_empty();
+    assert!(!placed(&mut w, 1000), "only the faulty one has room");
+    let rented = plan(&w, &policy(), 1000, &[ix], &[], &[], &|_, _, _| false).rent;
+    assert_eq!(rented.len(), 1, "so that another is needed");
+    let mut everywhere = w.jobs[ix].clone();
+    everywhere.failed_on.extend([1, 2]);
+    let before = std::mem::replace(&mut w.jobs[ix], everywhere);
+    assert!(placed(&mut w, 1000), "then the job is at fault");
+    w.jobs[ix] = before;
+    w.hosts[0].as_mut().unwrap().copies.clear();
+    assert!(placed(&mut w, 2000), "nor does it wait for ever");
+}
