--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -380,6 +380,10 @@
         let w = g.w.lock().unwrap();
         w.store.down || w.refused[node]
     };
+    // A storm is told, and ends here: it must not keep the clock from going on.
+    if !g.w.lock().unwrap().may_ask(node) {
+        return std::future::pending().await;
+    }
     if down(&g) {
         return Response::error(503, "trouble");
     }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -253,6 +253,8 @@
     pub store: Store,
     /// Nodes that the state service refuses.
     pub refused: Vec<bool>,
+    /// Requests of each node to the state service in a second of the day.
+    pub asked: Vec<(u64, u32)>,
     /// Shares of requests to the state service that are carried out late
     /// without an answer, and at once without an answer.
     pub late_writes: f64,
@@ -286,6 +288,7 @@
             start: Instant::now(),
             store: Store::default(),
             refused: vec![false; nodes],
+            asked: vec![(0, 0); nodes],
             late_writes: 0.0,
             lost_answers: 0.0,
             cloud_down: false,
@@ -346,6 +349,19 @@
         )
     }
 
+    /// A node asks the state service; false if it does so far beyond `state.rps`.
+    pub fn may_ask(&mut self, node: usize) -> bool {
+        let second = self.start.elapsed().as_secs();
+        let (at, count) = &mut self.asked[node];
+        *count = if *at == second { *count + 1 } else { 1 };
+        *at = second;
+        let ok = *count <= 1000;
+        if !ok {
+            self.fail(format!("n{node} storms the state service: over 1000 requests in a second"));
+        }
+        ok
+    }
+
     // ---- the cloud ----
 
     /// Carries out a rental; the new machines, if the name is new.
