--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -216,6 +216,9 @@
     }
 
     pub fn check(&self) {
+        if let Some(storm) = self.g.fabric.storm() {
+            self.g.w.lock().unwrap().fail(storm);
+        }
         let w = self.g.w.lock().unwrap();
         if let Some(b) = w.broken.clone() {
             let text = format!("seed {}: {b}\n{}", self.g.seed, w.recent(&b));
--- a/tests/sim/net.rs
+++ b/tests/sim/net.rs
@@ -65,6 +65,9 @@
     dead: Vec<u64>,
     next_life: u64,
     mended: Arc<Notify>,
+    /// Connections that each process opened at an instant or close to it.
+    opened: HashMap<u64, (Instant, u32)>,
+    storm: Option<String>,
 }
 
 /// The whole network.
@@ -85,6 +88,8 @@
             dead: Vec::new(),
             next_life: 0,
             mended: Arc::default(),
+            opened: HashMap::new(),
+            storm: None,
         })))
     }
 
@@ -119,6 +124,11 @@
         }
     }
 
+    /// A process that opened connections without end.
+    pub fn storm(&self) -> Option<String> {
+        self.0.lock().unwrap().storm.clone()
+    }
+
     /// Ends all cuts.
     pub fn mend(&self) {
         let cuts: Vec<_> = self.0.lock().unwrap().cuts.keys().copied().collect();
@@ -157,6 +167,9 @@
     async fn connect_to(&self, addr: SocketAddr) -> io::Result<Box<dyn Stream>> {
         let lag = Duration::from_millis(self.fabric.0.lock().unwrap().rng.random_range(1..=5));
         tokio::time::sleep(lag).await;
+        if self.storms(addr) {
+            return std::future::pending().await;
+        }
         loop {
             let mended = self.fabric.0.lock().unwrap().mended.clone();
             let mended = mended.notified();
@@ -169,6 +182,22 @@
         }
     }
 
+    /// Over 1000 connections in a second: the clock would hardly go on.
+    fn storms(&self, addr: SocketAddr) -> bool {
+        let mut inner = self.fabric.0.lock().unwrap();
+        let now = Instant::now();
+        let (since, count) = inner.opened.entry(self.life).or_insert((now, 0));
+        if now - *since > Duration::from_secs(1) {
+            (*since, *count) = (now, 0);
+        }
+        *count += 1;
+        let storms = *count > 1000;
+        if storms {
+            inner.storm = Some(format!("{} opens over 1000 connections a second, to {addr}", self.host));
+        }
+        storms
+    }
+
     /// None while the way is held.
     fn try_connect(&self, addr: SocketAddr) -> Option<io::Result<Box<dyn Stream>>> {
         let mut inner = self.fabric.0.lock().unwrap();
