--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -216,6 +216,9 @@
     }
 
     pub fn check(&self) {
+        if let Some(storm) = self.g.fabric.storm() {
+            self.g.w.lock().unwrap().fail(storm);
+        }
         let w = self.g.w.lock().unwrap();
         if let Some(b) = w.broken.clone() {
             let text = format!("seed {}: {b}\n{}", self.g.seed, w.recent(&b));
@@ -380,6 +383,10 @@
         let w = g.w.lock().unwrap();
         w.store.down || w.refused[node]
     };
+    // A storm is told, and ends here: it must not keep the clock from going on.
+    if !g.w.lock().unwrap().may_ask(node) {
+        return std::future::pending().await;
+    }
     if down(&g) {
         return Response::error(503, "trouble");
     }
