--- a/src/part/meeting_tests.rs
+++ b/src/part/meeting_tests.rs
@@ -239,3 +239,27 @@
     p.pass(1300, 1300);
     assert!(matches!(second(&p), Place::On(..)), "and then it counts no more");
 }
+
+// Found in simulated time (close looks, answers lost): a creation that was found to exist
+// while another write of it was under way was written once more, and its answer, 201, went
+// to the user who had meanwhile asked to cancel the job.
+#[test]
+fn a_job_found_to_exist_is_not_created_again() {
+    let mut p = part();
+    let mut first = submit(&mut p, &body("run-000001", "batch", 1), 1000);
+    let c = p.next_commit(1000, 32).unwrap();
+    p.committed(CommitResult::Unclear).unwrap();
+    for _ in 0..2 {
+        p.next_commit(1100, 32).unwrap();
+        p.committed(CommitResult::Conflict { failed: vec!["job/run-000001".into()] }).unwrap();
+    }
+    p.next_commit(1200, 32).unwrap();
+    p.reread(Item { key: "job/run-000001".into(), value: c.apply[0]["data"].clone(), version: 101 });
+    assert!(matches!(first.try_recv(), Ok(UserAnswer::Accepted { .. })));
+    let mut rx = cancel(&mut p, "run-000001", 1200, true);
+    p.committed(CommitResult::Conflict { failed: vec!["job/run-000001".into()] }).unwrap();
+    let c = p.next_commit(1300, 32).unwrap();
+    assert_eq!(c.apply[0]["data"]["end"], "Cancelled");
+    p.committed(CommitResult::Done { revision: 103 }).unwrap();
+    assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
+}
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -164,7 +164,9 @@
     /// Names of machines that were released: late copies of their reports mean nothing.
     released: HashSet<String>,
     in_flight: Option<Vec<Saved>>,
-    waiters: HashMap<JobIx, Vec<Waiter>>,
+    /// Who waits for a job to be accepted, and for it to end.
+    submitters: HashMap<JobIx, Vec<Waiter>>,
+    cancellers: HashMap<JobIx, Vec<Waiter>>,
     /// Jobs whose cancellation waits for their tasks to be gone.
     cancelling: BTreeSet<JobIx>,
     /// Machines that have orders to get without waiting for their next report.
@@ -213,7 +215,8 @@
             gone_keys: BTreeSet::new(),
             released: HashSet::new(),
             in_flight: None,
-            waiters: HashMap::new(),
+            submitters: HashMap::new(),
+            cancellers: HashMap::new(),
             cancelling: BTreeSet::new(),
             kick: BTreeSet::new(),
             stirred: true,
--- a/src/part/records.rs
+++ b/src/part/records.rs
@@ -131,6 +131,10 @@
                     job.saving = false;
                     // What was certainly refused is not open; an earlier write may be.
                     job.end_open &= unclear || end_was_open;
+                    // Found to exist meanwhile: it need not be created any more.
+                    if what == Unsaved::Creation && job.version > 0 {
+                        continue;
+                    }
                     // What came meanwhile weighs more, except against a creation or an end.
                     if !matches!(job.unsaved, Unsaved::End(_)) || matches!(what, Unsaved::End(_)) {
                         job.unsaved = what;
@@ -169,8 +173,7 @@
                     due_s = spec.due_s.unwrap_or(0.0),
                     "accepted"
                 );
-                let answer = self.accepted(ix, true);
-                self.answer(ix, &answer);
+                self.tell_submitters(ix, true);
             }
             _ => {}
         }
@@ -186,13 +189,23 @@
         self.cancelling.remove(&ix);
         self.world.live.retain(|l| *l != ix);
         self.stop_all(ix);
-        let answer = self.status_of(ix);
-        self.answer(ix, &answer);
+        self.tell_end(ix);
         self.stirred = true;
     }
 
-    pub(super) fn answer(&mut self, ix: JobIx, answer: &UserAnswer) {
-        for w in self.waiters.remove(&ix).unwrap_or_default() {
+    /// Tells those who wait for the job to be accepted.
+    fn tell_submitters(&mut self, ix: JobIx, created: bool) {
+        let answer = self.accepted(ix, created);
+        for w in self.submitters.remove(&ix).unwrap_or_default() {
+            let _ = w.send(answer.clone());
+        }
+    }
+
+    /// Tells all who wait for the job how it ended.
+    fn tell_end(&mut self, ix: JobIx) {
+        let answer = self.status_of(ix);
+        let submitters = self.submitters.remove(&ix).unwrap_or_default();
+        for w in self.cancellers.remove(&ix).unwrap_or_default().into_iter().chain(submitters) {
             let _ = w.send(answer.clone());
         }
     }
@@ -224,8 +237,7 @@
             // Known already, maybe by our own commit whose answer was lost.
             job.accepted_ms = record.accepted_ms;
             self.stirred = true;
-            let answer = self.accepted(ix, false);
-            self.answer(ix, &answer);
+            self.tell_submitters(ix, false);
         }
     }
 }
--- a/src/part/users.rs
+++ b/src/part/users.rs
@@ -13,7 +13,7 @@
         // A known id is answered before any judgement of the rest.
         if let Some(&ix) = id.as_ref().and_then(|id| self.world.job_ix.get(id)) {
             if self.world.jobs[ix].version == 0 {
-                self.waiters.entry(ix).or_default().push(waiter);
+                self.submitters.entry(ix).or_default().push(waiter);
             } else {
                 let _ = waiter.send(self.accepted(ix, false));
             }
@@ -34,7 +34,7 @@
                     job.fresh = true;
                     let ix = self.world.add_job(job);
                     self.dirty.insert(ix);
-                    self.waiters.entry(ix).or_default().push(waiter);
+                    self.submitters.entry(ix).or_default().push(waiter);
                     return;
                 }
             },
@@ -121,7 +121,7 @@
         } else if self.out_of_reach(ix, now) {
             let _ = waiter.send(UserAnswer::Later("some of the job's machines can't be reached"));
         } else {
-            let waiters = self.waiters.entry(ix).or_default();
+            let waiters = self.cancellers.entry(ix).or_default();
             waiters.retain(|w| !w.is_closed());
             waiters.push(waiter);
         }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -265,6 +265,23 @@
         tokio::spawn(users::cancel(self.g.clone(), id.into(), nodes.to_vec(), self.rng.random()));
     }
 
+    /// The same a while after now, or once the job is accepted.
+    pub fn cancel_later(&mut self, id: &str, after: Duration) {
+        let (g, id, seed) = (self.g.clone(), id.to_string(), self.rng.random());
+        tokio::spawn(async move {
+            sleep(after).await;
+            while g.w.lock().unwrap().jobs[&id].accepted.is_none() {
+                sleep(secs(0.1)).await;
+            }
+            users::cancel(g, id, (0..NODES).collect(), seed).await;
+        });
+    }
+
+    /// The user repeats the submission at all nodes at once.
+    pub fn submit_again(&self, id: &str) {
+        users::submit_again(&self.g, id);
+    }
+
     /// The user asks at all nodes at once.
     pub fn ask_all(&self, id: &str) {
         users::ask_all(&self.g, id);
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -36,11 +36,19 @@
 
 /// Right after an answer, at every node.
 pub fn ask_all(g: &Ground, id: &str) {
+    at_every_node(g, id, "poll");
+}
+
+pub fn submit_again(g: &Ground, id: &str) {
+    at_every_node(g, id, "submit");
+}
+
+fn at_every_node(g: &Ground, id: &str, what: &'static str) {
     for node in 0..NODES {
         let (g, id) = (g.clone(), id.to_string());
         tokio::spawn(async move {
             sleep(Duration::from_millis(1)).await;
-            ask(&g, &id, node, "poll").await;
+            ask(&g, &id, node, what).await;
         });
     }
 }
