Promises bring no entitlement back that has lapsed

Only an answer of the state service revives an entitlement; a lapsed holder asks for no promises, so that the others keep leases alive; nobody promises to a holder that is known to have been followed.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -155,7 +155,16 @@
 enum Role {
     Idle,
     Taking,
-    Holding { grant: u64, term: u64, granted_until: u64, promised_until: Vec<u64>, gap_ms: u64 },
+    Holding {
+        grant: u64,
+        term: u64,
+        granted_until: u64,
+        promised_until: Vec<u64>,
+        gap_ms: u64,
+        /// There was a time in which neither the grant nor the promises held. Another may
+        /// have held the part since, and ended: only the state service can tell.
+        lapsed: bool,
+    },
 }
 
 /// The rules of membership, without I/O.
@@ -226,8 +235,19 @@
     /// A holder asks not to be superseded for a while. Refused while this node
     /// itself takes or holds the part, or sees that only the asker has lost
     /// the state service.
-    pub fn promise(&mut self, now: u64, term: u64, for_ms: u64, asker_state_ok: bool, own_state_ok: bool) -> bool {
-        let ok = matches!(self.role, Role::Idle) && (asker_state_ok || !own_state_ok) && for_ms <= self.life_ms;
+    pub fn promise(
+        &mut self,
+        now: u64,
+        (holder, term): (&str, u64),
+        for_ms: u64,
+        asker_state_ok: bool,
+        own_state_ok: bool,
+    ) -> bool {
+        let later = |r: &PartRecord| r.holder != holder && r.term > term;
+        let ok = matches!(self.role, Role::Idle)
+            && (asker_state_ok || !own_state_ok)
+            && for_ms <= self.life_ms
+            && !self.record.as_ref().is_some_and(later);
         if ok {
             self.promised_until = self.promised_until.max(now + longer(for_ms));
             self.promised_term = self.promised_term.max(term);
@@ -255,6 +275,7 @@
     /// Until when this node may act.
     pub fn entitled_until(&self) -> u64 {
         match &self.role {
+            Role::Holding { granted_until, lapsed: true, .. } => *granted_until,
             Role::Holding { granted_until, promised_until, .. } => {
                 let promised =
                     if self.peers == 0 { u64::MAX } else { promised_until.iter().copied().min().unwrap_or(0) };
@@ -306,19 +327,32 @@
             granted_until: sent + shorter(self.life_ms),
             promised_until: vec![0; self.peers],
             gap_ms: 0,
+            lapsed: false,
         };
     }
 
-    fn extended(&mut self, of: u64, sent: u64) {
+    fn extended(&mut self, of: u64, sent: u64, now: u64) {
+        self.note_lapse(now);
         let until = sent + shorter(self.life_ms);
-        if let Role::Holding { grant, granted_until, .. } = &mut self.role
+        if let Role::Holding { grant, granted_until, lapsed, .. } = &mut self.role
             && *grant == of
         {
             *granted_until = (*granted_until).max(until);
+            // The grant lives, and the part's key with it: nobody held the part since.
+            *lapsed &= now >= until;
+        }
+    }
+
+    /// Promises go on from an entitlement that holds; they bring none back.
+    fn note_lapse(&mut self, now: u64) {
+        let over = now >= self.entitled_until();
+        if let Role::Holding { lapsed, .. } = &mut self.role {
+            *lapsed |= over;
         }
     }
 
     fn promised(&mut self, peer: usize, sent: u64, now: u64) {
+        self.note_lapse(now);
         let until = sent + shorter(self.life_ms);
         if let Role::Holding { promised_until, gap_ms, .. } = &mut self.role
             && let Some(p) = promised_until.get_mut(peer)
@@ -384,13 +418,18 @@
     }
 
     fn renew(&self, rules: &mut Rules, tx: &mpsc::Sender<Msg>) {
-        let Role::Holding { grant, term, .. } = rules.role else { return };
         let sent = clock::now_ms();
+        rules.note_lapse(sent);
+        let Role::Holding { grant, term, lapsed, .. } = rules.role else { return };
         let (state, life, tx2) = (self.state.clone(), self.life_ms, tx.clone());
         tokio::spawn(async move {
             let result = state.extend_grant(grant, life).await;
             let _ = tx2.send(Msg::Extended { grant, sent, result }).await;
         });
+        // Promises would only keep the others from keeping leases alive.
+        if lapsed {
+            return;
+        }
         let ask = Ask::Promise {
             part: self.part,
             holder: self.node.clone(),
@@ -416,7 +455,7 @@
                     self.step_down(rules, "another holds it").await;
                 }
                 let own_state_ok = self.state.answers(self.life_ms);
-                let ok = rules.promise(now, term, for_ms, state_ok, own_state_ok);
+                let ok = rules.promise(now, (&holder, term), for_ms, state_ok, own_state_ok);
                 // Without the state service, who asks is the only news of who holds the part.
                 if ok && !own_state_ok {
                     rules.record = Some(PartRecord { holder, term, grant: 0 });
@@ -443,7 +482,7 @@
                 }
             }
             Msg::Extended { grant, sent, result } => match result {
-                Ok(()) => rules.extended(grant, sent),
+                Ok(()) => rules.extended(grant, sent, now),
                 Err(Fail::Missing) => {
                     if matches!(rules.role, Role::Holding { grant: g, .. } if g == grant) {
                         self.step_down(rules, "the grant has ended").await;
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -518,3 +518,46 @@
         sim.late_reports(0.0);
     });
 }
+
+// Found on a day of our own: the old leader, cut off, is followed by another, which calls
+// jobs done and cancelled; in an outage that one ends, the cut ends, and all others would
+// promise to the old leader again, whose memory is from before.
+#[test]
+fn an_old_leader_is_not_entitled_again_after_the_next_one_ended_in_an_outage() {
+    for seed in seeds(1..=6) {
+        simulate(seed, async |mut sim| {
+            let mut ids = long_jobs(&mut sim, 300.0).await;
+            for _ in 0..3 {
+                let mut j = sim.job("batch", 2);
+                (j.cards, j.run_s) = (0.5, 5.0);
+                ids.push(sim.submit(j));
+            }
+            let all = |w: &sim::world::World| w.jobs.values().all(|j| j.accepted.is_some());
+            sim.until("all are accepted", s(10), all).await;
+            let old = sim.leader().expect("there is a leader");
+            sim.cut(controller(old), state_of(old), Some(Cut::Hold));
+            others(old).into_iter().for_each(|o| sim.cut(controller(old), controller(o), Some(Cut::Hold)));
+            sim.run(s(4)).await;
+            ids[..2].to_vec().iter().for_each(|id| sim.cancel(id, &others(old)));
+            sim.run(s(3 + seed)).await;
+            let third = ids[2].clone();
+            let next = sim.leader().expect("there is a next leader");
+            sim.state_down(true);
+            sim.run(s(2)).await;
+            sim.kill(next);
+            sim.run(Duration::from_millis(400)).await;
+            sim.start(next);
+            sim.g.fabric.mend();
+            for _ in 0..100 {
+                ids.iter().for_each(|id| sim.ask_all(id));
+                sim.run(Duration::from_millis(200)).await;
+            }
+            let on =
+                sim.g.w.lock().unwrap().machines.values().any(|m| m.copies.keys().any(|k| k.0.starts_with(&third)));
+            assert!(on, "seed {seed}: the gang's lease ran out, as nobody kept it alive");
+            sim.cancel(&third, &[0, 1, 2]);
+            sim.state_down(false);
+            sim.settle().await;
+        });
+    }
+}
