No machine moves between parts while a late write may undo that

With one part, the default, each does no harm: a late registration only lists a machine that the next holder counts as unaccounted for, outlives or releases; deletions, inbox notices and names of rentals concern names that never come again; an older list of machine types is replaced by the next. With several parts a late registration or move could list a machine under a part that had given it away. After such a write without an answer the holder takes a fresh term, which changes the key that all its writes guard on, before machines move.

--- a/src/part/direct.rs
+++ b/src/part/direct.rs
@@ -81,9 +81,10 @@
         }
     }
 
-    /// True if a copy can only be settled by a higher token.
+    /// True if a copy, or a record of a machine, can only be settled by a higher token.
     pub fn needs_new_term(&self) -> bool {
-        self.world.each_host().any(|(_, h)| h.fence > self.term)
+        self.moves_may_be_undone()
+            || self.world.each_host().any(|(_, h)| h.fence > self.term)
             || self.world.each_host().any(|(_, h)| {
                 // One that answers nothing would not show that it has seen it.
                 h.missed < DEAF
--- a/src/part/meeting_tests.rs
+++ b/src/part/meeting_tests.rs
@@ -263,3 +263,25 @@
     p.committed(CommitResult::Done { revision: 103 }).unwrap();
     assert!(matches!(rx.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
 }
+
+// Writes of machines' records guard on the part's key alone. One without an answer may be
+// carried out after the machine has moved to another part: first a new term, which changes
+// that key. With one part there are no moves, and no term is spent on it.
+#[test]
+fn no_machine_moves_while_a_late_write_may_undo_it() {
+    for parts in [1, 2] {
+        let mut p = part();
+        p.teams.insert("blue".into(), parts - 1);
+        p.report(&report("h1", 1, 1, 1, vec![]), Via::Beat, 1000);
+        p.next_commit(1000, 32).unwrap();
+        p.committed(CommitResult::Unclear).unwrap();
+        commits(&mut p, 1100, 101);
+        assert_eq!(p.needs_new_term(), parts > 1);
+        if parts > 1 {
+            assert!(!p.give("h1", 1), "the first write may still come");
+            p.set_term(2, 90);
+            p.report(&report("h1", 1, 2, 2, vec![]), Via::Beat, 1200);
+            assert!(!p.needs_new_term() && p.give("h1", 1));
+        }
+    }
+}
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -163,6 +163,10 @@
     gone_keys: BTreeSet<String>,
     /// Names of machines that were released: late copies of their reports mean nothing.
     released: HashSet<String>,
+    /// The version of the part's key under which a record of a machine was written without
+    /// an answer. Such a write may come late, after the machine has moved to another part
+    /// or back, and undo that; it can't once the key has changed.
+    open_host_write: Option<u64>,
     in_flight: Option<Vec<Saved>>,
     /// Who waits for a job to be accepted, and for it to end.
     submitters: HashMap<JobIx, Vec<Waiter>>,
@@ -214,6 +218,7 @@
             new_hosts: BTreeSet::new(),
             gone_keys: BTreeSet::new(),
             released: HashSet::new(),
+            open_host_write: None,
             in_flight: None,
             submitters: HashMap::new(),
             cancellers: HashMap::new(),
--- a/src/part/records.rs
+++ b/src/part/records.rs
@@ -85,6 +85,12 @@
         Some(commit)
     }
 
+    /// May a late write undo that a machine moves between the parts?
+    pub(super) fn moves_may_be_undone(&self) -> bool {
+        let one_part = self.teams.values().all(|p| *p == self.id);
+        !one_part && self.open_host_write == Some(self.part_version)
+    }
+
     pub fn committing(&self) -> bool {
         self.in_flight.is_some()
     }
@@ -143,6 +149,9 @@
                 }
                 Saved::Host(hix) | Saved::Given(hix, _) => {
                     self.new_hosts.insert(hix);
+                    if unclear {
+                        self.open_host_write = Some(self.part_version);
+                    }
                 }
                 Saved::KeyGone(key) => {
                     self.gone_keys.insert(key);
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -26,6 +26,8 @@
     /// What the registry says now of a machine that reported here.
     pub fn rechecked(&mut self, id: &str, record: Option<HostRecord>, now: u64) {
         match record {
+            // It is looked up again with its next report.
+            Some(r) if r.part == self.id && self.moves_may_be_undone() => {}
             Some(r) if r.part == self.id => {
                 self.elsewhere.remove(id);
                 if !self.world.host_ix.contains_key(id) {
@@ -50,10 +52,11 @@
 
     /// Gives a free machine to another part; false if it is not free.
     pub fn give(&mut self, id: &str, to: u32) -> bool {
+        let undone = self.moves_may_be_undone();
         let Some(&hix) = self.world.host_ix.get(id) else { return false };
         let Some(h) = self.world.host_mut(hix) else { return false };
         let free = h.copies.is_empty() && h.claims.is_empty() && !h.do_in_flight && !h.strays;
-        if !free || !h.registered || !h.accounted || h.releasing || h.notice || h.giving.is_some() {
+        if !free || undone || !h.registered || !h.accounted || h.releasing || h.notice || h.giving.is_some() {
             return false;
         }
         h.giving = Some(to);
