A body that is too large is answered 400, which users don't repeat

By the protocol a body may be at most 64 KiB, and users repeat a submission for a minute after any status that it doesn't name; 413 was such a one.

--- a/src/http.rs
+++ b/src/http.rs
@@ -13,6 +13,7 @@
 
 /// Most that a request's body may hold.
 pub const MAX_BODY: usize = 64 * 1024;
+const TOO_LARGE: &str = "body: must be at most 64 KiB";
 const MAX_HEAD: usize = 16 * 1024;
 /// Replies of the state service have no size limit; this one only bounds memory.
 const MAX_REPLY: usize = 8 * 1024 * 1024;
@@ -63,7 +64,6 @@
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
-        413 => "Content Too Large",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
@@ -258,6 +258,8 @@
         }
         let (reply, close) = match timeout(patience, read_message(&mut stream, &mut buf, parse_request)).await {
             Ok(Ok(((method, path), body, close))) => (handler(Request { method, path, body }).await, close),
+            // Not asked again: users repeat what gets any status but 400.
+            Ok(Err(ReadError::Refused(413))) => (Response::error(400, TOO_LARGE), true),
             Ok(Err(ReadError::Refused(status))) => (Response::error(status, reason(status)), true),
             Ok(Err(ReadError::Closed)) => return,
             Err(_) => (Response::error(408, "the request did not arrive in time"), true),
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -77,7 +77,7 @@
     for (bytes, status) in [
         (b"nonsense\r\n\r\n".to_vec(), 400),
         (b"POST /p HTTP/1.1\r\nContent-Length: x\r\n\r\n".to_vec(), 400),
-        (b"POST /p HTTP/1.1\r\nContent-Length: 99999\r\n\r\n".to_vec(), 413),
+        (b"POST /p HTTP/1.1\r\nContent-Length: 99999\r\n\r\n".to_vec(), 400),
         (b"POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec(), 501),
         ([b"GET /p HTTP/1.1\r\nA: ".to_vec(), vec![b'x'; 2 * MAX_HEAD]].concat(), 431),
         ([b"GET /p HTTP/1.1\r\n".to_vec(), b"A: b\r\n".repeat(100), b"\r\n".to_vec()].concat(), 431),
