--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -299,11 +299,14 @@
         }
     }
 
-    /// A new term: attempts count on from it, so that none repeats.
+    /// A new term: attempts count on from it, so that none repeats. The same one again,
+    /// with the key's version as it is now, begins no count anew.
     pub fn set_term(&mut self, term: u64, version: u64) {
+        if term > self.term {
+            self.next_attempt = term << 32;
+        }
         self.term = term;
         self.part_version = version;
-        self.next_attempt = term << 32;
     }
 
     /// Takes the machine types as the cloud tells them now. Places in the list
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -263,7 +263,10 @@
 fn attempts_never_repeat_across_terms() {
     let mut p = running("batch", 3);
     let last = p.world.host(0).unwrap().copies.iter().map(|c| c.attempt).max().unwrap();
-    p.set_term(2, 78);
+    let next = p.next_attempt;
+    p.set_term(p.term, 78);
+    assert_eq!(p.next_attempt, next, "nor does one when the key was looked at and found as it was");
+    p.set_term(2, 79);
     assert!(p.next_attempt > last);
 }
 
