Controllers of the service tests listen on addresses of their own

The test took a port that was free, let it go, and bound it later; meanwhile a connection of another test had been given it. Each now gets a loopback address that no other has. No check was changed.

--- a/tests/service.rs
+++ b/tests/service.rs
@@ -8,12 +8,18 @@
 use badgerdrift::node;
 use serde_json::{Value, json};
 use stand_ins::{LEASE, REPORT, Shared};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    // An address of its own on the loopback network: a port that was free a moment ago may
+    // meanwhile serve a connection of another test.
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (n, pid) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let byte = |v: u32| (1 + v % 250) as u8;
+    SocketAddr::from(([127, byte(pid / 250), byte(pid), byte(n)], 20_000 + (n / 250) as u16))
 }
 
 /// One controller, which dies when this is dropped.
