--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,7 @@
 use crate::http::{Request, Response};
 use crate::job_reads::{JobReads, READ_LIMIT, RecordedJob};
 use crate::metrics::{SharedMetrics, gauge_line};
-use crate::model::{Flavor, JobPhase, JobRecord, Spec};
+use crate::model::{JobPhase, JobRecord, Spec};
 use crate::owner::{self, HeartbeatReply};
 use crate::partition::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
@@ -16,6 +16,7 @@
 use crate::sched::{self, Policy};
 use crate::user_metrics::UserMetrics;
 use crate::wire::{self, Report};
+use crate::write_limits::WriteLimits;
 use std::collections::HashMap;
 use std::future::Future;
 use std::sync::{Arc, Mutex};
@@ -47,8 +48,8 @@
     pub teams: Arc<HashMap<String, u32>>,
     /// Settings that decisions depend on.
     pub policy: Arc<Policy>,
-    /// Largest value that the state service takes, in bytes.
-    pub value_bytes: usize,
+    /// What the state service takes.
+    pub limits: WriteLimits,
     /// In which partition jobs and machines were last found.
     pub route_hints: Arc<Mutex<RouteHints>>,
 }
@@ -267,13 +268,12 @@
         if !self.request_budget.admits_all(ACCEPTANCE_REQUESTS, Purpose::Change) {
             return Some(RefusalReason::TooManySubmissions.response());
         }
-        let flavors = self.state.get(owner::FLAVORS_KEY).await.ok()?.0?;
-        let flavors: Vec<Flavor> = serde_json::from_value(flavors.value).ok()?;
+        let flavors = owner::kept_flavors(&self.state).await.filter(|flavors| !flavors.is_empty())?;
         if let Some(why) = sched::impossible(spec, &self.policy, &flavors) {
             return Some(Response::error(422, &why));
         }
-        if !crate::partition::fits(spec, self.value_bytes) {
-            return Some(Response::error(400, crate::partition::TOO_LONG));
+        if let Some(why) = self.limits.refuses(spec) {
+            return Some(Response::error(400, why));
         }
         let id = spec.id.clone();
         let record = JobRecord { spec: spec.clone(), accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -79,7 +79,7 @@
         },
         teams: Default::default(),
         policy: Arc::new(Policy::new(&settings, &Operator::default(), 0)),
-        value_bytes: 8 * 1024,
+        limits: settings.write_limits(),
         route_hints: Default::default(),
     }
 }
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -58,6 +58,8 @@
 pub enum RequestError {
     /// Not carried out.
     Refused,
+    /// Not carried out, as there were too many requests or changes lately.
+    Throttled,
     /// Maybe carried out, maybe later.
     Unclear,
     /// What was named is not there (any more).
@@ -117,7 +119,8 @@
     ) -> Result<(u16, Vec<u8>), RequestError> {
         let r = self.http.call(self.addr, method, path, body, limit).await?;
         match r.0 {
-            429 | 500.. => Err(RequestError::Refused),
+            429 => Err(RequestError::Throttled),
+            500.. => Err(RequestError::Refused),
             _ => {
                 self.last_ok.store(clock::now_ms(), Ordering::Relaxed);
                 Ok(r)
@@ -184,10 +187,11 @@
                 Err(_) => CommitResult::Unclear,
             },
             Ok((status, b)) => {
-                tracing::error!(status, body = %String::from_utf8_lossy(&b), "commit refused");
-                CommitResult::Refused
+                tracing::error!(status, body = %String::from_utf8_lossy(&b), "commit not taken");
+                CommitResult::NotTaken
             }
             Err(RequestError::Unclear) => CommitResult::Unclear,
+            Err(RequestError::Throttled) => CommitResult::Throttled,
             Err(_) => CommitResult::Refused,
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! Settings: the platform's TOML file (unknown fields ignored) and the
 //! operators' optional HCL file (unknown names refused).
 
+use crate::write_limits::WriteLimits;
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -131,6 +132,26 @@
     pub value_kb: f64,
     /// Most changes in one commit.
     pub txn_ops: usize,
+    /// Limits that hold from some moment on that is not told; `None` if these stay.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Limits of the state service that are to come; what is absent stays as it is.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests per second, for all controllers together.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes per second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value in KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most changes in one commit.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 /// Limits of the cloud's API.
@@ -270,12 +291,7 @@
     if w.lease_s < 2.0 * w.report_s {
         return Err("params.workers.lease_s: must be at least twice report_s".into());
     }
-    positive("params.state.rps", p.state.rps)?;
-    positive("params.state.write_rps", p.state.write_rps)?;
-    positive("params.state.value_kb", p.state.value_kb)?;
-    if p.state.txn_ops < 2 {
-        return Err("params.state.txn_ops: must be at least 2".into());
-    }
+    check_state_limits(&p.state)?;
     positive("params.cloud.rps", p.cloud.rps)?;
     not_negative("params.cloud.list_lag_s", p.cloud.list_lag_s)?;
     if p.limits.max_sockets < 16 {
@@ -287,6 +303,29 @@
     Ok(())
 }
 
+/// A partition is taken with so many changes in one commit.
+const LEAST_TXN_OPS: usize = 2;
+
+fn check_state_limits(limits: &StateLimits) -> Result<(), String> {
+    let next = limits.next.unwrap_or_default();
+    let amounts = [
+        ("rps", Some(limits.rps), next.rps),
+        ("write_rps", Some(limits.write_rps), next.write_rps),
+        ("value_kb", Some(limits.value_kb), next.value_kb),
+    ];
+    for (field, present, next) in amounts {
+        for (table, amount) in [("params.state", present), ("params.state.next", next)] {
+            amount.map_or(Ok(()), |amount| positive(&format!("{table}.{field}"), amount))?;
+        }
+    }
+    for (table, changes) in [("params.state", Some(limits.txn_ops)), ("params.state.next", next.txn_ops)] {
+        if changes.is_some_and(|changes| changes < LEAST_TXN_OPS) {
+            return Err(format!("{table}.txn_ops: must be at least {LEAST_TXN_OPS}"));
+        }
+    }
+    Ok(())
+}
+
 fn check_operator(o: &Operator) -> Result<(), String> {
     positive("bin_width_s", o.bin_width_s)?;
     positive("default_deadline_s", o.default_deadline_s)?;
@@ -299,9 +338,9 @@
 const MAX_STALL_MS: u64 = 2500;
 
 impl Settings {
-    /// Changes a second for a partition's owner; the rest is for membership.
-    pub fn writes_per_s(&self) -> f64 {
-        self.params.state.write_rps * 0.9
+    /// What the state service takes.
+    pub fn write_limits(&self) -> WriteLimits {
+        WriteLimits::new(&self.params.state)
     }
 
     /// The start objective of a class and the share that must meet it.
--- /dev/null
+++ b/src/frame_format.rs
@@ -0,0 +1,60 @@
+//! The format that a controller speaks, as its frames tell it.
+//!
+//! While an upgrade is under way controllers of two versions serve together. A frame names
+//! the format of its sender in a field that the version before ignores and leaves out.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A format of frames and records; a later one has a larger number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct FrameFormat(u32);
+
+impl FrameFormat {
+    /// The format of the version that names none in its frames.
+    pub const UNNAMED: FrameFormat = FrameFormat(0);
+    /// The format that this version speaks: with jobs that wait for others.
+    pub const CURRENT: FrameFormat = FrameFormat(1);
+
+    /// Does its speaker know all that this version may say?
+    pub fn is_current(self) -> bool {
+        self >= FrameFormat::CURRENT
+    }
+}
+
+/// What is known of the format that a peer speaks: that of its last frame; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct PeerFormat(Arc<AtomicU32>);
+
+/// Stands for a peer of which no frame has come.
+const UNKNOWN: u32 = u32::MAX;
+
+impl Default for PeerFormat {
+    fn default() -> PeerFormat {
+        PeerFormat(Arc::new(AtomicU32::new(UNKNOWN)))
+    }
+}
+
+impl PeerFormat {
+    /// A frame in this format has come from the peer.
+    pub fn heard(&self, format: FrameFormat) {
+        self.0.store(format.0, Ordering::Relaxed);
+    }
+
+    /// The format of the peer's last frame; `None` if none has come.
+    pub fn get(&self) -> Option<FrameFormat> {
+        Some(self.0.load(Ordering::Relaxed)).filter(|format| *format != UNKNOWN).map(FrameFormat)
+    }
+
+    /// Has the peer said that it is of an earlier version?
+    pub fn is_old(&self) -> bool {
+        self.get().is_some_and(|format| !format.is_current())
+    }
+
+    /// Has the peer said that it knows all that this version may say?
+    pub fn is_current(&self) -> bool {
+        self.get().is_some_and(FrameFormat::is_current)
+    }
+}
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -72,6 +72,8 @@
     pub unsaved_since_ms: u64,
     /// Its record is in a commit under way.
     pub saving: bool,
+    /// Steady time before which its record is not written, as it was not taken; 0 if it was.
+    pub write_after_ms: u64,
     /// A write of its end was sent and may be carried out or not, now or later. Until
     /// that is settled another node may read the end, and tell it.
     pub end_open: bool,
@@ -111,6 +113,7 @@
             unsaved: UnsavedChange::Nothing,
             unsaved_since_ms: now,
             saving: false,
+            write_after_ms: 0,
             end_open: false,
             tasks,
             done: 0,
--- a/src/model/records.rs
+++ b/src/model/records.rs
@@ -1,6 +1,7 @@
 //! Records of jobs and machines in the state service.
 
 use super::{Job, JobEnd, Place, Spec};
+use crate::write_limits::{RANGE_BYTES, json_bytes};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -18,20 +19,22 @@
 }
 
 impl JobRecord {
-    /// The record of `job`, with as many of the widest ranges as `most`
-    /// allows. A range that is left out only makes its tasks run once more:
-    /// their results are kept.
-    pub fn of(job: &Job, end: Option<JobEnd>, most: usize) -> JobRecord {
-        let mut done = ranges(job);
+    /// The record of `job` for a value of at most `most` bytes, with as many of the widest
+    /// ranges of done tasks as fit. A range that is left out only makes its tasks run once
+    /// more: their results are kept. `None` if the job's description alone is too large,
+    /// having been accepted under a larger limit; a job that is over is then described by
+    /// what is still of use.
+    pub fn of(job: &Job, end: Option<JobEnd>, most: usize) -> Option<JobRecord> {
+        let mut record = JobRecord { spec: job.spec.clone(), accepted_ms: job.accepted_ms, end, done: Vec::new() };
         if end.is_some() {
-            done.clear();
-        }
-        if done.len() > most {
-            done.sort_unstable_by_key(|r| std::cmp::Reverse(r.1 - r.0));
-            done.truncate(most);
-            done.sort_unstable();
+            if json_bytes(&record) > most {
+                record.spec = record.spec.abridged();
+            }
+            return Some(record);
         }
-        JobRecord { spec: job.spec.clone(), accepted_ms: job.accepted_ms, end, done }
+        let room = most.checked_sub(json_bytes(&record))?;
+        record.done = widest(ranges(job), (room / RANGE_BYTES).min((most / 2 / RANGE_BYTES).max(1)));
+        Some(record)
     }
 
     /// The job that the record tells, with no task placed.
@@ -69,6 +72,16 @@
     pub partition: u32,
 }
 
+/// At most so many of the ranges, the widest ones, in order.
+fn widest(mut ranges: Vec<(u32, u32)>, most: usize) -> Vec<(u32, u32)> {
+    if ranges.len() > most {
+        ranges.sort_unstable_by_key(|range| std::cmp::Reverse(range.1 - range.0));
+        ranges.truncate(most);
+        ranges.sort_unstable();
+    }
+    ranges
+}
+
 /// Numbers of done tasks as ranges, first and one past the last.
 pub fn ranges(job: &Job) -> Vec<(u32, u32)> {
     let mut out: Vec<(u32, u32)> = Vec::new();
--- a/src/model/spec.rs
+++ b/src/model/spec.rs
@@ -1,6 +1,6 @@
 //! Jobs as their users describe them.
 
-use super::{Demand, Flavor};
+use super::{Demand, Flavor, Predecessors};
 use serde::{Deserialize, Serialize};
 
 /// How the tasks of a job belong together: independent, all at once, or replicas that stay up.
@@ -27,6 +27,9 @@
     Production,
 }
 
+/// Characters that are kept of each free text in the record of a job that is over.
+const ABRIDGED_CHARS: usize = 64;
+
 /// A job as its user described it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Spec {
@@ -66,9 +69,26 @@
     pub save_s: f64,
     /// Deadline in seconds after acceptance; `None` if it has none.
     pub due_s: Option<f64>,
+    /// Jobs that have to be done before any of its tasks starts. Absent from the record of a
+    /// job that waits for none, which reads as it did before there were any.
+    #[serde(default, skip_serializing_if = "Predecessors::is_empty")]
+    pub waits_on: Predecessors,
 }
 
 impl Spec {
+    /// What is still of use of a job that is over: who it was for and how large it was. Its
+    /// free texts are cut to a few characters, as the record has to fit into a value.
+    pub fn abridged(&self) -> Spec {
+        let short = |text: &str| text.chars().take(ABRIDGED_CHARS).collect::<String>();
+        Spec {
+            class: short(&self.class),
+            image: short(&self.image),
+            flavors: None,
+            zone: self.zone.as_deref().map(short),
+            waits_on: Predecessors::default(),
+            ..self.clone()
+        }
+    }
     /// May its tasks run on this machine type, and do they fit?
     pub fn allows_flavor(&self, flavor: &Flavor) -> bool {
         self.flavors.as_ref().is_none_or(|f| f.contains(&flavor.name)) && self.demand.fits(&flavor.cap)
--- a/src/node.rs
+++ b/src/node.rs
@@ -100,13 +100,16 @@
     }
 
     let for_peers = router.clone();
-    task::spawn(peer::serve(internal, move |request| {
+    task::spawn(peer::serve(internal, move |request, format| {
         let router = for_peers.clone();
-        async move { router.answer(request).await }
+        async move { router.answer(request, format).await }
     }));
+    for peer in router.peers.iter() {
+        task::spawn(router.clone().watch_format(peer.clone()));
+    }
     let teams = Arc::new(settings.partitions_of_teams(operator.partitions));
     let policy = Arc::new(Policy::new(&settings, &operator, 0));
-    let value_bytes = (settings.params.state.value_kb * 1024.0) as usize;
+    let limits = settings.write_limits();
     let request_budget = RequestBudget::new(settings.params.state.rps, nodes.len());
     let job_reads = JobReads::new(state.clone(), request_budget.clone(), grant_ttl_ms);
     let api = Api {
@@ -119,7 +122,7 @@
         router,
         teams,
         policy,
-        value_bytes,
+        limits,
         route_hints: Default::default(),
     };
     // A quarter of the sockets is for what this node opens itself.
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -23,7 +23,7 @@
 /// Messages that are taken into a round beside the first one, at the most.
 const MORE_PER_ROUND: usize = 64;
 /// Writes may come in bursts of so many seconds' worth.
-const WRITE_BURST_S: f64 = 0.8;
+pub(super) const WRITE_BURST_S: f64 = 0.8;
 
 /// What the actor works with.
 pub struct PartitionOwner {
@@ -115,20 +115,20 @@
 
     fn begin(&self, n: u64, term: u64, version: u64, grant: u64, start_ms: u64) -> ActiveTerm {
         let now = clock::now_ms();
-        let p = &self.settings.params;
+        let limits = self.settings.write_limits();
         let policy = Policy::new(&self.settings, &self.operator, start_ms);
         let teams = self.settings.partitions_of_teams(self.operator.partitions);
-        let mut partition = Partition::new(policy, self.id, teams, p.state.txn_ops, p.state.value_kb);
+        let mut partition = Partition::new(policy, self.id, teams, limits);
         partition.set_term(term, version);
         self.load(n);
         ActiveTerm {
             partition,
-            leader: Leader::new(p.cloud.list_lag_s),
+            leader: Leader::new(self.settings.params.cloud.list_lag_s),
             n,
             grant,
             version,
             loaded: false,
-            writes: TokenBucket::new(self.settings.writes_per_s(), WRITE_BURST_S, now),
+            writes: TokenBucket::new(limits.changes_per_s, WRITE_BURST_S, now),
             raising: false,
             raise_after_ms: 0,
             commit_after_ms: 0,
--- a/src/owner/cloud_tasks.rs
+++ b/src/owner/cloud_tasks.rs
@@ -2,7 +2,7 @@
 
 use super::active_term::ActiveTerm;
 use super::actor::PartitionOwner;
-use super::load::FLAVORS_KEY;
+use super::load::flavor_changes;
 use super::messages::{SessionEvent, SessionSender};
 use crate::clients::{Cloud, RentResult, State};
 use crate::leader::CloudOp;
@@ -10,7 +10,6 @@
 use crate::peer::PeerRequest;
 use crate::sched::Rental;
 use crate::task;
-use crate::wire;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -89,13 +88,14 @@
     pub(super) fn watch_cloud(&self, session: u64, known: Vec<Flavor>) {
         let (cloud, state, sender) = (self.cloud.clone(), self.state.clone(), self.sender(session));
         let pause = Duration::from_secs_f64((self.settings.params.cloud.list_lag_s / 2.0).max(1.0));
+        let value_bytes = self.settings.write_limits().value_bytes;
         let leads = self.id == 0;
         task::spawn(async move {
             let mut known = known;
             let mut round = 0u32;
             loop {
                 if (round.is_multiple_of(ROUNDS_PER_FLAVORS) || known.is_empty())
-                    && !read_flavors(&cloud, &state, &sender, &mut known).await
+                    && !read_flavors(&cloud, &state, &sender, &mut known, value_bytes).await
                 {
                     return;
                 }
@@ -117,12 +117,18 @@
 }
 
 /// Reads the machine types and keeps them for a restart; false if the actor has ended.
-async fn read_flavors(cloud: &Cloud, state: &State, sender: &SessionSender, known: &mut Vec<Flavor>) -> bool {
+async fn read_flavors(
+    cloud: &Cloud,
+    state: &State,
+    sender: &SessionSender,
+    known: &mut Vec<Flavor>,
+    value_bytes: usize,
+) -> bool {
     let Some(flavors) = cloud.flavors().await else { return true };
-    if known.len() != flavors.len()
-        && let Ok(v) = serde_json::to_value(&flavors)
-    {
-        state.commit(&[], &[wire::put(FLAVORS_KEY, &v, None)]).await;
+    if known.len() != flavors.len() {
+        for change in flavor_changes(&flavors, value_bytes) {
+            state.commit(&[], &[change]).await;
+        }
     }
     known.clone_from(&flavors);
     sender.send(SessionEvent::Flavors(flavors)).await
--- a/src/owner/commits.rs
+++ b/src/owner/commits.rs
@@ -1,9 +1,9 @@
 //! Commits of the partition's records, and raises of its term.
 
 use super::active_term::ActiveTerm;
-use super::actor::PartitionOwner;
+use super::actor::{PartitionOwner, WRITE_BURST_S};
 use super::messages::SessionEvent;
-use crate::clients::State;
+use crate::clients::{State, TokenBucket};
 use crate::membership::{self, PartitionRecord, RaisedTerm};
 use crate::partition::{CommitResult, Superseded};
 use crate::task;
@@ -49,9 +49,13 @@
 
     /// Takes in how a commit ended.
     pub(super) fn committed(&self, h: &mut ActiveTerm, result: CommitResult, now: u64) {
-        if matches!(result, CommitResult::Refused | CommitResult::Unclear) {
+        let in_vain = |r: &CommitResult| !matches!(r, CommitResult::Done { .. } | CommitResult::Conflict { .. });
+        if in_vain(&result) {
             h.commit_after_ms = now + self.settings.react_ms() / 5;
         }
+        if matches!(result, CommitResult::Throttled) {
+            self.slow_down(h, now);
+        }
         match h.partition.committed(result) {
             Ok(keys) if !keys.is_empty() => self.reread(h.n, keys),
             Ok(_) => {}
@@ -64,6 +68,19 @@
         }
     }
 
+    /// The service has refused the rate of changes: the lower one that was announced holds now.
+    fn slow_down(&self, h: &mut ActiveTerm, now: u64) {
+        h.partition.metrics.count("limits_met", "write_rate");
+        let limits = self.settings.write_limits();
+        if h.partition.policy.writes_per_s > limits.lower_changes_per_s {
+            tracing::info!(per_s = limits.lower_changes_per_s, "the state service takes fewer changes");
+            h.partition.policy.writes_per_s = limits.lower_changes_per_s;
+            h.writes = TokenBucket::new(limits.lower_changes_per_s, WRITE_BURST_S, now);
+            let burst = h.writes.available_tokens(now);
+            h.writes.spend(burst);
+        }
+    }
+
     /// Takes in how a raise of the term ended.
     pub(super) fn raised(&self, h: &mut ActiveTerm, raised: Option<RaisedTerm>, now: u64) {
         h.raising = false;
--- a/src/owner/load.rs
+++ b/src/owner/load.rs
@@ -6,13 +6,45 @@
 use crate::model::Flavor;
 use crate::partition;
 use crate::task;
-use crate::wire::Item;
+use crate::wire::{self, Item};
+use crate::write_limits::json_bytes;
+use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Key under which the machine types are kept for a restart in a cloud outage.
 pub const FLAVORS_KEY: &str = "flavors";
 
+/// The changes that keep the machine types, in as many values as they need. The first one is
+/// where all of them were kept before.
+pub(super) fn flavor_changes(flavors: &[Flavor], value_bytes: usize) -> Vec<Value> {
+    let mut values: Vec<Vec<&Flavor>> = vec![Vec::new()];
+    for flavor in flavors {
+        let Some(last) = values.last_mut() else { break };
+        last.push(flavor);
+        if last.len() > 1 && json_bytes(last) > value_bytes {
+            last.pop();
+            values.push(vec![flavor]);
+        }
+    }
+    let key = |n: usize| if n == 0 { FLAVORS_KEY.to_string() } else { format!("{FLAVORS_KEY}/{n}") };
+    values.iter().enumerate().map(|(n, flavors)| wire::put(&key(n), &json!(flavors), None)).collect()
+}
+
+/// The machine types that are kept; one that is there twice counts once.
+pub async fn kept_flavors(state: &State) -> Option<Vec<Flavor>> {
+    let mut flavors: Vec<Flavor> = Vec::new();
+    for item in state.list(FLAVORS_KEY).await.ok()? {
+        let more: Vec<Flavor> = serde_json::from_value(item.value).unwrap_or_default();
+        for flavor in more {
+            if flavors.iter().all(|known| known.name != flavor.name) {
+                flavors.push(flavor);
+            }
+        }
+    }
+    Some(flavors)
+}
+
 /// What the state service holds at the start of a session.
 pub struct Loaded {
     pub(super) jobs: Vec<Item>,
@@ -24,8 +56,7 @@
     async fn read(state: &State) -> Option<Loaded> {
         let jobs = state.list("job/").await.ok()?;
         let hosts = state.list("host/").await.ok()?;
-        let flavors = state.get(FLAVORS_KEY).await.ok()?.0;
-        let flavors = flavors.and_then(|i| serde_json::from_value(i.value).ok()).unwrap_or_default();
+        let flavors = kept_flavors(state).await?;
         Some(Loaded { jobs, hosts, flavors })
     }
 }
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -12,5 +12,5 @@
 mod rounds;
 
 pub use actor::PartitionOwner;
-pub use load::{FLAVORS_KEY, Loaded};
+pub use load::{FLAVORS_KEY, Loaded, kept_flavors};
 pub use messages::{HeartbeatReply, Message, SessionEvent};
--- a/src/partition/fault_combination_tests.rs
+++ b/src/partition/fault_combination_tests.rs
@@ -86,7 +86,7 @@
     done_on_h1(&mut p, 1100);
     p.next_commit(1100, 32).unwrap();
     p.committed(CommitResult::Unclear).unwrap();
-    let value = serde_json::to_value(JobRecord::of(&p.cluster.jobs[0], None, 10)).unwrap();
+    let value = serde_json::to_value(JobRecord::of(&p.cluster.jobs[0], None, RECORD_BYTES)).unwrap();
     let item = |version| Item { key: "job/run-000001".into(), value: value.clone(), version };
     p.reread(item(100));
     assert_eq!(phase_told(&p), None, "it may still come");
--- a/src/partition/fleet_tests.rs
+++ b/src/partition/fleet_tests.rs
@@ -107,7 +107,7 @@
         let guarantee = s.params.objectives[0].clone();
         s.params.objectives.push(Objective { kind: "guarantee".into(), class: None, within_s: Some(5.0), ..guarantee });
         let policy = Policy::new(&s, &Operator::default(), 0);
-        let mut partition = Partition::new(policy, 0, s.partitions_of_teams(1), 32, 32.0);
+        let mut partition = Partition::new(policy, 0, s.partitions_of_teams(1), s.write_limits());
         partition.begin(1, 77, vec![], vec![], types(), 1000);
         Fleet {
             partition,
@@ -239,7 +239,7 @@
         let under = |prefix: &'static str| self.stored.iter().filter(move |(k, _)| k.starts_with(prefix));
         let (jobs, hosts) = (under("job/").map(item).collect(), under("host/").map(item).collect());
         let policy = self.partition.policy.clone();
-        self.partition = Partition::new(policy, 0, self.partition.teams.clone(), 32, 32.0);
+        self.partition = Partition::new(policy, 0, self.partition.teams.clone(), settings().write_limits());
         self.partition.begin(term, 78, jobs, hosts, types(), self.now);
     }
 }
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -20,7 +20,7 @@
 mod upkeep;
 mod users;
 
-pub use keys::{TOO_LONG, fits, host_key, inbox_key, job_key};
+pub use keys::{host_key, inbox_key, job_key};
 pub use types::{
     Commit, CommitResult, Direct, DirectResult, HostRouting, JobWrite, PendingWrite, ReportSource, Superseded,
     UserAnswer, Waiter,
@@ -30,11 +30,9 @@
 use crate::metrics::Metrics;
 use crate::model::{ClusterState, HostIndex, JobIndex};
 use crate::sched::Policy;
+use crate::write_limits::WriteLimits;
 use std::collections::{BTreeSet, HashMap, HashSet};
 
-/// Bytes in a KiB.
-const KIB: f64 = 1024.0;
-
 /// The state of one partition, and the protocol over it.
 pub struct Partition {
     /// Its jobs, machines and machine types.
@@ -90,14 +88,17 @@
     pub unplaced: Vec<JobIndex>,
     /// Machines that passes have looked at so far.
     pub hosts_examined: u64,
-    txn_ops: usize,
-    value_bytes: usize,
+    limits: WriteLimits,
+    /// Changes in a commit, fewer for a while after one that was not taken.
+    largest_commit: usize,
+    /// When the last commit was made.
+    last_commit_ms: u64,
     last_upkeep_ms: u64,
 }
 
 impl Partition {
     /// A partition whose records were not read yet.
-    pub fn new(policy: Policy, id: u32, teams: HashMap<String, u32>, txn_ops: usize, value_kb: f64) -> Partition {
+    pub fn new(policy: Policy, id: u32, teams: HashMap<String, u32>, limits: WriteLimits) -> Partition {
         Partition {
             cluster: ClusterState { all_accounted: true, ..ClusterState::default() },
             policy,
@@ -129,8 +130,9 @@
             urgent_pass_due: false,
             unplaced: Vec::new(),
             hosts_examined: 0,
-            txn_ops,
-            value_bytes: (value_kb * KIB) as usize,
+            limits,
+            largest_commit: limits.commit_changes,
+            last_commit_ms: 0,
             last_upkeep_ms: 0,
         }
     }
--- a/src/partition/records.rs
+++ b/src/partition/records.rs
@@ -7,9 +7,6 @@
 use serde_json::Value;
 use std::cmp::Reverse;
 
-/// Ranges that certainly fit into half of a value: two numbers of six digits
-/// and what is around them.
-const RANGE_BYTES: usize = 18;
 /// Most bytes of the changes of one commit, under the protocol's 64 KiB.
 const COMMIT_BYTES: usize = 48 * 1024;
 /// Bytes of a change in a commit besides its key, which is there twice, and its value.
@@ -67,10 +64,11 @@
             return None;
         }
         self.settle_cancellations();
+        self.last_commit_ms = now;
         let due = self.due_records(now);
         let (urgent, progress) = due.split_at(due.partition_point(|d| d.priority < WritePriority::Progress));
         let guard = wire::guard(&self.partition_key, self.partition_version);
-        let mut builder = CommitBuilder::new(guard, ops.min(self.txn_ops));
+        let mut builder = CommitBuilder::new(guard, ops.min(self.largest_commit));
         self.add_job_records(urgent, &mut builder);
         self.add_host_records(&mut builder);
         self.add_job_records(progress, &mut builder);
@@ -88,6 +86,7 @@
         let priority = |job_index: JobIndex| {
             let job = &self.cluster.jobs[job_index];
             match job.unsaved {
+                _ if now < job.write_after_ms => None,
                 UnsavedChange::End(_) => Some(WritePriority::End),
                 UnsavedChange::Creation => Some(WritePriority::Creation),
                 UnsavedChange::Progress if now >= job.unsaved_since_ms + patience => Some(WritePriority::Progress),
@@ -108,7 +107,6 @@
 
     /// Adds jobs' records while there is room for them.
     fn add_job_records(&mut self, due: &[DueRecord], builder: &mut CommitBuilder) {
-        let max_ranges = (self.value_bytes / 2 / RANGE_BYTES).max(1);
         for &DueRecord { job: job_index, .. } in due {
             if builder.full() || builder.bytes > COMMIT_BYTES {
                 break;
@@ -119,7 +117,12 @@
                 _ => None,
             };
             let key = job_key(&job.spec.id);
-            let record = JobRecord::of(job, end, max_ranges);
+            let Some(record) = JobRecord::of(job, end, self.limits.value_bytes) else {
+                // Accepted under a larger limit: its progress has no room, its end will have.
+                job.unsaved = UnsavedChange::Nothing;
+                self.dirty.remove(&job_index);
+                continue;
+            };
             let Ok(value) = serde_json::to_value(&record) else { continue };
             builder.bytes += value.to_string().len() + 2 * key.len() + CHANGE_BYTES;
             if builder.bytes > COMMIT_BYTES && !builder.commit.apply.is_empty() {
@@ -180,11 +183,16 @@
         let unclear = matches!(result, CommitResult::Unclear);
         let failed = match result {
             CommitResult::Done { revision } => {
+                self.largest_commit = (2 * self.largest_commit).min(self.limits.commit_changes);
                 saved.into_iter().for_each(|s| self.written(s, revision));
                 return Ok(Vec::new());
             }
             CommitResult::Conflict { failed } => failed,
-            CommitResult::Refused | CommitResult::Unclear => Vec::new(),
+            CommitResult::NotTaken => {
+                self.commit_not_taken(&saved);
+                Vec::new()
+            }
+            CommitResult::Refused | CommitResult::Throttled | CommitResult::Unclear => Vec::new(),
         };
         saved.into_iter().for_each(|s| self.not_written(s, unclear));
         if failed.contains(&self.partition_key) {
@@ -193,6 +201,22 @@
         Ok(failed.into_iter().filter(|key| key.starts_with(JOB_PREFIX)).collect())
     }
 
+    /// The service takes no such commit: the next ones are smaller, until one change alone is
+    /// at fault. That one waits for a lease, so that it doesn't keep the others back.
+    fn commit_not_taken(&mut self, saved: &[PendingWrite]) {
+        self.metrics.count("limits_met", "commit_size");
+        if saved.len() > 1 {
+            self.largest_commit = saved.len() / 2;
+            return;
+        }
+        self.largest_commit = self.limits.commit_changes;
+        if let [PendingWrite::Job(write)] = saved {
+            let job = &mut self.cluster.jobs[write.job];
+            tracing::error!(job = job.spec.id, "the state service does not take the job's record");
+            job.write_after_ms = self.last_commit_ms + self.policy.lease_ms;
+        }
+    }
+
     /// A change was carried out.
     fn written(&mut self, saved: PendingWrite, revision: u64) {
         match saved {
--- a/src/partition/tests.rs
+++ b/src/partition/tests.rs
@@ -10,6 +10,8 @@
 use tokio::sync::oneshot;
 
 const LEASE: u64 = 10_000;
+/// Bytes of a value in these tests.
+pub const RECORD_BYTES: usize = 30 * 1024;
 
 fn flavor() -> Flavor {
     Flavor {
@@ -28,7 +30,7 @@
 pub fn partition_of(term: u64, jobs: Vec<Item>, hosts: Vec<Item>) -> Partition {
     let s = settings();
     let policy = Policy::new(&s, &Operator::default(), 0);
-    let mut p = Partition::new(policy, 0, s.partitions_of_teams(1), 32, 32.0);
+    let mut p = Partition::new(policy, 0, s.partitions_of_teams(1), s.write_limits());
     p.begin(term, 77, jobs, hosts, vec![flavor()], 1000);
     p
 }
@@ -289,7 +291,8 @@
 /// The records of the jobs and machines of a partition.
 pub fn items(p: &mut Partition) -> (Vec<Item>, Vec<Item>) {
     let item = |key, value, version| Item { key, value, version };
-    let job = |j: &Job| item(job_key(&j.spec.id), serde_json::to_value(JobRecord::of(j, None, 10)).unwrap(), 100);
+    let job =
+        |j: &Job| item(job_key(&j.spec.id), serde_json::to_value(JobRecord::of(j, None, RECORD_BYTES)).unwrap(), 100);
     let record = HostRecord { addr: None, flavor: "g8".into(), zone: "a".into(), spot: false, partition: 0 };
     let host = |(_, h): (HostIndex, &Host)| item(host_key(&h.id), serde_json::to_value(&record).unwrap(), 90);
     (p.cluster.jobs.iter().map(job).collect(), p.cluster.each_host().map(host).collect())
--- a/src/partition/types.rs
+++ b/src/partition/types.rs
@@ -94,6 +94,11 @@
     },
     /// Nothing was changed.
     Refused,
+    /// Nothing was changed, as there were too many changes lately.
+    Throttled,
+    /// Nothing was changed: the service takes no such commit, now or later. Its values or the
+    /// whole may be too large.
+    NotTaken,
     /// The changes may have been made, or may still be.
     Unclear,
 }
--- a/src/partition/users.rs
+++ b/src/partition/users.rs
@@ -1,6 +1,5 @@
 //! What users ask of a partition: submissions, polls, cancellations.
 
-use super::keys::{TOO_LONG, fits};
 use super::upkeep::UNREACHABLE_AFTER_MISSES;
 use super::{Partition, UserAnswer, Waiter};
 use crate::model::{Host, Job, JobEnd, JobIndex, JobPhase, Spec, UnsavedChange, Urgency};
@@ -33,7 +32,7 @@
             Ok(_) if self.cluster.flavors.is_empty() => UserAnswer::RetryLater(RefusalReason::MachineTypesUnknown),
             Ok(spec) => match sched::impossible(&spec, &self.policy, &self.cluster.flavors) {
                 Some(message) => UserAnswer::Impossible(message),
-                None if !fits(&spec, self.value_bytes) => UserAnswer::Malformed(TOO_LONG.into()),
+                None if let Some(why) = self.limits.refuses(&spec) => UserAnswer::Malformed(why.into()),
                 None if self.backlog_s(spec.urgency) * BACKLOG_MS_PER_S > self.policy.lease_ms as f64 => {
                     UserAnswer::Busy(self.backlog_s(spec.urgency).ceil() as u64)
                 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,13 +2,14 @@
 //! a body, requests and replies matched by number.
 
 use crate::clock;
+use crate::frame_format::{FrameFormat, PeerFormat};
 use crate::net::{Listener, Net};
 use crate::peer_health::{HealthLimits, SharedPeerHealth};
 use crate::refusal::RefusalReason;
 use crate::task;
 use connections::{Connections, Connector};
-use frames::{encode, read_frame, write_frames};
-use serde::{Deserialize, Serialize};
+use frames::{Frame, encode, read_frame, write_frames};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -127,15 +128,34 @@
         /// Seconds after which to ask again; `None` if the answer is final.
         retry_after_s: Option<u64>,
         /// Why the owner refuses, for the counters of the node that asked.
-        #[serde(default)]
+        #[serde(default, deserialize_with = "known_reason")]
         refusal: Option<RefusalReason>,
     },
 }
 
+impl PeerResponse {
+    /// The response without what a speaker of this format can't read: an unknown reason makes
+    /// the whole frame unreadable to the version before.
+    fn readable_in(mut self, format: FrameFormat) -> PeerResponse {
+        if let PeerResponse::User { refusal, .. } = &mut self
+            && !format.is_current()
+        {
+            refusal.take_if(|reason| !reason.is_known_to_all());
+        }
+        self
+    }
+}
+
+/// A reason by its name; `None` also for one that this version does not know.
+fn known_reason<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<RefusalReason>, D::Error> {
+    let name: Option<String> = Option::deserialize(deserializer)?;
+    Ok(name.and_then(|name| RefusalReason::from_label(&name)))
+}
+
 /// Serves the other controllers for ever.
 pub async fn serve<H, F>(listener: impl Listener, handler: H)
 where
-    H: Fn(PeerRequest) -> F + Send + Sync + 'static,
+    H: Fn(PeerRequest, FrameFormat) -> F + Send + Sync + 'static,
     F: Future<Output = PeerResponse> + Send + 'static,
 {
     let handler = Arc::new(handler);
@@ -149,10 +169,14 @@
         let (tx, rx) = mpsc::channel::<Vec<u8>>(64);
         task::spawn(write_frames(write, rx));
         task::spawn(async move {
-            while let Some((n, request)) = read_frame::<PeerRequest>(&mut read).await {
+            while let Some(frame) = read_frame::<PeerRequest>(&mut read).await {
                 let (handler, tx) = (handler.clone(), tx.clone());
                 task::spawn(async move {
-                    if let Some(frame) = encode(n, handler(request).await) {
+                    let response = match frame.message {
+                        Some(request) => handler(request, frame.format).await,
+                        None => PeerResponse::No,
+                    };
+                    if let Some(frame) = encode(frame.number, response.readable_in(frame.format)) {
                         let _ = tx.send(frame).await;
                     }
                 });
@@ -166,7 +190,7 @@
     /// Send a request, and its response to the asker.
     Request(PeerRequest, oneshot::Sender<PeerResponse>),
     /// A response has come on a connection.
-    Response { connection: u64, request: u64, response: PeerResponse },
+    Response { connection: u64, frame: Frame<PeerResponse> },
     /// A connection could not be opened, or has ended.
     Broken { connection: u64 },
     /// An asker has given its request up: nobody receives the response.
@@ -196,6 +220,8 @@
     pub name: String,
     /// Whether the controller is silent; told of whatever else is heard from it.
     pub health: SharedPeerHealth,
+    /// The format that the controller speaks, as its last frame told.
+    pub format: PeerFormat,
     connect_limit: Duration,
     tx: mpsc::Sender<ToPeer>,
 }
@@ -212,8 +238,9 @@
         let (tx, rx) = mpsc::channel(MAX_QUEUED);
         let health = SharedPeerHealth::new(&name, limits.health);
         let connector = Connector { net, addr, limit: limits.connect, events: tx.clone() };
-        task::spawn(Connections::new(connector, health.clone()).run(rx));
-        Peer { name, health, connect_limit: limits.connect, tx }
+        let format = PeerFormat::default();
+        task::spawn(Connections::new(connector, health.clone(), format.clone()).run(rx));
+        Peer { name, health, format, connect_limit: limits.connect, tx }
     }
 
     /// The response to a request, if it comes within the limit. A user's request to a silent
--- a/src/peer/connections.rs
+++ b/src/peer/connections.rs
@@ -1,7 +1,8 @@
 //! The actor that owns the connections to one peer and the requests that wait there.
 
-use super::frames::{encode, read_frame, write_frames};
+use super::frames::{Frame, encode, read_frame, write_frames};
 use super::{MAX_QUEUED, PeerRequest, PeerResponse, ToPeer};
+use crate::frame_format::PeerFormat;
 use crate::net::{Net, ReadHalf};
 use crate::peer_health::SharedPeerHealth;
 use crate::task;
@@ -50,6 +51,7 @@
 pub(super) struct Connections {
     connector: Connector,
     health: SharedPeerHealth,
+    format: PeerFormat,
     connections: Vec<Connection>,
     waiting: HashMap<u64, Waiting>,
     last_connection: u64,
@@ -57,10 +59,11 @@
 }
 
 impl Connections {
-    pub(super) fn new(connector: Connector, health: SharedPeerHealth) -> Connections {
+    pub(super) fn new(connector: Connector, health: SharedPeerHealth, format: PeerFormat) -> Connections {
         Connections {
             connector,
             health,
+            format,
             connections: Vec::new(),
             waiting: HashMap::new(),
             last_connection: 0,
@@ -73,7 +76,7 @@
         while let Some(message) = messages.recv().await {
             match message {
                 ToPeer::Request(request, reply) => self.send(request, reply),
-                ToPeer::Response { connection, request, response } => self.received(connection, request, response),
+                ToPeer::Response { connection, frame } => self.received(connection, frame),
                 ToPeer::Broken { connection } => self.broken(connection),
                 ToPeer::Abandoned => self.drop_abandoned(),
             }
@@ -103,12 +106,14 @@
         &mut self.connections[index]
     }
 
-    fn received(&mut self, connection: u64, request: u64, response: PeerResponse) {
+    fn received(&mut self, connection: u64, frame: Frame<PeerResponse>) {
         self.health.heard();
+        self.format.heard(frame.format);
         let Some(connection) = self.connections.iter_mut().find(|c| c.number == connection) else { return };
         connection.responses += 1;
-        if let Some(waiting) = self.waiting.remove(&request) {
-            let _ = waiting.reply.send(response);
+        if let Some(waiting) = self.waiting.remove(&frame.number) {
+            // What can't be read is no answer to work with.
+            let _ = waiting.reply.send(frame.message.unwrap_or(PeerResponse::No));
         }
     }
 
@@ -163,8 +168,8 @@
 
 /// Tells the responses that come on a connection, and its end.
 async fn read_responses(mut read: ReadHalf, connection: u64, events: mpsc::Sender<ToPeer>) {
-    while let Some((request, response)) = read_frame(&mut read).await {
-        if events.send(ToPeer::Response { connection, request, response }).await.is_err() {
+    while let Some(frame) = read_frame(&mut read).await {
+        if events.send(ToPeer::Response { connection, frame }).await.is_err() {
             return;
         }
     }
--- a/src/peer/frames.rs
+++ b/src/peer/frames.rs
@@ -1,6 +1,8 @@
 //! Frames between controllers: a length of four bytes and a numbered message in CBOR.
 
+use crate::frame_format::FrameFormat;
 use crate::net::{ReadHalf, WriteHalf};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -8,17 +10,31 @@
 /// Most that a frame may hold: a request's body with what is around it.
 const MAX_FRAME: usize = 128 * 1024;
 
-/// A message with the number of its request.
+/// A message with the number of its request, and the format that its sender speaks.
 #[derive(Serialize, Deserialize)]
 struct Numbered<T> {
     n: u64,
     body: T,
+    /// Left out by the version before, which ignores it.
+    #[serde(default)]
+    format: FrameFormat,
+}
+
+/// A frame that has come.
+#[derive(Debug, PartialEq)]
+pub(super) struct Frame<T> {
+    /// Number of the request.
+    pub(super) number: u64,
+    /// The format that its sender speaks.
+    pub(super) format: FrameFormat,
+    /// The message; `None` if it is of a kind that this version does not know.
+    pub(super) message: Option<T>,
 }
 
 /// A frame with a numbered message, unless it is too long.
 pub(super) fn encode<T: Serialize>(n: u64, body: T) -> Option<Vec<u8>> {
     let mut out = vec![0; 4];
-    ciborium::into_writer(&Numbered { n, body }, &mut out).ok()?;
+    ciborium::into_writer(&Numbered { n, body, format: FrameFormat::CURRENT }, &mut out).ok()?;
     let len = out.len() - 4;
     if len > MAX_FRAME {
         return None;
@@ -27,8 +43,8 @@
     Some(out)
 }
 
-/// The next message and its number; none once the connection is of no more use.
-pub(super) async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut ReadHalf) -> Option<(u64, T)> {
+/// The next frame; none once the connection is of no more use.
+pub(super) async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut ReadHalf) -> Option<Frame<T>> {
     let mut len = [0; 4];
     stream.read_exact(&mut len).await.ok()?;
     let len = u32::from_be_bytes(len) as usize;
@@ -37,8 +53,16 @@
     }
     let mut body = vec![0; len];
     stream.read_exact(&mut body).await.ok()?;
-    let m: Numbered<T> = ciborium::from_reader(body.as_slice()).ok()?;
-    Some((m.n, m.body))
+    decode(&body)
+}
+
+/// The frame in these bytes; `None` if there is none.
+fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<Frame<T>> {
+    if let Ok(Numbered { n, body, format }) = ciborium::from_reader::<Numbered<T>, _>(bytes) {
+        return Some(Frame { number: n, format, message: Some(body) });
+    }
+    let Numbered { n, format, .. } = ciborium::from_reader::<Numbered<IgnoredAny>, _>(bytes).ok()?;
+    Some(Frame { number: n, format, message: None })
 }
 
 /// Writes frames until nobody can send any more, or the connection takes no more.
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -17,7 +17,7 @@
 async fn peers_ask_and_answer_and_survive_a_silent_one() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener, |request| async move {
+    tokio::spawn(serve(listener, |request, _| async move {
         match request {
             PeerRequest::TransferHost { .. } => std::future::pending().await,
             PeerRequest::Promise { term: 3, .. } => PeerResponse::Promised,
@@ -140,7 +140,7 @@
 }
 
 /// Answers releases after as many milliseconds as their term says.
-async fn answer_after_term(request: PeerRequest) -> PeerResponse {
+async fn answer_after_term(request: PeerRequest, _: FrameFormat) -> PeerResponse {
     if let PeerRequest::Release { term, .. } = request {
         sleep(Duration::from_millis(term)).await;
     }
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -43,6 +43,12 @@
     TakeoverUnderWay,
     /// The budget for reads of job records is used up.
     TooManyReads,
+    /// A controller is of an earlier version, which would not let a job wait for others.
+    ControllerOutdated,
+    /// A job that the job waits for belongs to another partition: only its record tells how it is.
+    PredecessorElsewhere,
+    /// Whether a job that is waited for was accepted is not known yet.
+    PredecessorUnclear,
     /// The queue of the partition's actor is full; a worker reports again.
     TooManyReports,
     /// The queue of the partition's actor is full.
@@ -60,6 +66,17 @@
         }
     }
 
+    /// Does the version before know it, too?
+    pub fn is_known_to_all(self) -> bool {
+        use RefusalReason::{ControllerOutdated, PredecessorElsewhere, PredecessorUnclear};
+        !matches!(self, ControllerOutdated | PredecessorElsewhere | PredecessorUnclear)
+    }
+
+    /// The reason with this name, if this version knows it.
+    pub fn from_label(label: &str) -> Option<RefusalReason> {
+        serde_json::from_value(serde_json::Value::from(label)).ok()
+    }
+
     /// Its name in metrics.
     pub fn label(self) -> String {
         serde_json::to_value(self).ok().and_then(|name| name.as_str().map(String::from)).unwrap_or_default()
@@ -95,6 +112,9 @@
             RefusalReason::StateServiceSilent => "the state service gives no answer",
             RefusalReason::TakeoverUnderWay => "the jobs are being taken over",
             RefusalReason::TooManyReads => "too many reads of job records",
+            RefusalReason::ControllerOutdated => "a controller is of an earlier version",
+            RefusalReason::PredecessorElsewhere => "a job that is waited for belongs to another partition",
+            RefusalReason::PredecessorUnclear => "whether a job that is waited for was accepted is not known yet",
             RefusalReason::TooManyReports => "too many reports",
             RefusalReason::TooManyRequests => "too many requests",
             RefusalReason::TooManySubmissions => "too many submissions",
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 //! controllers.
 
 use crate::clock;
+use crate::frame_format::FrameFormat;
 use crate::http::Response;
 use crate::membership::{self, Entitlement, Ownership, PromiseStatus};
 use crate::owner;
@@ -13,7 +14,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait for an owner that is polled or told to cancel. A user waits 2 s for a poll:
 /// a fresh read of the record still fits in.
@@ -22,6 +23,12 @@
 /// Longest wait for the commit of a submission or a cancellation, for which a user waits 5 s.
 const MAX_COMMIT_WAIT: Duration = Duration::from_millis(4000);
 
+/// A partition that there is not: what is released of it changes nothing.
+const NO_PARTITION: u32 = u32::MAX;
+
+/// A peer of this version is asked so many times less often for its format than others.
+const FORMAT_ROUNDS: u32 = 4;
+
 /// The way to one partition on this node.
 #[derive(Clone)]
 pub struct PartitionHandle {
@@ -64,7 +71,7 @@
     /// Asks the owner of a partition, here or elsewhere.
     pub async fn request(&self, partition: u32, request: PeerRequest) -> Option<PeerResponse> {
         if self.mine(partition) {
-            return Some(self.answer(request).await);
+            return Some(self.answer(request, FrameFormat::CURRENT).await);
         }
         let name = self.owner(partition)?;
         let peer = self.peers.iter().find(|p| p.name == name)?;
@@ -84,6 +91,28 @@
         self.peers.iter().filter(|p| p.health.is_silent()).count()
     }
 
+    /// Has any of the other controllers said that it is of an earlier version?
+    pub fn has_old_peer(&self) -> bool {
+        self.peers.iter().any(|p| p.format.is_old())
+    }
+
+    /// Is the partition's owner certainly of this version?
+    pub fn owner_is_current(&self, partition: u32) -> bool {
+        let named = |name: String| self.peers.iter().find(|p| p.name == name);
+        self.mine(partition) || self.owner(partition).and_then(named).is_some_and(|p| p.format.is_current())
+    }
+
+    /// Learns the format that a peer speaks, for as long as this node runs: asks for something
+    /// that every version answers and that has no effect.
+    pub async fn watch_format(self, peer: Peer) {
+        let limit = Duration::from_millis(self.grant_ttl_ms * 2 / 5);
+        loop {
+            peer.request(PeerRequest::Release { partition: NO_PARTITION, term: 0 }, limit).await;
+            let rounds = if peer.format.is_current() { FORMAT_ROUNDS } else { 1 };
+            sleep(limit * rounds).await;
+        }
+    }
+
     /// Has the owner of the partition asked for a promise just now? It does so five
     /// times in the life of one.
     pub fn at_work(&self, partition: u32) -> bool {
@@ -102,11 +131,12 @@
     }
 
     /// Answers another controller, or this one, from the actors on this node.
-    pub async fn answer(&self, request: PeerRequest) -> PeerResponse {
+    pub async fn answer(&self, request: PeerRequest, format: FrameFormat) -> PeerResponse {
         match request {
             PeerRequest::Promise { partition, owner, term, for_ms, state_ok } => {
                 if let Some(peer) = self.peers.iter().find(|p| p.name == owner) {
                     peer.health.heard();
+                    peer.format.heard(format);
                 }
                 let Some(handle) = self.partitions.get(partition as usize) else { return PeerResponse::No };
                 if let Some(h) = self.heard_ms.get(partition as usize) {
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -58,7 +58,7 @@
         assert_eq!(wait_ms(&router, poll()).await, 0);
     }
     let promise = PeerRequest::Promise { partition: 0, owner: "b".into(), term: 1, for_ms: 5, state_ok: true };
-    router.answer(promise).await;
+    router.answer(promise, FrameFormat::CURRENT).await;
     assert_eq!(router.silent_peers(), 0);
     assert!(wait_ms(&router, poll()).await > 0);
 }
--- a/src/sched/policy.rs
+++ b/src/sched/policy.rs
@@ -99,7 +99,7 @@
             lease_ms: s.lease_ms(),
             report_ms: s.report_ms(),
             react_ms: s.react_ms(),
-            writes_per_s: s.writes_per_s(),
+            writes_per_s: s.write_limits().changes_per_s,
             max_attempts: max_attempts(s.params.limits.core_share),
             start_ms,
         }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,6 +1,6 @@
 //! Messages between users and the service: submissions of jobs and answers about them.
 
-use crate::model::{Demand, JobEnd, JobPhase, Shape, Spec, Urgency};
+use crate::model::{Demand, JobEnd, JobPhase, Predecessors, Shape, Spec, Urgency};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -93,6 +93,7 @@
         checkpoint_s: f.amount("checkpoint_every_s")?,
         save_s: f.amount("flush_s")?,
         due_s,
+        waits_on: Predecessors::default(),
     })
 }
 
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -63,7 +63,7 @@
     let (none, revision) = state.get("none").await.unwrap();
     assert!(none.is_none() && revision == 9);
     assert_eq!(state.get("babble").await.err(), Some(RequestError::Refused), "what can't be read is no answer");
-    assert_eq!(state.get("busy").await.err(), Some(RequestError::Refused));
+    assert_eq!(state.get("busy").await.err(), Some(RequestError::Throttled), "429 is told apart from an outage");
     assert_eq!(state.changes("a/", 1, 0).await.err(), Some(RequestError::Missing), "the keys must be read again");
     assert_eq!(state.extend_grant(4, 2500).await, Err(RequestError::Missing));
     assert_eq!(state.new_grant(2500).await, Err(RequestError::Refused));
--- /dev/null
+++ b/tests/versions/records.rs
@@ -0,0 +1,98 @@
+//! Records in the state service.
+
+use crate::production_format as production;
+use badgerdrift::membership::{PartitionRecord, TermRecord};
+use badgerdrift::model::{Flavor, HostRecord, Job, JobEnd, JobRecord, Predecessors};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Keys and values that the version in production wrote.
+fn production_records() -> Vec<(String, Value)> {
+    let lines = include_str!("../data/production/records.txt").lines();
+    let record = |line: &str| {
+        let (key, value) = line.split_once(' ').unwrap();
+        (key.to_string(), serde_json::from_str(value).unwrap())
+    };
+    lines.map(record).collect()
+}
+
+/// Reads a value as this version does and writes it again.
+fn rewritten<T: DeserializeOwned + Serialize>(value: &Value) -> Value {
+    serde_json::to_value(serde_json::from_value::<T>(value.clone()).unwrap()).unwrap()
+}
+
+#[test]
+fn records_of_the_version_in_production_are_written_again_as_they_were() {
+    let records = production_records();
+    for (key, value) in &records {
+        let again = match key.split('/').next().unwrap() {
+            "job" => rewritten::<JobRecord>(value),
+            "host" => rewritten::<HostRecord>(value),
+            "part" => rewritten::<PartitionRecord>(value),
+            "term" => rewritten::<TermRecord>(value),
+            "flavors" => rewritten::<Vec<Flavor>>(value),
+            other => panic!("no such record: {other}"),
+        };
+        assert_eq!(&again, value, "{key}");
+    }
+    let jobs = records.iter().filter(|(key, _)| key.starts_with("job/"));
+    let ends: Vec<&Value> = jobs.map(|(_, value)| &value["end"]).collect();
+    assert!(ends.contains(&&Value::from("Cancelled")) && ends.contains(&&Value::Null), "{ends:?}");
+}
+
+fn waiting_record() -> JobRecord {
+    let (_, value) = production_records().into_iter().find(|(key, _)| key == "job/run-000004").unwrap();
+    let mut record: JobRecord = serde_json::from_value(value).unwrap();
+    record.spec.waits_on = Predecessors::new(["run-000001", "run-000002", "run-000001"].map(String::from));
+    record
+}
+
+#[test]
+fn a_job_that_waits_is_recorded_compactly_and_its_order_kept() {
+    let value = serde_json::to_value(waiting_record()).unwrap();
+    assert_eq!(value["spec"]["waits_on"], "run-000001 run-000002");
+    let record: JobRecord = serde_json::from_value(value).unwrap();
+    assert_eq!(record.spec.waits_on.iter().collect::<Vec<_>>(), ["run-000001", "run-000002"]);
+}
+
+#[test]
+fn the_version_in_production_reads_the_records_of_this_one() {
+    let value = serde_json::to_value(waiting_record()).unwrap();
+    let old: production::JobRecord = serde_json::from_value(value).unwrap();
+    assert_eq!((old.spec.id.as_str(), old.spec.tasks, old.done), ("run-000004", 40, vec![(0, 10)]));
+    for (key, value) in production_records().iter().filter(|(key, _)| key.starts_with("job/")) {
+        let job = serde_json::from_value::<JobRecord>(value.clone()).unwrap().into_job(1, 0);
+        for end in [None, Some(JobEnd::Done), Some(JobEnd::Cancelled)] {
+            let record = JobRecord::of(&job, end, 4096).unwrap();
+            let old: production::JobRecord = serde_json::from_value(serde_json::to_value(record).unwrap()).unwrap();
+            assert_eq!(old.end.is_some(), end.is_some(), "{key}");
+        }
+    }
+}
+
+#[test]
+fn an_ended_job_whose_texts_exceed_the_limit_is_recorded_in_a_form_that_both_versions_read() {
+    let mut record = waiting_record();
+    record.spec.image = "i".repeat(2500);
+    record.spec.class = "c".repeat(2500);
+    let job: Job = record.into_job(1, 0);
+    assert_eq!(JobRecord::of(&job, None, 1920), None, "there is no room for its progress");
+    let ended = serde_json::to_value(JobRecord::of(&job, Some(JobEnd::Done), 1920)).unwrap();
+    assert!(ended.to_string().len() <= 1920, "{ended}");
+    let old: production::JobRecord = serde_json::from_value(ended.clone()).unwrap();
+    assert_eq!((old.end, old.spec.tasks), (Some(production::JobEnd::Done), 40));
+    let new: JobRecord = serde_json::from_value(ended).unwrap();
+    assert_eq!((new.end, new.spec.id.as_str()), (Some(JobEnd::Done), "run-000004"));
+}
+
+#[test]
+fn a_long_list_of_ranges_shrinks_to_the_limit() {
+    let mut record = waiting_record();
+    record.spec.tasks = 4000;
+    record.done = (0..1000).map(|n| (4 * n, 4 * n + 1 + u32::from(n % 100 == 0))).collect();
+    let job = record.into_job(1, 0);
+    let small = JobRecord::of(&job, None, 1920).unwrap();
+    assert!(serde_json::to_vec(&small).unwrap().len() <= 1920);
+    assert!(small.done.len() > 30 && small.done.contains(&(0, 2)), "the widest ranges are kept: {:?}", small.done);
+}
