--- a/src/api.rs
+++ b/src/api.rs
@@ -2,15 +2,15 @@
 
 use crate::clients::State;
 use crate::clock;
-use crate::ended_jobs::EndedJobs;
+use crate::ended_jobs::{EndedJob, EndedJobs};
 use crate::http::{Request, Response};
 use crate::job_reads::{JobReads, READ_LIMIT, RecordedJob};
 use crate::metrics::{SharedMetrics, gauge_line};
-use crate::model::{JobPhase, JobRecord, Spec};
+use crate::model::{JobEnd, JobPhase, JobRecord, Spec};
 use crate::owner::{self, HeartbeatReply};
 use crate::partition::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
-use crate::refusal::RefusalReason;
+use crate::refusal::RefusalReason::{self, ControllerOutdated, PredecessorUnclear};
 use crate::request_budget::{Purpose, RequestBudget};
 use crate::router::Router;
 use crate::sched::{self, Policy};
@@ -220,9 +220,20 @@
         if let Some(ended) = self.ended_jobs.get(&spec.id) {
             return ended.response(&spec.id);
         }
+        let waits = !spec.waits_on.is_empty();
+        if waits && self.router.has_old_peer() {
+            return self.unless_known(&spec.id, RefusalReason::ControllerOutdated.response()).await;
+        }
         let partition = self.teams.get(&spec.team).copied().unwrap_or(0);
-        let answer = match self.router.user(partition, UserCall::Submit(body)).await {
+        // An owner that is not known to be of this version might not let the job wait.
+        let asked = match waits && !self.router.owner_is_current(partition) {
+            true => None,
+            false => self.router.user(partition, UserCall::Submit(body)).await,
+        };
+        let answer = match asked {
             Some(r) if r.status != 503 => r,
+            // What keeps the owner from accepting it would not keep this node from it.
+            Some(r) if matches!(r.refusal, Some(ControllerOutdated | PredecessorUnclear)) => r,
             // A second way in would only add to the work that the owner has.
             None if self.router.at_work(partition) && self.state.answers(self.router.grant_ttl_ms) => {
                 RefusalReason::SubmissionSlow.response()
@@ -272,18 +283,22 @@
         if let Some(why) = sched::impossible(spec, &self.policy, &flavors) {
             return Some(Response::error(422, &why));
         }
-        if let Some(why) = self.limits.refuses(spec) {
+        let checked = match self.check_predecessors(spec).await {
+            Ok(checked) => checked,
+            Err(refusal) => return Some(refusal),
+        };
+        if let Some(why) = self.limits.refuses(&checked.spec) {
             return Some(Response::error(400, why));
         }
         let id = spec.id.clone();
-        let record = JobRecord { spec: spec.clone(), accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
+        let record = JobRecord { spec: checked.spec, accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
         let value = serde_json::to_value(&record).ok()?;
         let apply = [
             wire::put(&job_key(&id), &value, None),
             wire::put(&inbox_key(partition, &id), &serde_json::json!({}), None),
         ];
         match self.state.commit(&[wire::guard(&job_key(&id), 0)], &apply).await {
-            CommitResult::Done { .. } => Some(Response::json(201, &wire::job_answer(&id, JobPhase::Pending, 0, 0))),
+            CommitResult::Done { .. } => Some(Response::json(201, &wire::job_answer(&id, checked.phase, 0, 0))),
             CommitResult::Conflict { .. } => Some(self.fresh(&id, true, Purpose::Change).await),
             _ => None,
         }
@@ -336,17 +351,22 @@
         let deadline = Instant::now() + 2 * READ_LIMIT;
         match self.job_reads.read(id, purpose, deadline).await {
             Ok(RecordedJob::Missing) => Response::error(404, "no such job"),
-            Ok(RecordedJob::Live { done }) if status => {
-                Response::json(200, &wire::job_answer(id, JobPhase::Pending, done, 0))
-            }
-            Ok(RecordedJob::Live { .. }) => RefusalReason::OwnerUnreachable.response(),
-            Ok(RecordedJob::Ended(ended)) => {
-                self.ended_jobs.insert(id, ended);
-                ended.response(id)
-            }
+            Ok(RecordedJob::Live(job)) => match self.needs_cancelled(&job.waits_on, purpose, deadline).await {
+                Ok(true) => self.ended(id, EndedJob { end: JobEnd::Cancelled, done: job.done }),
+                Ok(false) if status => Response::json(200, &wire::job_answer(id, JobPhase::Pending, job.done, 0)),
+                Ok(false) => RefusalReason::OwnerUnreachable.response(),
+                Err(reason) => reason.response(),
+            },
+            Ok(RecordedJob::Ended { ended, .. }) => self.ended(id, ended),
             Err(reason) => reason.response(),
         }
     }
+
+    /// Tells and remembers an end.
+    fn ended(&self, id: &str, ended: EndedJob) -> Response {
+        self.ended_jobs.insert(id, ended);
+        ended.response(id)
+    }
 }
 
 /// An answer that comes before its user has given up; whether the request was carried out
@@ -359,5 +379,6 @@
     Response { allow: Some(allow), ..Response::error(405, "method not allowed") }
 }
 
+mod predecessors;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/api/predecessors.rs
@@ -0,0 +1,87 @@
+//! Jobs that others wait for, as their records tell them now: where no owner can be asked.
+
+use super::Api;
+use crate::http::Response;
+use crate::job_reads::{LiveJob, READ_LIMIT, RecordedJob};
+use crate::model::{JobEnd, JobPhase, Predecessors, Spec};
+use crate::refusal::RefusalReason;
+use crate::request_budget::Purpose;
+use std::collections::HashSet;
+use tokio::time::Instant;
+
+/// A submission whose predecessors are all known.
+pub(super) struct CheckedSubmission {
+    /// What is to be recorded: without the predecessors that are done.
+    pub(super) spec: Spec,
+    /// What its user is told: cancelled with a job that it needs, or pending.
+    pub(super) phase: JobPhase,
+}
+
+impl Api {
+    /// Checks by fresh reads that all jobs that a new one waits for were accepted and are no
+    /// services; the refusal if not, or if that can't be told now.
+    pub(super) async fn check_predecessors(&self, spec: &Spec) -> Result<CheckedSubmission, Response> {
+        let impossible = |why: String| Response::error(422, &format!("waits_on: {why}"));
+        let mut checked = CheckedSubmission { spec: spec.clone(), phase: JobPhase::Pending };
+        let deadline = Instant::now() + 2 * READ_LIMIT;
+        let mut done = HashSet::new();
+        for id in spec.waits_on.iter() {
+            if id == spec.id {
+                return Err(impossible(format!("{id} names itself")));
+            }
+            match self.recorded(id, Purpose::Change, deadline).await.map_err(RefusalReason::response)? {
+                RecordedJob::Missing => return Err(impossible(format!("{id} was never accepted"))),
+                RecordedJob::Live(LiveJob { is_service: true, .. }) | RecordedJob::Ended { is_service: true, .. } => {
+                    return Err(impossible(format!("{id} is a service")));
+                }
+                RecordedJob::Ended { ended, .. } if ended.end == JobEnd::Done => _ = done.insert(id),
+                RecordedJob::Ended { .. } => checked.phase = JobPhase::Cancelled,
+                RecordedJob::Live(job) => {
+                    let cancelled = self.needs_cancelled(&job.waits_on, Purpose::Change, deadline).await;
+                    if cancelled.map_err(RefusalReason::response)? {
+                        checked.phase = JobPhase::Cancelled;
+                    }
+                }
+            }
+        }
+        checked.spec.waits_on.retain(|id| !done.contains(id));
+        Ok(checked)
+    }
+
+    /// Is any of these jobs, or of those that they need, recorded as cancelled? Each record is
+    /// read after this question came, or tells an end, which never changes.
+    pub(super) async fn needs_cancelled(
+        &self,
+        jobs: &Predecessors,
+        purpose: Purpose,
+        deadline: Instant,
+    ) -> Result<bool, RefusalReason> {
+        let mut seen: HashSet<String> = jobs.iter().map(String::from).collect();
+        let mut open: Vec<String> = seen.iter().cloned().collect();
+        while let Some(id) = open.pop() {
+            match self.recorded(&id, purpose, deadline).await? {
+                RecordedJob::Ended { ended, .. } if ended.end == JobEnd::Cancelled => return Ok(true),
+                // All that a done job needed was done before it.
+                RecordedJob::Ended { .. } => {}
+                RecordedJob::Live(job) => {
+                    let new = job.waits_on.iter().filter(|id| !seen.contains(*id)).map(String::from);
+                    let new: Vec<String> = new.collect();
+                    seen.extend(new.iter().cloned());
+                    open.extend(new);
+                }
+                // It was accepted, as a job that waits for it was.
+                RecordedJob::Missing => return Err(RefusalReason::PredecessorUnclear),
+            }
+        }
+        Ok(false)
+    }
+
+    /// A job's record as it is now; an end that is remembered needs no read. A job that is
+    /// done was no service.
+    async fn recorded(&self, id: &str, purpose: Purpose, deadline: Instant) -> Result<RecordedJob, RefusalReason> {
+        match self.ended_jobs.get(id).filter(|ended| ended.end == JobEnd::Done) {
+            Some(ended) => Ok(RecordedJob::Ended { ended, is_service: false }),
+            None => self.job_reads.read(id, purpose, deadline).await,
+        }
+    }
+}
--- a/src/job_reads.rs
+++ b/src/job_reads.rs
@@ -6,7 +6,7 @@
 
 use crate::clients::State;
 use crate::ended_jobs::EndedJob;
-use crate::model::{JobEnd, JobRecord};
+use crate::model::{JobEnd, JobRecord, Predecessors, Shape};
 use crate::partition::job_key;
 use crate::refusal::RefusalReason;
 use crate::request_budget::{Purpose, RequestBudget};
@@ -24,26 +24,44 @@
 pub const READ_LIMIT: Duration = Duration::from_millis(500);
 
 /// What a job's record says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecordedJob {
     /// There is no record.
     Missing,
-    /// The job has not ended.
-    Live {
-        /// Tasks that are recorded as done.
-        done: u32,
-    },
+    /// Its own record tells no end.
+    Live(LiveJob),
     /// The job has ended.
-    Ended(EndedJob),
+    Ended {
+        /// How it ended.
+        ended: EndedJob,
+        /// True for a service, which no job may wait for.
+        is_service: bool,
+    },
+}
+
+/// A job whose own record tells no end. It is cancelled all the same if one that it needs is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveJob {
+    /// Tasks that are recorded as done.
+    pub done: u32,
+    /// True for a service, which no job may wait for.
+    pub is_service: bool,
+    /// The jobs that it waits for.
+    pub waits_on: Arc<Predecessors>,
 }
 
 impl RecordedJob {
     fn of(record: &JobRecord) -> RecordedJob {
         let recorded = record.done.iter().map(|range| range.1 - range.0).sum();
+        let is_service = record.spec.shape == Shape::Service;
+        let ended = |end, done| RecordedJob::Ended { ended: EndedJob { end, done }, is_service };
         match record.end {
-            Some(JobEnd::Done) => RecordedJob::Ended(EndedJob { end: JobEnd::Done, done: record.spec.tasks }),
-            Some(end) => RecordedJob::Ended(EndedJob { end, done: recorded }),
-            None => RecordedJob::Live { done: recorded },
+            Some(JobEnd::Done) => ended(JobEnd::Done, record.spec.tasks),
+            Some(end) => ended(end, recorded),
+            None => {
+                let waits_on = Arc::new(record.spec.waits_on.clone());
+                RecordedJob::Live(LiveJob { done: recorded, is_service, waits_on })
+            }
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod dependencies;
 pub mod ended_jobs;
 pub mod frame_format;
 pub mod http;
--- a/src/model/cluster.rs
+++ b/src/model/cluster.rs
@@ -55,7 +55,7 @@
     pub host_index: HashMap<String, HostIndex>,
     /// The machine types of the cloud.
     pub flavors: Vec<Flavor>,
-    /// Jobs that are not over.
+    /// Jobs that are not over and wait for no others.
     pub live: Vec<JobIndex>,
     /// Room that classes are expected to need.
     pub reserves: Vec<Reserve>,
@@ -78,7 +78,7 @@
     pub fn add_job(&mut self, job: Job) -> JobIndex {
         let job_index = self.jobs.len();
         self.job_index.insert(job.spec.id.clone(), job_index);
-        if job.end.is_none() {
+        if job.end.is_none() && !job.waiting {
             self.live.push(job_index);
         }
         self.jobs.push(job);
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -62,6 +62,11 @@
     pub spec: Spec,
     /// Wall time at which it was accepted.
     pub accepted_ms: u64,
+    /// It waits for other jobs: none of its tasks was or may be started.
+    pub waiting: bool,
+    /// Wall time from which on it could start: of its acceptance, or when it became known that
+    /// the last job that it waits for is done.
+    pub ready_ms: u64,
     /// Version of its record; 0 while it is not created.
     pub version: u64,
     /// The end that its record holds.
@@ -106,8 +111,10 @@
     pub fn new(spec: Spec, accepted_ms: u64, now: u64) -> Job {
         let tasks = vec![Task { place: Place::Idle, located: false, fails: 0, retry_ms: 0 }; spec.tasks as usize];
         Job {
+            waiting: !spec.waits_on.is_empty(),
             spec,
             accepted_ms,
+            ready_ms: accepted_ms,
             version: 0,
             end: None,
             unsaved: UnsavedChange::Nothing,
@@ -138,7 +145,11 @@
 
     /// May its tasks be started?
     pub fn active(&self) -> bool {
-        self.version > 0 && self.end.is_none() && !self.cancelling && !matches!(self.unsaved, UnsavedChange::End(_))
+        self.version > 0
+            && !self.waiting
+            && self.end.is_none()
+            && !self.cancelling
+            && !matches!(self.unsaved, UnsavedChange::End(_))
     }
 
     /// Machines that it is not placed on again for a while, as it failed there: they
--- a/src/owner/active_term.rs
+++ b/src/owner/active_term.rs
@@ -1,5 +1,6 @@
 //! What the actor keeps while it holds the partition.
 
+use super::predecessors::KnownExternals;
 use crate::clients::TokenBucket;
 use crate::leader::Leader;
 use crate::partition::Partition;
@@ -23,6 +24,10 @@
     pub(super) next_upkeep_ms: u64,
     pub(super) upkeep_ms: u64,
     pub(super) next_plan_ms: u64,
+    /// What is known of jobs of other partitions that are waited for.
+    pub(super) known_externals: Option<KnownExternals>,
+    pub(super) externals_under_way: bool,
+    pub(super) next_externals_ms: u64,
     /// What the leader says is on its way here.
     pub(super) pending_machines: Vec<PendingMachine>,
 }
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -137,6 +137,9 @@
             next_upkeep_ms: 0,
             upkeep_ms: now,
             next_plan_ms: 0,
+            known_externals: None,
+            externals_under_way: false,
+            next_externals_ms: 0,
             pending_machines: Vec::new(),
         }
     }
@@ -199,6 +202,10 @@
                     h.partition.adopt_job(i, now);
                 }
             }
+            SessionEvent::PredecessorsRead { submission, found } => {
+                h.partition.looked_up(submission, found, now, clock::wall_ms());
+            }
+            SessionEvent::ExternalsRead(read) => self.externals_read(h, read, now),
             SessionEvent::Raised(raised) => self.raised(h, raised, now),
             SessionEvent::Superseded => self.superseded(h),
             SessionEvent::Rented { name, result } => self.rented(h, &name, result, now),
--- a/src/owner/answers.rs
+++ b/src/owner/answers.rs
@@ -69,7 +69,10 @@
             UserCall::Submit(_) if silent => {
                 let _ = reply.send(UserAnswer::RetryLater(RefusalReason::StateServiceSilent));
             }
-            UserCall::Submit(body) => h.partition.submit(&body, now, clock::wall_ms(), reply),
+            UserCall::Submit(body) => {
+                h.partition.has_old_peer = self.router.has_old_peer();
+                h.partition.submit(&body, now, clock::wall_ms(), reply);
+            }
             UserCall::Status(id) => {
                 let _ = reply.send(h.partition.status(&id));
             }
--- a/src/owner/messages.rs
+++ b/src/owner/messages.rs
@@ -1,6 +1,7 @@
 //! Messages to the actor of a partition, and its answers.
 
 use super::load::Loaded;
+use super::predecessors::ExternalRecords;
 use crate::clients::RentResult;
 use crate::membership::RaisedTerm;
 use crate::model::{Flavor, HostRecord};
@@ -85,6 +86,15 @@
     Reread(Vec<Item>),
     /// Jobs that other nodes accepted.
     Inbox(Vec<Item>),
+    /// The records of jobs that a submission names, by id; `None` if they could not be read.
+    PredecessorsRead {
+        /// Number of the submission.
+        submission: u64,
+        /// The records; `None` where there is none.
+        found: Option<Vec<(String, Option<Item>)>>,
+    },
+    /// Records of jobs of other partitions that are waited for.
+    ExternalsRead(ExternalRecords),
     /// The term was raised; none if that failed.
     Raised(Option<RaisedTerm>),
     /// The partition has another owner, or none.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod load;
 mod messages;
+mod predecessors;
 mod rounds;
 
 pub use actor::PartitionOwner;
--- /dev/null
+++ b/src/owner/predecessors.rs
@@ -0,0 +1,116 @@
+//! Reading the records of jobs that others wait for: of those that a submission names and the
+//! partition does not know, and of those that belong to other partitions.
+
+use super::active_term::ActiveTerm;
+use super::actor::PartitionOwner;
+use super::messages::SessionEvent;
+use crate::clients::{RequestError, State};
+use crate::partition::{JOB_PREFIX, PredecessorLookup, job_key};
+use crate::task;
+use crate::wire::Item;
+use std::collections::HashSet;
+
+/// What was read of jobs that belong to other partitions.
+pub struct ExternalRecords {
+    /// Their records, each as it was at some moment since the last reading.
+    pub(super) records: Vec<Item>,
+    /// Which of the jobs were read, and up to which revision their changes are known; `None`
+    /// if the reading failed and has to begin anew.
+    pub(super) known: Option<KnownExternals>,
+}
+
+/// Jobs of other partitions whose changes are known up to a revision.
+#[derive(Default, Clone)]
+pub(super) struct KnownExternals {
+    revision: u64,
+    ids: HashSet<String>,
+}
+
+impl PartitionOwner {
+    /// Makes the lookups that submissions wait for.
+    pub(super) fn look_up_predecessors(&self, h: &mut ActiveTerm) {
+        for lookup in h.partition.take_lookups() {
+            let (state, sender) = (self.state.clone(), self.sender(h.n));
+            task::spawn(async move {
+                let submission = lookup.submission;
+                let found = read_all(&state, lookup).await;
+                sender.send(SessionEvent::PredecessorsRead { submission, found }).await;
+            });
+        }
+    }
+
+    /// Learns what became of jobs of other partitions that are waited for: with one request a
+    /// round for all of them together, once each was read.
+    pub(super) fn read_externals(&self, h: &mut ActiveTerm, now: u64) {
+        if h.externals_under_way || now < h.next_externals_ms {
+            return;
+        }
+        let ids = h.partition.external_predecessors();
+        if ids.is_empty() {
+            h.known_externals = None;
+            return;
+        }
+        h.externals_under_way = true;
+        let (state, sender, known) = (self.state.clone(), self.sender(h.n), h.known_externals.take());
+        task::spawn(async move {
+            let mut records = Vec::new();
+            let known = read_changes(&state, ids, known, &mut records).await.ok();
+            sender.send(SessionEvent::ExternalsRead(ExternalRecords { records, known })).await;
+        });
+    }
+
+    /// Takes in what was read of jobs of other partitions.
+    pub(super) fn externals_read(&self, h: &mut ActiveTerm, read: ExternalRecords, now: u64) {
+        h.externals_under_way = false;
+        h.next_externals_ms = now + self.settings.react_ms() / 2;
+        h.known_externals = read.known;
+        for item in read.records {
+            if let Some(id) = item.key.strip_prefix(JOB_PREFIX).map(String::from) {
+                h.partition.note_predecessor(&id, item, now);
+            }
+        }
+    }
+}
+
+/// The records that a lookup asks for; `None` if one could not be read.
+async fn read_all(state: &State, lookup: PredecessorLookup) -> Option<Vec<(String, Option<Item>)>> {
+    let mut found = Vec::new();
+    for id in lookup.ids {
+        let (item, _) = state.get(&job_key(&id)).await.ok()?;
+        found.push((id, item));
+    }
+    Some(found)
+}
+
+/// Reads the jobs that were not read before, and the changes of all of them since. A change
+/// that came before the reading of a job may be told after it: ends never change.
+async fn read_changes(
+    state: &State,
+    ids: Vec<String>,
+    known: Option<KnownExternals>,
+    records: &mut Vec<Item>,
+) -> Result<KnownExternals, RequestError> {
+    let mut known = match known {
+        Some(known) => known,
+        // No key has the prefix alone as its name: the answer tells the present revision.
+        None => KnownExternals { revision: state.get(JOB_PREFIX).await?.1, ids: HashSet::new() },
+    };
+    known.ids.retain(|id| ids.contains(id));
+    let changes = state.changes(JOB_PREFIX, known.revision, 0).await?;
+    for change in changes.events {
+        let id = change.key().strip_prefix(JOB_PREFIX).unwrap_or_default();
+        if known.ids.contains(id)
+            && let Some(value) = change.value.clone()
+        {
+            records.push(Item { key: change.key().to_string(), value, version: change.version });
+        }
+    }
+    known.revision = changes.revision;
+    for id in ids {
+        if !known.ids.contains(&id) {
+            records.extend(state.get(&job_key(&id)).await?.0);
+            known.ids.insert(id);
+        }
+    }
+    Ok(known)
+}
--- a/src/partition/keys.rs
+++ b/src/partition/keys.rs
@@ -1,7 +1,7 @@
 //! Keys in the state service.
 
 /// Prefix of the keys of jobs' records.
-pub(super) const JOB_PREFIX: &str = "job/";
+pub const JOB_PREFIX: &str = "job/";
 /// Prefix of the keys of machines in the registry.
 pub(super) const HOST_PREFIX: &str = "host/";
 
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_tests;
 mod keys;
 mod passes;
+mod predecessors;
 mod records;
 mod reports;
 mod running_counts;
@@ -20,13 +21,15 @@
 mod upkeep;
 mod users;
 
-pub use keys::{host_key, inbox_key, job_key};
+pub use keys::{JOB_PREFIX, host_key, inbox_key, job_key};
+pub use predecessors::PredecessorLookup;
 pub use types::{
     Commit, CommitResult, Direct, DirectResult, HostRouting, JobWrite, PendingWrite, ReportSource, Superseded,
     UserAnswer, Waiter,
 };
 pub use upkeep::UNREACHABLE_AFTER_MISSES;
 
+use crate::dependencies::DependencyGraph;
 use crate::metrics::Metrics;
 use crate::model::{ClusterState, HostIndex, JobIndex};
 use crate::sched::Policy;
@@ -58,6 +61,11 @@
     partition_version: u64,
     begun_ms: u64,
     next_attempt: u64,
+    /// Which jobs wait for which others.
+    dependencies: DependencyGraph,
+    predecessors: predecessors::PredecessorBooks,
+    /// A controller is known to be of a version that would not let jobs wait: none is accepted.
+    pub has_old_peer: bool,
     dirty: BTreeSet<JobIndex>,
     new_hosts: BTreeSet<HostIndex>,
     /// Keys that are of no more use.
@@ -114,6 +122,9 @@
             partition_version: 0,
             begun_ms: 0,
             next_attempt: 0,
+            dependencies: DependencyGraph::default(),
+            predecessors: Default::default(),
+            has_old_peer: false,
             dirty: BTreeSet::new(),
             new_hosts: BTreeSet::new(),
             obsolete_keys: BTreeSet::new(),
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -21,6 +21,7 @@
 
     fn pass_from(&mut self, least: Urgency, now: u64, wall: u64) {
         self.urgent_pass_due = false;
+        self.note_ready_times(wall);
         self.stop_attempts_of_done_tasks();
         let next = &mut self.next_attempt;
         let out = sched::pass(&mut self.cluster, &self.policy, now, wall, least, || {
--- /dev/null
+++ b/src/partition/predecessors.rs
@@ -0,0 +1,338 @@
+//! Jobs that wait for others: whether these are known, when a waiting job may start, and what
+//! their cancellation means for it.
+//!
+//! The one truth is the records. A job may start once the record of each of its predecessors
+//! says `done`; it is cancelled if its own record says so, or that of any job that it needs,
+//! directly or through others. Its own record follows when there is time for it.
+
+use super::{Partition, UserAnswer, Waiter};
+use crate::model::{JobEnd, JobIndex, JobRecord, Predecessors, Shape, Spec, UnsavedChange, Urgency};
+use crate::refusal::RefusalReason;
+use crate::wire::Item;
+use std::collections::{BTreeMap, HashSet};
+
+/// What is known of a predecessor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PredecessorState {
+    /// Recorded as done.
+    Done,
+    /// Recorded as cancelled, or needing a job that is.
+    Cancelled,
+    /// Neither is known.
+    Open,
+}
+
+/// Records that have to be read before a submission is decided.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PredecessorLookup {
+    /// Number of the submission.
+    pub submission: u64,
+    /// Ids of the jobs.
+    pub ids: Vec<String>,
+}
+
+/// A submission that waits for its lookup.
+pub(super) struct UncheckedSubmission {
+    spec: Spec,
+    waiter: Waiter,
+}
+
+/// Submissions that wait for lookups, and predecessors that belong to other partitions.
+#[derive(Default)]
+pub(super) struct PredecessorBooks {
+    submissions: BTreeMap<u64, UncheckedSubmission>,
+    last_submission: u64,
+    lookups: Vec<PredecessorLookup>,
+    /// Predecessors that this partition does not hold, as far as their records were read.
+    external: BTreeMap<String, ExternalJob>,
+    /// Jobs whose last predecessor is done, since the last pass.
+    ready: Vec<JobIndex>,
+}
+
+/// A job that another partition holds.
+#[derive(Debug, Clone, Copy, Default)]
+struct ExternalJob {
+    end: Option<JobEnd>,
+    is_service: bool,
+}
+
+impl Partition {
+    // ---- submissions ----
+
+    /// A submission of a job that waits for others: names that are not known are looked up in
+    /// reads that are sent from now on, as memory alone can't say that a job was never accepted.
+    pub(super) fn submit_waiting(&mut self, spec: Spec, now: u64, wall: u64, waiter: Waiter) {
+        if spec.waits_on.contains(&spec.id) {
+            let _ = waiter.send(UserAnswer::Impossible(format!("waits_on: {} names itself", spec.id)));
+            return;
+        }
+        let unknown: Vec<String> =
+            spec.waits_on.iter().filter(|id| !self.predecessor_is_known(id)).map(String::from).collect();
+        if unknown.is_empty() {
+            self.accept_waiting(spec, now, wall, waiter);
+            return;
+        }
+        let books = &mut self.predecessors;
+        books.last_submission += 1;
+        let submission = books.last_submission;
+        books.lookups.push(PredecessorLookup { submission, ids: unknown });
+        books.submissions.insert(submission, UncheckedSubmission { spec, waiter });
+    }
+
+    /// Lookups that are to be made now.
+    pub fn take_lookups(&mut self) -> Vec<PredecessorLookup> {
+        std::mem::take(&mut self.predecessors.lookups)
+    }
+
+    /// The records that a lookup found, or `None` if it failed; answers the submission or goes
+    /// on with it.
+    pub fn looked_up(&mut self, submission: u64, found: Option<Vec<(String, Option<Item>)>>, now: u64, wall: u64) {
+        let Some(UncheckedSubmission { spec, waiter }) = self.predecessors.submissions.remove(&submission) else {
+            return;
+        };
+        let Some(found) = found else {
+            let _ = waiter.send(UserAnswer::RetryLater(RefusalReason::StateServiceSilent));
+            return;
+        };
+        for (id, item) in found {
+            match item {
+                Some(item) => self.note_predecessor(&id, item, now),
+                None if self.predecessor_is_known(&id) => {}
+                // Its own creation may have been carried out since, or may still be.
+                None if self.cluster.job_index.contains_key(&id) => {
+                    let _ = waiter.send(UserAnswer::RetryLater(RefusalReason::PredecessorUnclear));
+                    return;
+                }
+                None => {
+                    let _ = waiter.send(UserAnswer::Impossible(format!("waits_on: {id} was never accepted")));
+                    return;
+                }
+            }
+        }
+        // The same job may have been submitted again, and accepted, meanwhile.
+        if let Some(&job_index) = self.cluster.job_index.get(&spec.id) {
+            self.answer_known(job_index, waiter);
+        } else {
+            self.accept_waiting(spec, now, wall, waiter);
+        }
+    }
+
+    /// Accepts a job all of whose predecessors are known, unless one of them is a service.
+    fn accept_waiting(&mut self, mut spec: Spec, now: u64, wall: u64, waiter: Waiter) {
+        if let Some(id) = spec.waits_on.iter().find(|id| self.is_service(id)) {
+            let _ = waiter.send(UserAnswer::Impossible(format!("waits_on: {id} is a service")));
+            return;
+        }
+        // What is certainly done need not be stored.
+        let open = |id: &str| self.predecessor_state(id) != PredecessorState::Done;
+        spec.waits_on.retain(open);
+        self.accept(spec, now, wall, waiter);
+    }
+
+    /// Is the job certainly accepted?
+    fn predecessor_is_known(&self, id: &str) -> bool {
+        match self.cluster.job_index.get(id) {
+            Some(job) => self.cluster.jobs[*job].version > 0,
+            None => self.predecessors.external.contains_key(id),
+        }
+    }
+
+    // ---- what is known of predecessors ----
+
+    fn is_service(&self, id: &str) -> bool {
+        match self.cluster.job_index.get(id) {
+            Some(job) => self.cluster.jobs[*job].spec.shape == Shape::Service,
+            None => self.predecessors.external.get(id).is_some_and(|job| job.is_service),
+        }
+    }
+
+    fn predecessor_state(&self, id: &str) -> PredecessorState {
+        let end = match self.cluster.job_index.get(id) {
+            Some(job) => self.cluster.jobs[*job].end,
+            None => self.predecessors.external.get(id).and_then(|job| job.end),
+        };
+        match end {
+            Some(JobEnd::Done) => PredecessorState::Done,
+            Some(JobEnd::Cancelled) => PredecessorState::Cancelled,
+            None => PredecessorState::Open,
+        }
+    }
+
+    /// Takes in the record of a predecessor that this partition did not know: a job of its own
+    /// that another node accepted, or one of another partition.
+    pub fn note_predecessor(&mut self, id: &str, item: Item, now: u64) {
+        if self.cluster.job_index.contains_key(id) {
+            return;
+        }
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value.clone()) else {
+            tracing::error!(key = item.key, "unreadable job record");
+            return;
+        };
+        if self.owns_team(&record.spec.team) {
+            self.adopt_job(item, now);
+            return;
+        }
+        let external = self.predecessors.external.entry(id.to_string()).or_default();
+        external.is_service = record.spec.shape == Shape::Service;
+        if let Some(end) = record.end
+            && external.end.replace(end).is_none()
+        {
+            self.predecessor_ended(id, end);
+        }
+    }
+
+    /// Predecessors without a known end that this partition does not hold: their records are
+    /// to be watched.
+    pub fn external_predecessors(&self) -> Vec<String> {
+        self.predecessors.external.iter().filter(|(_, job)| job.end.is_none()).map(|(id, _)| id.clone()).collect()
+    }
+
+    // ---- waiting jobs ----
+
+    /// A job was added: others may wait for it, and it may wait for others.
+    pub(super) fn job_added(&mut self, job_index: JobIndex) {
+        let job = &self.cluster.jobs[job_index];
+        let (id, end) = (job.spec.id.clone(), job.end);
+        self.predecessors.external.remove(&id);
+        match end {
+            Some(end) => self.predecessor_ended(&id, end),
+            None => self.enter_dependencies(job_index),
+        }
+    }
+
+    /// Enters a job into the dependency graph, or calls it ready if nothing keeps it waiting.
+    pub(super) fn enter_dependencies(&mut self, job_index: JobIndex) {
+        let job = &self.cluster.jobs[job_index];
+        if job.end.is_some() || !job.waiting {
+            return;
+        }
+        let mut open = Vec::new();
+        let names: Vec<String> = job.spec.waits_on.iter().map(String::from).collect();
+        for id in names {
+            if self.predecessor_state(&id) != PredecessorState::Done {
+                if !self.cluster.job_index.contains_key(&id) {
+                    self.predecessors.external.entry(id.clone()).or_default();
+                }
+                open.push(id);
+            }
+        }
+        if open.is_empty() {
+            self.become_ready(job_index);
+            return;
+        }
+        self.dependencies.add(job_index, open);
+        self.follow_if_cancelled(job_index);
+    }
+
+    /// The last job that it needs is recorded as done: it takes part in passes from now on.
+    fn become_ready(&mut self, job_index: JobIndex) {
+        let job = &mut self.cluster.jobs[job_index];
+        if job.end.is_some() || !std::mem::replace(&mut job.waiting, false) {
+            return;
+        }
+        self.cluster.live.push(job_index);
+        self.predecessors.ready.push(job_index);
+        self.pass_due = true;
+        self.urgent_pass_due |= job.spec.urgency >= Urgency::High;
+    }
+
+    /// The times of jobs that became ready since the last pass begin.
+    pub(super) fn note_ready_times(&mut self, wall: u64) {
+        for job_index in std::mem::take(&mut self.predecessors.ready) {
+            let job = &mut self.cluster.jobs[job_index];
+            job.ready_ms = wall.max(job.accepted_ms);
+        }
+    }
+
+    /// The record of a job names other predecessors than the submission that was refused for it.
+    pub(super) fn take_recorded_predecessors(&mut self, job_index: JobIndex, recorded: Predecessors) {
+        let job = &mut self.cluster.jobs[job_index];
+        if job.spec.waits_on == recorded {
+            return;
+        }
+        self.dependencies.remove(job_index);
+        self.cluster.live.retain(|live| *live != job_index);
+        job.spec.waits_on = recorded;
+        job.waiting = true;
+        self.enter_dependencies(job_index);
+    }
+
+    /// The record of a job says that it is over: what follows for those that wait for it.
+    pub(super) fn predecessor_ended(&mut self, id: &str, end: JobEnd) {
+        match end {
+            JobEnd::Done => {
+                for job_index in self.dependencies.complete(id) {
+                    self.become_ready(job_index);
+                }
+            }
+            JobEnd::Cancelled => self.cancel_dependents(id),
+        }
+    }
+
+    // ---- cancellation ----
+
+    /// Cancels the job if one that it needs is recorded as cancelled.
+    pub(super) fn follow_if_cancelled(&mut self, job_index: JobIndex) {
+        let is_cancelled = |id: &str| self.predecessor_state(id) == PredecessorState::Cancelled;
+        let follows = self.dependencies.predecessors(job_index).any(is_cancelled);
+        if follows && self.cluster.jobs[job_index].version > 0 {
+            self.follow_cancellation(job_index);
+            let id = self.cluster.jobs[job_index].spec.id.clone();
+            self.cancel_dependents(&id);
+        }
+    }
+
+    /// Cancels all jobs that need this one, directly or through others. Those whose own
+    /// creation is not recorded yet follow when it is.
+    fn cancel_dependents(&mut self, id: &str) {
+        let mut cancelled = vec![id.to_string()];
+        while let Some(id) = cancelled.pop() {
+            let dependents: Vec<JobIndex> = self.dependencies.dependents(&id).collect();
+            for job_index in dependents {
+                if self.cluster.jobs[job_index].version > 0 {
+                    self.follow_cancellation(job_index);
+                    cancelled.push(self.cluster.jobs[job_index].spec.id.clone());
+                }
+            }
+        }
+    }
+
+    /// The job is cancelled, as a job that it needs is recorded as that; its own record is
+    /// still to be written. None of its tasks was ever started.
+    fn follow_cancellation(&mut self, job_index: JobIndex) {
+        let job = &mut self.cluster.jobs[job_index];
+        if job.end.is_some() {
+            return;
+        }
+        tracing::info!(job = job.spec.id, "cancelled with a job that it needs");
+        job.end = Some(JobEnd::Cancelled);
+        job.unsaved = UnsavedChange::End(JobEnd::Cancelled);
+        self.dirty.insert(job_index);
+        self.metrics.count("cancellations_followed", &self.cluster.jobs[job_index].spec.class);
+        self.job_is_over(job_index);
+    }
+
+    // ---- answers ----
+
+    /// Why nothing may be told from memory of a job that waits, if so: whether a job that it
+    /// needs is cancelled is being recorded, or stands in the record of another partition.
+    pub(super) fn waiting_is_unclear(&self, job_index: JobIndex) -> Option<RefusalReason> {
+        let mut seen = HashSet::from([job_index]);
+        let mut jobs = vec![job_index];
+        while let Some(next) = jobs.pop() {
+            for id in self.dependencies.predecessors(next) {
+                let Some(&predecessor) = self.cluster.job_index.get(id) else {
+                    return Some(RefusalReason::PredecessorElsewhere);
+                };
+                let job = &self.cluster.jobs[predecessor];
+                if job.end.is_none() && job.end_open && job.cancelling {
+                    return Some(RefusalReason::EndBeingRecorded);
+                }
+                if seen.insert(predecessor) {
+                    jobs.push(predecessor);
+                }
+            }
+        }
+        None
+    }
+}
--- a/src/partition/records.rs
+++ b/src/partition/records.rs
@@ -19,6 +19,8 @@
 enum WritePriority {
     End,
     Creation,
+    /// A cancellation that another job's record tells already.
+    FollowedEnd,
     Progress,
 }
 
@@ -66,12 +68,12 @@
         self.settle_cancellations();
         self.last_commit_ms = now;
         let due = self.due_records(now);
-        let (urgent, progress) = due.split_at(due.partition_point(|d| d.priority < WritePriority::Progress));
+        let (urgent, rest) = due.split_at(due.partition_point(|d| d.priority < WritePriority::FollowedEnd));
         let guard = wire::guard(&self.partition_key, self.partition_version);
         let mut builder = CommitBuilder::new(guard, ops.min(self.largest_commit));
         self.add_job_records(urgent, &mut builder);
         self.add_host_records(&mut builder);
-        self.add_job_records(progress, &mut builder);
+        self.add_job_records(rest, &mut builder);
         self.add_deletions(&mut builder);
         if builder.commit.apply.is_empty() {
             return None;
@@ -87,6 +89,7 @@
             let job = &self.cluster.jobs[job_index];
             match job.unsaved {
                 _ if now < job.write_after_ms => None,
+                UnsavedChange::End(_) if job.end.is_some() => Some(WritePriority::FollowedEnd),
                 UnsavedChange::End(_) => Some(WritePriority::End),
                 UnsavedChange::Creation => Some(WritePriority::Creation),
                 UnsavedChange::Progress if now >= job.unsaved_since_ms + patience => Some(WritePriority::Progress),
@@ -296,8 +299,10 @@
                     tasks = spec.tasks,
                     expected_s = spec.expected_s,
                     due_s = spec.due_s.unwrap_or(0.0),
+                    waits_on = spec.waits_on.iter().count(),
                     "accepted"
                 );
+                self.follow_if_cancelled(job_index);
                 self.tell_submitters(job_index, true);
             }
             _ => {}
@@ -307,13 +312,27 @@
     /// The job's record says that it is over.
     pub(super) fn ended(&mut self, job_index: JobIndex, end: JobEnd) {
         let job = &mut self.cluster.jobs[job_index];
-        job.end = Some(end);
         job.unsaved = UnsavedChange::Nothing;
-        job.retire();
         self.dirty.remove(&job_index);
+        // Known already, from the record of a job that it needs.
+        if job.end.replace(end).is_some() {
+            return;
+        }
+        let id = job.spec.id.clone();
+        self.job_is_over(job_index);
+        self.predecessor_ended(&id, end);
+    }
+
+    /// Nothing more is to be done for a job but to stop what is left of it.
+    pub(super) fn job_is_over(&mut self, job_index: JobIndex) {
+        let job = &mut self.cluster.jobs[job_index];
+        job.retire();
         self.cancelling.remove(&job_index);
-        self.cluster.live.retain(|l| *l != job_index);
-        self.stop_all(job_index);
+        if !job.waiting {
+            self.cluster.live.retain(|l| *l != job_index);
+            self.stop_all(job_index);
+        }
+        self.dependencies.remove(job_index);
         self.notify_job_end(job_index);
         self.pass_due = true;
     }
@@ -351,12 +370,12 @@
         job.end_open &= item.version == job.version;
         job.version = item.version;
         if let Some(end) = record.end {
-            if job.end.is_none() {
-                self.ended(job_index, end);
-            }
+            self.ended(job_index, end);
             return;
         }
         if created {
+            self.take_recorded_predecessors(job_index, record.spec.waits_on);
+            let job = &mut self.cluster.jobs[job_index];
             if job.unsaved == UnsavedChange::Creation {
                 job.unsaved = UnsavedChange::Nothing;
                 self.dirty.remove(&job_index);
@@ -364,6 +383,7 @@
             // Known already, maybe by our own commit whose answer was lost.
             job.accepted_ms = record.accepted_ms;
             self.pass_due = true;
+            self.follow_if_cancelled(job_index);
             self.tell_submitters(job_index, false);
         }
     }
--- a/src/partition/takeover.rs
+++ b/src/partition/takeover.rs
@@ -31,17 +31,26 @@
         for item in jobs {
             self.load_job(item, now);
         }
+        // Once all are there that they may wait for.
+        for job_index in 0..self.cluster.jobs.len() {
+            self.enter_dependencies(job_index);
+        }
         for item in hosts {
             self.load_host(item, now);
         }
         self.recount();
     }
 
+    /// Do the jobs of this team belong to this partition?
+    pub(super) fn owns_team(&self, team: &str) -> bool {
+        self.teams.get(team).is_none_or(|partition| *partition == self.id)
+    }
+
     /// Takes a job of this partition from its record.
     fn load_job(&mut self, item: Item, now: u64) {
         match serde_json::from_value::<JobRecord>(item.value) {
             Ok(record) => {
-                if self.teams.get(&record.spec.team).is_none_or(|p| *p == self.id) {
+                if self.owns_team(&record.spec.team) {
                     self.cluster.add_job(record.into_job(item.version, now));
                 }
             }
@@ -83,7 +92,8 @@
             tracing::info!(job = record.spec.id, "job accepted by another node");
             let mut job = record.into_job(item.version, now);
             job.fresh = true;
-            self.cluster.add_job(job);
+            let job_index = self.cluster.add_job(job);
+            self.job_added(job_index);
             self.pass_due = true;
         }
     }
--- a/src/partition/users.rs
+++ b/src/partition/users.rs
@@ -20,30 +20,52 @@
         };
         // A known id is answered before any judgement of the rest.
         if let Some(&job_index) = id.as_ref().and_then(|id| self.cluster.job_index.get(id)) {
-            if self.cluster.jobs[job_index].version == 0 {
-                self.submitters.entry(job_index).or_default().push(waiter);
-            } else {
-                let _ = waiter.send(self.accepted(job_index, false));
-            }
+            self.answer_known(job_index, waiter);
             return;
         }
-        let answer = match spec {
+        let refusal = match spec {
+            Ok(spec) if spec.waits_on.is_empty() => return self.accept(spec, now, wall, waiter),
+            Ok(spec) if !self.has_old_peer => return self.submit_waiting(spec, now, wall, waiter),
+            Ok(_) => UserAnswer::RetryLater(RefusalReason::ControllerOutdated),
             Err(message) => UserAnswer::Malformed(message),
-            Ok(_) if self.cluster.flavors.is_empty() => UserAnswer::RetryLater(RefusalReason::MachineTypesUnknown),
-            Ok(spec) => match sched::impossible(&spec, &self.policy, &self.cluster.flavors) {
-                Some(message) => UserAnswer::Impossible(message),
-                None if let Some(why) = self.limits.refuses(&spec) => UserAnswer::Malformed(why.into()),
-                None if self.backlog_s(spec.urgency) * BACKLOG_MS_PER_S > self.policy.lease_ms as f64 => {
-                    UserAnswer::Busy(self.backlog_s(spec.urgency).ceil() as u64)
-                }
-                None => {
-                    let job_index = self.add_submitted(spec, now, wall);
-                    self.submitters.entry(job_index).or_default().push(waiter);
-                    return;
-                }
-            },
         };
-        let _ = waiter.send(answer);
+        let _ = waiter.send(refusal);
+    }
+
+    /// Answers the repeated submission of a job that is known, now or once it is accepted.
+    pub(super) fn answer_known(&mut self, job_index: JobIndex, waiter: Waiter) {
+        if self.cluster.jobs[job_index].version == 0 {
+            self.submitters.entry(job_index).or_default().push(waiter);
+        } else {
+            let _ = waiter.send(self.accepted(job_index, false));
+        }
+    }
+
+    /// Accepts a new job once that is recorded, unless it can't be served.
+    pub(super) fn accept(&mut self, spec: Spec, now: u64, wall: u64, waiter: Waiter) {
+        match self.refusal_of(&spec) {
+            Some(refusal) => _ = waiter.send(refusal),
+            None => {
+                let job_index = self.add_submitted(spec, now, wall);
+                self.submitters.entry(job_index).or_default().push(waiter);
+            }
+        }
+    }
+
+    /// Why a new job can't be accepted now or ever, if so.
+    fn refusal_of(&self, spec: &Spec) -> Option<UserAnswer> {
+        if self.cluster.flavors.is_empty() {
+            return Some(UserAnswer::RetryLater(RefusalReason::MachineTypesUnknown));
+        }
+        if let Some(message) = sched::impossible(spec, &self.policy, &self.cluster.flavors) {
+            return Some(UserAnswer::Impossible(message));
+        }
+        if let Some(message) = self.limits.refuses(spec) {
+            return Some(UserAnswer::Malformed(message.into()));
+        }
+        let backlog_s = self.backlog_s(spec.urgency);
+        let busy = backlog_s * BACKLOG_MS_PER_S > self.policy.lease_ms as f64;
+        busy.then_some(UserAnswer::Busy(backlog_s.ceil() as u64))
     }
 
     /// Adds a job whose record is still to be created.
@@ -53,6 +75,7 @@
         job.fresh = true;
         let job_index = self.cluster.add_job(job);
         self.dirty.insert(job_index);
+        self.job_added(job_index);
         job_index
     }
 
@@ -76,6 +99,12 @@
         if job.end.is_none() && job.end_open {
             return Err(UserAnswer::RetryLater(RefusalReason::EndBeingRecorded));
         }
+        if job.end.is_none()
+            && job.waiting
+            && let Some(reason) = self.waiting_is_unclear(job_index)
+        {
+            return Err(UserAnswer::RetryLater(reason));
+        }
         let running = if job.end.is_some() { 0 } else { self.running(job_index) };
         Ok((job.phase(running), running))
     }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -74,6 +74,7 @@
     let flavors = flavors(f)?;
     let zone = zone(f)?;
     let due_s = due_s(f)?;
+    let waits_on = waits_on(f)?;
     Ok(Spec {
         id: id.to_string(),
         class: f.text("jobclass")?,
@@ -93,7 +94,7 @@
         checkpoint_s: f.amount("checkpoint_every_s")?,
         save_s: f.amount("flush_s")?,
         due_s,
-        waits_on: Predecessors::default(),
+        waits_on,
     })
 }
 
@@ -150,6 +151,19 @@
     }
 }
 
+/// The jobs that the job waits for; a name that is given again counts once.
+fn waits_on(f: &Fields<'_>) -> Result<Predecessors, String> {
+    const EXPECTED: &str = "waits_on: must be an array of job ids or null";
+    match f.get("waits_on") {
+        None => Ok(Predecessors::default()),
+        Some(Value::Array(names)) => {
+            let ids = names.iter().map(|name| name.as_str().filter(|id| is_job_id(id)).map(str::to_string));
+            Ok(Predecessors::new(ids.collect::<Option<Vec<_>>>().ok_or(EXPECTED)?))
+        }
+        Some(_) => Err(EXPECTED.into()),
+    }
+}
+
 /// What a user is told of a job.
 pub fn job_answer(id: &str, phase: JobPhase, done: u32, running: u32) -> Value {
     json!({ "id": id, "phase": phase_name(phase), "done": done, "running": running })
