--- a/src/leader.rs
+++ b/src/leader.rs
@@ -10,7 +10,7 @@
 use crate::model::*;
 use crate::partition::Partition;
 use crate::peer::{CapacityReport, Machines};
-use crate::sched::{self, ClassFlow, PendingMachine, Rental, Supply};
+use crate::sched::{self, ClassFlow, ExpectedWork, PendingMachine, Rental, Supply};
 use boots::BootingMachine;
 use rentals::RentalRequest;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -147,9 +147,11 @@
         if cluster.flavors.is_empty() || !partition.counted(now) {
             return (capacity_report, ops);
         }
+        let upcoming = partition.upcoming(longest_boot_ms(cluster), now);
         let plan = {
             let supply = self.supply(partition, now);
-            sched::plan(cluster, &partition.policy, now, &partition.unplaced, &flows, pending_machines, &supply)
+            let work = ExpectedWork { unplaced: &partition.unplaced, upcoming: &upcoming, flows: &flows };
+            sched::plan(cluster, &partition.policy, now, &work, pending_machines, &supply)
         };
         let machines = |r: Rental| {
             let flavor = cluster.flavors[r.flavor].name.clone();
@@ -265,6 +267,10 @@
     }
 }
 
+fn longest_boot_ms(cluster: &ClusterState) -> u64 {
+    (cluster.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max) * 1000.0) as u64
+}
+
 /// Arrivals of each class within the longest boot, from what was accepted.
 fn flows(partition: &Partition, wall: u64) -> Vec<ClassFlow> {
     let boot_s = partition.cluster.flavors.iter().map(|f| f.boot_s).fold(1.0, f64::max);
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -1,6 +1,6 @@
 //! Jobs, with the state of their tasks and of their records.
 
-use super::{ClusterState, HostIndex, Place, Spec, Task};
+use super::{ClusterState, HostIndex, Place, Spec, Task, Urgency};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
@@ -67,6 +67,11 @@
     /// Wall time from which on it could start: of its acceptance, or when it became known that
     /// the last job that it waits for is done.
     pub ready_ms: u64,
+    /// Its priority: its own, or that of a job that needs it where that is higher.
+    pub urgency: Urgency,
+    /// Wall time by which it should be done for the sake of those that need it; `None` if none
+    /// of them has a deadline.
+    pub needed_by_ms: Option<u64>,
     /// Version of its record; 0 while it is not created.
     pub version: u64,
     /// The end that its record holds.
@@ -112,6 +117,8 @@
         let tasks = vec![Task { place: Place::Idle, located: false, fails: 0, retry_ms: 0 }; spec.tasks as usize];
         Job {
             waiting: !spec.waits_on.is_empty(),
+            urgency: spec.urgency,
+            needed_by_ms: None,
             spec,
             accepted_ms,
             ready_ms: accepted_ms,
@@ -143,6 +150,13 @@
         next > 0 && task < self.recorded_done[next - 1].1
     }
 
+    /// The wall time by which it has to be done, for its own deadline or for those that need
+    /// it; `None` if there is none.
+    pub fn due_ms(&self) -> Option<u64> {
+        let own = self.spec.due_s.map(|due_s| self.accepted_ms + (due_s * 1000.0) as u64);
+        own.into_iter().chain(self.needed_by_ms).min()
+    }
+
     /// May its tasks be started?
     pub fn active(&self) -> bool {
         self.version > 0
--- a/src/partition/attempts.rs
+++ b/src/partition/attempts.rs
@@ -79,7 +79,7 @@
         task.place = Place::Idle;
         // Urgent work may be what ended, or what waits for the room.
         let waited_for = self.cluster.hosts[host_index].as_ref().is_some_and(|h| !h.claims.is_empty());
-        self.urgent_pass_due |= waited_for || job.spec.urgency >= Urgency::High;
+        self.urgent_pass_due |= waited_for || job.urgency >= Urgency::High;
         true
     }
 
@@ -190,7 +190,7 @@
         let task = &mut job.tasks[key.task as usize];
         if task.place == Place::On(host_index, attempt) {
             task.place = Place::Idle;
-            self.urgent_pass_due |= job.spec.urgency >= Urgency::High;
+            self.urgent_pass_due |= job.urgency >= Urgency::High;
             self.metrics.count("tasks_lost", &job.spec.class);
             if !ended && job.spec.shape == Shape::Gang {
                 self.stop_all(key.job);
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -2,6 +2,7 @@
 //! reports and answers mean, which orders follow, what must be recorded.
 
 mod attempts;
+mod critical_path;
 mod direct;
 mod drain;
 #[cfg(test)]
@@ -10,6 +11,8 @@
 mod fleet_tests;
 mod keys;
 mod passes;
+#[cfg(test)]
+mod predecessor_tests;
 mod predecessors;
 mod records;
 mod reports;
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -48,7 +48,7 @@
     /// Measures and logs a start; its machine has an order to get.
     fn note_start(&mut self, start: &Assignment, wall: u64) {
         let job = &self.cluster.jobs[start.key.job];
-        let waited = wall.saturating_sub(job.accepted_ms);
+        let waited = wall.saturating_sub(job.ready_ms);
         self.metrics.observe("decision_ms", &job.spec.class, waited);
         self.log_start(start, waited);
         self.pending_dispatch.insert(start.host);
@@ -95,7 +95,7 @@
     /// Notes which work found no room. What is less urgent than `least` was not tried.
     fn keep_unplaced(&mut self, least: Urgency, out: Outcome) {
         let jobs = &self.cluster.jobs;
-        self.unplaced.retain(|job_index| jobs[*job_index].spec.urgency < least && jobs[*job_index].active());
+        self.unplaced.retain(|job_index| jobs[*job_index].urgency < least && jobs[*job_index].active());
         self.unplaced.extend(out.unplaced);
         self.hosts_examined += out.hosts_examined;
         if !self.unplaced.is_empty() {
--- a/src/partition/predecessors.rs
+++ b/src/partition/predecessors.rs
@@ -196,7 +196,10 @@
         self.predecessors.external.remove(&id);
         match end {
             Some(end) => self.predecessor_ended(&id, end),
-            None => self.enter_dependencies(job_index),
+            None => {
+                self.recompute_obligation(job_index);
+                self.enter_dependencies(job_index);
+            }
         }
     }
 
@@ -221,6 +224,7 @@
             return;
         }
         self.dependencies.add(job_index, open);
+        self.oblige_predecessors(job_index);
         self.follow_if_cancelled(job_index);
     }
 
@@ -233,7 +237,7 @@
         self.cluster.live.push(job_index);
         self.predecessors.ready.push(job_index);
         self.pass_due = true;
-        self.urgent_pass_due |= job.spec.urgency >= Urgency::High;
+        self.urgent_pass_due |= job.urgency >= Urgency::High;
     }
 
     /// The times of jobs that became ready since the last pass begin.
@@ -246,12 +250,13 @@
 
     /// The record of a job names other predecessors than the submission that was refused for it.
     pub(super) fn take_recorded_predecessors(&mut self, job_index: JobIndex, recorded: Predecessors) {
-        let job = &mut self.cluster.jobs[job_index];
-        if job.spec.waits_on == recorded {
+        if self.cluster.jobs[job_index].spec.waits_on == recorded {
             return;
         }
-        self.dependencies.remove(job_index);
+        let open = self.dependencies.remove(job_index);
+        self.release_predecessors(&open);
         self.cluster.live.retain(|live| *live != job_index);
+        let job = &mut self.cluster.jobs[job_index];
         job.spec.waits_on = recorded;
         job.waiting = true;
         self.enter_dependencies(job_index);
--- a/src/partition/records.rs
+++ b/src/partition/records.rs
@@ -99,7 +99,7 @@
         let due = self.dirty.iter().filter_map(|job_index| {
             Some(DueRecord {
                 priority: priority(*job_index)?,
-                urgency: Reverse(self.cluster.jobs[*job_index].spec.urgency),
+                urgency: Reverse(self.cluster.jobs[*job_index].urgency),
                 job: *job_index,
             })
         });
@@ -290,7 +290,7 @@
             UnsavedChange::End(end) => self.ended(job_index, end),
             UnsavedChange::Creation => {
                 self.pass_due = true;
-                self.urgent_pass_due |= job.spec.urgency >= Urgency::High;
+                self.urgent_pass_due |= job.urgency >= Urgency::High;
                 let spec = &job.spec;
                 tracing::debug!(
                     job = spec.id,
@@ -302,8 +302,7 @@
                     waits_on = spec.waits_on.iter().count(),
                     "accepted"
                 );
-                self.follow_if_cancelled(job_index);
-                self.tell_submitters(job_index, true);
+                self.creation_known(job_index, true);
             }
             _ => {}
         }
@@ -332,16 +331,20 @@
             self.cluster.live.retain(|l| *l != job_index);
             self.stop_all(job_index);
         }
-        self.dependencies.remove(job_index);
+        let open = self.dependencies.remove(job_index);
+        self.release_predecessors(&open);
         self.notify_job_end(job_index);
         self.pass_due = true;
     }
 
-    /// Tells those who wait for the job to be accepted.
-    fn tell_submitters(&mut self, job_index: JobIndex, created: bool) {
+    /// The job's record is there: cancels it if it needs a cancelled one, and tells those who
+    /// wait for it to be accepted, by this submission if it was `created`.
+    fn creation_known(&mut self, job_index: JobIndex, created: bool) {
+        let submitters = self.submitters.remove(&job_index).unwrap_or_default();
+        self.follow_if_cancelled(job_index);
         let answer = self.accepted(job_index, created);
-        for w in self.submitters.remove(&job_index).unwrap_or_default() {
-            let _ = w.send(answer.clone());
+        for waiter in submitters {
+            let _ = waiter.send(answer.clone());
         }
     }
 
@@ -383,8 +386,7 @@
             // Known already, maybe by our own commit whose answer was lost.
             job.accepted_ms = record.accepted_ms;
             self.pass_due = true;
-            self.follow_if_cancelled(job_index);
-            self.tell_submitters(job_index, false);
+            self.creation_known(job_index, false);
         }
     }
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -10,7 +10,7 @@
 
 pub use index::Index;
 pub use pass::{Assignment, Eviction, Outcome, pass};
-pub use plan::{ClassFlow, Drain, PendingMachine, Plan, Rental, Supply, SupplyOf, plan, reserves};
+pub use plan::{ClassFlow, Drain, ExpectedWork, PendingMachine, Plan, Rental, Supply, SupplyOf, plan, reserves};
 pub use policy::{Policy, TeamRule};
 
 use crate::model::{Flavor, Host, Shape, Spec};
--- a/src/sched/pass/limits.rs
+++ b/src/sched/pass/limits.rs
@@ -1,7 +1,7 @@
 //! The limits and guarantees of teams.
 
 use super::Pass;
-use crate::model::{Shape, Spec, Urgency};
+use crate::model::{Job, Shape, Spec, Urgency};
 
 /// Sums of decimal amounts may be off by rounding.
 const ROUNDING: f64 = 1e-6;
@@ -21,9 +21,9 @@
 
     /// Do the attempts on all machines leave no more to this work? An array of thousands of
     /// short tasks would use up the owner's processor time and memory with its reports.
-    pub(super) fn too_many_attempts(&self, spec: &Spec) -> bool {
+    pub(super) fn too_many_attempts(&self, job: &Job) -> bool {
         let attempts = self.attempts_before + self.out.starts.len();
-        spec.urgency == Urgency::Low && spec.shape == Shape::Batch && attempts >= self.policy.max_attempts
+        job.urgency == Urgency::Low && job.spec.shape == Shape::Batch && attempts >= self.policy.max_attempts
     }
 
     /// Would the job's team be within its guarantee with one more task?
--- a/src/sched/pass/mod.rs
+++ b/src/sched/pass/mod.rs
@@ -132,8 +132,8 @@
         p.cluster.waited_ms = now;
     }
     let waits = |job_index: &JobIndex| {
-        let spec = &p.cluster.jobs[*job_index].spec;
-        spec.demand.gpus > 0.0 && spec.urgency >= Urgency::High
+        let job = &p.cluster.jobs[*job_index];
+        job.spec.demand.gpus > 0.0 && job.urgency >= Urgency::High
     };
     p.cluster.accelerators_short = p.out.unplaced.iter().any(waits);
     p.out.hosts_examined = p.hosts_examined.get();
--- a/src/sched/pass/preemption.rs
+++ b/src/sched/pass/preemption.rs
@@ -3,7 +3,7 @@
 use super::Pass;
 use super::cost::late;
 use super::request::PlacementRequest;
-use crate::model::{HostIndex, Shape, Spec, TaskAttempt, Urgency};
+use crate::model::{HostIndex, Job, Shape, TaskAttempt, Urgency};
 
 /// A replica has settled after so many times what an order takes to show.
 const SETTLED_AFTER_REACTIONS: u64 = 30;
@@ -31,7 +31,7 @@
         let job = &self.cluster.jobs[request.job_index];
         if !self.within_guarantee(&job.spec) {
             PreemptionScope::None
-        } else if self.wall.saturating_sub(job.accepted_ms) >= self.policy.hold_ms {
+        } else if self.wall.saturating_sub(job.ready_ms) >= self.policy.hold_ms {
             PreemptionScope::Any
         } else if request.guarantee_s.is_some() {
             PreemptionScope::Begun
@@ -68,16 +68,17 @@
     pub(super) fn restart_in_time(&self, c: &TaskAttempt) -> bool {
         let job = &self.cluster.jobs[c.key.job];
         let expected_ms = (job.spec.expected_s * 1000.0) as u64;
-        job.spec.due_s.is_none() || self.wall + expected_ms < self.policy.soft_deadline_ms(job)
+        job.due_ms().is_none() || self.wall + expected_ms < self.policy.soft_deadline_ms(job)
     }
 
-    /// May a task of `spec` push this attempt off its machine?
-    pub(super) fn may_evict(&self, spec: &Spec, scope: PreemptionScope, c: &TaskAttempt) -> bool {
-        let victim = &self.cluster.jobs[c.key.job].spec;
+    /// May a task of this job push this attempt off its machine?
+    pub(super) fn may_evict(&self, job: &Job, scope: PreemptionScope, c: &TaskAttempt) -> bool {
+        let victim_job = &self.cluster.jobs[c.key.job];
+        let victim = &victim_job.spec;
         if c.stop.is_some() || c.ended() {
             return false;
         }
-        if victim.urgency < spec.urgency {
+        if victim_job.urgency < job.urgency {
             return true;
         }
         let far_enough = match scope {
@@ -87,9 +88,9 @@
         };
         far_enough
             && (scope == PreemptionScope::Any || self.restart_in_time(c))
-            && victim.team != spec.team
+            && victim.team != job.spec.team
             && victim.shape != Shape::Service
-            && victim.urgency <= spec.urgency.max(Urgency::Normal)
+            && victim_job.urgency <= job.urgency.max(Urgency::Normal)
             && self.beyond_guarantee(victim)
     }
 }
--- a/src/sched/pass/queue.rs
+++ b/src/sched/pass/queue.rs
@@ -11,7 +11,7 @@
     /// False for what may stop any equal work for its guarantee.
     yields: bool,
     bin: u64,
-    accepted_ms: u64,
+    ready_ms: u64,
     job: JobIndex,
 }
 
@@ -32,18 +32,16 @@
         // A task that may be on a machine not accounted for waits; what
         // was seen alive since is certainly nowhere else.
         let placeable = self.cluster.placeable(job);
-        job.spec.urgency >= least
-            && job.active()
-            && job.tasks.iter().any(|t| t.retry_ms <= self.now && placeable.open(t))
+        job.urgency >= least && job.active() && job.tasks.iter().any(|t| t.retry_ms <= self.now && placeable.open(t))
     }
 
     fn queue_rank(&self, job_index: JobIndex) -> QueueRank {
         let job = &self.cluster.jobs[job_index];
         let bin = self.policy.bin(self.policy.effective_deadline_ms(job, self.wall));
         // What may stop any equal work for its guarantee would do so next.
-        let waits = self.wall.saturating_sub(job.accepted_ms) >= self.policy.hold_ms;
+        let waits = self.wall.saturating_sub(job.ready_ms) >= self.policy.hold_ms;
         let pushes = waits && job.spec.shape == Shape::Batch && self.within_guarantee(&job.spec);
-        let urgency = Reverse(job.spec.urgency);
-        QueueRank { urgency, yields: !pushes, bin, accepted_ms: job.accepted_ms, job: job_index }
+        let urgency = Reverse(job.urgency);
+        QueueRank { urgency, yields: !pushes, bin, ready_ms: job.ready_ms, job: job_index }
     }
 }
--- a/src/sched/pass/request.rs
+++ b/src/sched/pass/request.rs
@@ -61,7 +61,7 @@
             service: spec.shape == Shape::Service,
             slack_s: left_ms.max(0.0) / 1000.0 - spec.expected_s,
             within_s: within.unwrap_or(self.policy.default_deadline_s).max(LEAST_WITHIN_S),
-            last_chance: spec.due_s.is_some_and(|_| left_ms / 1000.0 < 2.0 * spec.expected_s),
+            last_chance: job.due_ms().is_some() && left_ms / 1000.0 < 2.0 * spec.expected_s,
             wait_s: spec.due_s.is_none().then(|| if left_ms > 0.0 { left_ms / 1000.0 } else { lost_s }),
             guarantee_s: self.guarantee_left_s(job),
             reserved_costs: self.trespasses(spec),
@@ -73,7 +73,7 @@
 
     /// Seconds left to start within the guarantee, if its team is within that.
     fn guarantee_left_s(&self, job: &Job) -> Option<f64> {
-        let waited_s = self.wall.saturating_sub(job.accepted_ms) as f64 / 1000.0;
+        let waited_s = self.wall.saturating_sub(job.ready_ms) as f64 / 1000.0;
         let left_s = self.policy.guarantee_s? - waited_s;
         (left_s > 0.0 && self.within_guarantee(&job.spec)).then_some(left_s)
     }
@@ -93,7 +93,7 @@
         let spec = &job.spec;
         spec.demand.gpus <= 0.0
             && self.cluster.accelerators_short
-            && self.wall < job.accepted_ms + self.boot_ms(spec)
+            && self.wall < job.ready_ms + self.boot_ms(spec)
             && self.cpu_host_may_come(spec)
     }
 
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -138,10 +138,10 @@
 
     /// The attempts that may leave a machine, in the order in which they would.
     fn victims<'a>(&self, request: &PlacementRequest, scope: PreemptionScope, h: &'a Host) -> Vec<Victim<'a>> {
-        let spec = &self.cluster.jobs[request.job_index].spec;
+        let job = &self.cluster.jobs[request.job_index];
         let mut victims: Vec<Victim> = Vec::new();
         for copy in h.attempts.iter().filter(|c| !c.ended() && c.stop.is_none()) {
-            let evict = self.may_evict(spec, scope, copy);
+            let evict = self.may_evict(job, scope, copy);
             let service = self.cluster.jobs[copy.key.job].spec.shape == Shape::Service;
             let moves = copy.running() && self.settled(copy) && service;
             if evict || moves {
@@ -160,7 +160,7 @@
         mut room: Demand,
         demand: &Demand,
     ) -> Option<Vacancy> {
-        let urgency = |c: &TaskAttempt| self.cluster.jobs[c.key.job].spec.urgency;
+        let urgency = |c: &TaskAttempt| self.cluster.jobs[c.key.job].urgency;
         victims.sort_by_key(|v| (urgency(v.copy), !self.restart_in_time(v.copy), Reverse(v.copy.since_ms)));
         let mut departures = Vec::new();
         let mut taken = Vec::new();
@@ -263,10 +263,10 @@
 
     /// Was it in vain for a job like this one? Then it is so again.
     fn known_in_vain(&self, request: &PlacementRequest, scope: PreemptionScope) -> bool {
-        let spec = &self.cluster.jobs[request.job_index].spec;
+        let job = &self.cluster.jobs[request.job_index];
         self.blocked.iter().any(|w| {
-            w.urgency >= spec.urgency
-                && w.team == spec.team
+            w.urgency >= job.urgency
+                && w.team == job.spec.team
                 && w.scope >= scope
                 && w.image.as_ref().is_none_or(|i| *i == request.image)
                 && w.requirements.like(&request.requirements)
@@ -274,8 +274,8 @@
     }
 
     fn note_in_vain(&mut self, request: &PlacementRequest, scope: PreemptionScope) {
-        let spec = &self.cluster.jobs[request.job_index].spec;
-        let (urgency, team) = (spec.urgency, spec.team.clone());
+        let job = &self.cluster.jobs[request.job_index];
+        let (urgency, team) = (job.urgency, job.spec.team.clone());
         // How far a job may go for its guarantee depends on its image, too.
         let image = (scope == PreemptionScope::Begun).then(|| request.image.clone());
         self.blocked.push(BlockedRequirements {
--- a/src/sched/pass/tasks.rs
+++ b/src/sched/pass/tasks.rs
@@ -49,7 +49,7 @@
             if !self.within_limit(&self.cluster.jobs[job_index].spec, 1.0) {
                 return true; // waits for its own team, not for room
             }
-            if self.too_many_attempts(&self.cluster.jobs[job_index].spec) {
+            if self.too_many_attempts(&self.cluster.jobs[job_index]) {
                 return true; // waits for others to end, not for room
             }
             let mut found = candidates.take().unwrap_or_else(|| self.candidates(request));
--- a/src/sched/plan.rs
+++ b/src/sched/plan.rs
@@ -56,6 +56,17 @@
     pub burst: f64,
 }
 
+/// Work that room is needed for.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpectedWork<'a> {
+    /// Jobs with tasks that found no room.
+    pub unplaced: &'a [JobIndex],
+    /// Jobs that wait for others and may start before a machine that is asked for now is up.
+    pub upcoming: &'a [JobIndex],
+    /// Arrivals of each class.
+    pub flows: &'a [ClassFlow],
+}
+
 /// What a partition should rent, could return and should empty.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -85,15 +96,14 @@
     used: bool,
 }
 
-/// What to rent and what could be returned: the waiting tasks, then the
-/// arrivals expected during a boot, are fitted into free room, machines that
+/// What to rent and what could be returned: the waiting tasks, then those of jobs that may
+/// start before a machine is up, then the arrivals expected during a boot, are fitted into free room, machines that
 /// are coming, and new ones.
 pub fn plan(
     cluster: &ClusterState,
     policy: &Policy,
     now: u64,
-    unplaced: &[JobIndex],
-    flows: &[ClassFlow],
+    work: &ExpectedWork,
     pending_machines: &[PendingMachine],
     supply: &SupplyOf,
 ) -> Plan {
@@ -101,13 +111,13 @@
     let mut bins = existing_room(cluster, &index);
     bins.extend(room_on_its_way(cluster, &index, pending_machines));
     let have = bins.len();
-    for job_index in unplaced {
+    for job_index in work.unplaced.iter().chain(work.upcoming) {
         let job = &cluster.jobs[*job_index];
         let placeable = cluster.placeable(job);
         let n = job.tasks.iter().filter(|t| placeable.open(t)).count();
         fit(cluster, &index, &mut bins, &job.spec, n, job.avoided_hosts(cluster, now), supply);
     }
-    for flow in flows {
+    for flow in work.flows {
         let n = headroom(cluster, policy, flow);
         fit(cluster, &index, &mut bins, &flow.spec, n, &HashSet::new(), supply);
     }
@@ -125,7 +135,7 @@
     // machines are emptied after a lull in which they could have been had twice.
     let boot_s = cluster.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max);
     let lull = now.saturating_sub(cluster.waited_ms) as f64 > 2.0 * boot_s * 1000.0;
-    let drain = if unplaced.is_empty() && lull { consolidate(cluster, &index, &bins) } else { Vec::new() };
+    let drain = if work.unplaced.is_empty() && lull { consolidate(cluster, &index, &bins) } else { Vec::new() };
     Plan { rent, spare, drain }
 }
 
--- a/src/sched/policy.rs
+++ b/src/sched/policy.rs
@@ -69,6 +69,10 @@
     core_share.map_or(usize::MAX, |share| (share * ATTEMPTS_PER_CORE) as usize)
 }
 
+fn milliseconds(seconds: f64) -> u64 {
+    (seconds * 1000.0) as u64
+}
+
 /// 0 in the settings means no limit.
 fn limit(v: f64) -> f64 {
     if v > 0.0 { v } else { f64::INFINITY }
@@ -105,26 +109,32 @@
         }
     }
 
-    /// The job's soft deadline, as wall time.
+    /// The job's soft deadline, as wall time: the earlier one of its own and of that which the
+    /// jobs that need it leave it. Without a deadline of its own its time begins once it may start.
     pub fn soft_deadline_ms(&self, job: &Job) -> u64 {
-        let after_s =
-            job.spec.due_s.or_else(|| self.waits.get(&job.spec.class).map(|w| w.0)).unwrap_or(self.default_deadline_s);
-        job.accepted_ms + (after_s * 1000.0) as u64
+        let own = match job.spec.due_s {
+            Some(due_s) => job.accepted_ms + milliseconds(due_s),
+            None => {
+                let objective_s = self.waits.get(&job.spec.class).map(|w| w.0);
+                job.ready_ms + milliseconds(objective_s.unwrap_or(self.default_deadline_s))
+            }
+        };
+        job.needed_by_ms.map_or(own, |needed| needed.min(own))
     }
 
     /// The deadline that counts now. Work that can't meet its deadline any
     /// more steps back in two strides, so that it doesn't starve what can.
     pub fn effective_deadline_ms(&self, job: &Job, wall: u64) -> u64 {
         let soft = self.soft_deadline_ms(job);
-        let Some(due_s) = job.spec.due_s else { return soft };
+        let Some(due) = job.due_ms() else { return soft };
         let remaining_ms = (job.spec.expected_s * 500.0) as u64;
-        let stride = (due_s * 500.0) as u64;
-        if wall + remaining_ms <= soft {
+        let stride = due.saturating_sub(job.accepted_ms) / 2;
+        if wall + remaining_ms <= due {
             soft
-        } else if wall + remaining_ms <= soft + stride {
-            soft + stride
+        } else if wall + remaining_ms <= due + stride {
+            due + stride
         } else {
-            soft + stride + (self.default_deadline_s * 1000.0) as u64
+            due + stride + milliseconds(self.default_deadline_s)
         }
     }
 
--- a/src/sched/tests.rs
+++ b/src/sched/tests.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// Jobs that found no room, and nothing else to plan for.
+fn unplaced(jobs: &[JobIndex]) -> ExpectedWork<'_> {
+    ExpectedWork { unplaced: jobs, upcoming: &[], flows: &[] }
+}
+
 fn cluster(hosts: &[(&str, bool)]) -> ClusterState {
     let mut w =
         ClusterState { all_accounted: true, flavors: vec![flavor("g8", 8.0, &["a", "b"])], ..ClusterState::default() };
@@ -372,7 +377,7 @@
         add(&mut w, s, 0);
         w
     };
-    let rent = |supply: &SupplyOf| plan(&w, &policy(), 0, &[0], &[], &[], supply).rent;
+    let rent = |supply: &SupplyOf| plan(&w, &policy(), 0, &unplaced(&[0]), &[], supply).rent;
     let r = rent(&all_available);
     assert!(r.iter().all(|r| r.spot) && r.iter().map(|r| r.count).sum::<usize>() == 2, "{r:?}");
     let r = rent(&|f, z, spot| if spot { Supply::Refused } else { all_available(f, z, spot) });
@@ -380,7 +385,7 @@
     assert!(rent(&|_, _, _| Supply::Refused).is_empty());
     let pending_machines = vec![PendingMachine { flavor: 0, zone: "a".into(), spot: true }; 2];
     assert!(
-        plan(&w, &policy(), 0, &[0], &[], &pending_machines, &all_available).rent.is_empty(),
+        plan(&w, &policy(), 0, &unplaced(&[0]), &pending_machines, &all_available).rent.is_empty(),
         "they are on their way"
     );
 }
@@ -421,7 +426,7 @@
 fn a_machine_that_has_reported_and_is_not_in_use_yet_is_not_rented_again() {
     let mut cluster = cluster(&[("a", false)]);
     add(&mut cluster, spec("run-000001", Shape::Batch, 8, 1.0), 0);
-    let rent = |cluster: &ClusterState| plan(cluster, &policy(), 0, &[0], &[], &[], &all_available).rent;
+    let rent = |cluster: &ClusterState| plan(cluster, &policy(), 0, &unplaced(&[0]), &[], &all_available).rent;
     cluster.hosts[0].as_mut().unwrap().registered = false;
     assert!(rent(&cluster).is_empty(), "it is about to be used");
     cluster.hosts[0].as_mut().unwrap().missed = crate::partition::UNREACHABLE_AFTER_MISSES;
@@ -444,7 +449,7 @@
             h.image_ready("i");
         }
     }
-    let drain = |w: &ClusterState, now| plan(w, &policy(), now, &[], &[], &[], &|_, _, _| Supply::Refused).drain;
+    let drain = |w: &ClusterState, now| plan(w, &policy(), now, &unplaced(&[]), &[], &|_, _, _| Supply::Refused).drain;
     assert!(drain(&w, 60_000).is_empty(), "work waited two boots ago");
     let d = drain(&w, 60_001).remove(0);
     assert_eq!((d.host, d.moves.len(), d.moves[0].2), (1, 1, 0));
@@ -571,7 +576,7 @@
     }
     let placed = |w: &mut ClusterState, now| !run(w, now).starts.is_empty();
     assert!(!placed(&mut w, 1000), "only the faulty one has room");
-    let rented = plan(&w, &policy(), 1000, &[job_index], &[], &[], &all_available).rent;
+    let rented = plan(&w, &policy(), 1000, &unplaced(&[job_index]), &[], &all_available).rent;
     assert_eq!(rented.len(), 1, "so that another is needed");
     let mut everywhere = w.jobs[job_index].clone();
     everywhere.failed_on.extend([1, 2]);
@@ -593,7 +598,7 @@
         move |_: usize, _: &str, spot: bool| Supply::Available { cost_factor: if spot { factor } else { 1.0 } }
     };
     let rent = |factor, pending_machines: &[PendingMachine]| {
-        plan(&w, &policy(), 0, &[job_index], &[], pending_machines, &spot_at(factor)).rent
+        plan(&w, &policy(), 0, &unplaced(&[job_index]), pending_machines, &spot_at(factor)).rent
     };
     let rental = |spot| vec![Rental { flavor: 0, zone: "a".into(), spot, count: 1 }];
     assert_eq!(rent(3.0, &[]), rental(true));
@@ -619,7 +624,7 @@
 fn a_gang_waits_for_another_machine_rather_than_return_to_the_faulty_one_of_two() {
     let (mut w, job_index) = failed_gang(&[0]);
     assert!(run(&mut w, 1000).starts.is_empty(), "one of its places is on the faulty machine");
-    let rented = plan(&w, &policy(), 1000, &[job_index], &[], &[], &all_available).rent;
+    let rented = plan(&w, &policy(), 1000, &unplaced(&[job_index]), &[], &all_available).rent;
     assert_eq!(rented.iter().map(|r| (r.zone.as_str(), r.count)).collect::<Vec<_>>(), [("a", 1)]);
     let mut another = Host::new("h2".into(), "a".into(), false, Some(0), 0);
     (another.registered, another.accounted) = (true, true);
