--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -75,6 +75,27 @@
     assert!(check_settings(&s).unwrap_err().contains("gpus of red"));
 }
 
+#[test]
+fn the_limits_to_come_are_checked_like_the_present_ones() {
+    let with_next = |table: &str| {
+        let text = example().replace("[params.cloud]", &format!("[params.state.next]\n{table}\n[params.cloud]"));
+        toml::from_str::<Settings>(&text).map_err(|e| e.to_string()).and_then(|s| check_settings(&s).map(|()| s))
+    };
+    let s = with_next("write_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4").unwrap();
+    assert_eq!(s.write_limits().commit_changes, 4);
+    assert_eq!(with_next("").unwrap().write_limits(), settings().write_limits());
+    for (bad, field) in [
+        ("value_kb = 0.0", "value_kb"),
+        ("write_rps = -1.0", "write_rps"),
+        ("rps = nan", "rps"),
+        ("txn_ops = 1", "txn_ops"),
+    ] {
+        let refusal = with_next(bad).unwrap_err();
+        assert!(refusal.starts_with(&format!("params.state.next.{field}: ")), "{refusal}");
+    }
+    assert!(with_next("txn_ops = \"four\"").is_err());
+}
+
 #[test]
 fn operators_names_are_checked() {
     let o: Operator = hcl::from_str("bin_width_s = 2").unwrap();
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -10,6 +10,7 @@
 mod leaders;
 mod mistakes;
 mod paused_controllers;
+mod pipelines;
 mod poll_storms;
 mod random_days;
 mod scenario;
--- a/tests/fault_combinations/random_days.rs
+++ b/tests/fault_combinations/random_days.rs
@@ -1,6 +1,6 @@
 //! Days with random faults; the seeds that failed are printed.
 
-use crate::sim::{Setup, seeds, simulate, simulate_with};
+use crate::sim::{RandomDay, Setup, seeds, simulate, simulate_with};
 
 /// On the day of this seed one of two machines is faulty, and a gang needs both zones.
 const FAULTY_MACHINE_OF_TWO: u64 = 497;
@@ -53,3 +53,16 @@
         });
     });
 }
+
+// Pipelines, some of whose jobs are cancelled, and limits of the state service that shrink.
+#[test]
+fn random_faults_break_no_rule_of_pipelines() {
+    run_all(&seeds(1..=16), |seed| {
+        simulate(seed, async |mut sim| {
+            let faults = 2 + (seed % 4) as usize;
+            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 6 };
+            sim.random_day_of(day).await;
+            sim.settle().await;
+        });
+    });
+}
--- a/tests/sim/deployment.rs
+++ b/tests/sim/deployment.rs
@@ -1,11 +1,16 @@
 //! The addresses and the settings of the simulated deployment.
 
 use super::world::{self, GUEST, TEAMS, ZONES};
+use crate::store::Limits;
 use badgerdrift::config::Settings;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 pub const NODES: usize = 3;
+
+/// What the state service takes at first, and from some moment on.
+pub const PRESENT_LIMITS: Limits = Limits { value_bytes: 8 * 1024, changes: 12, changes_per_s: 100.0 };
+pub const NEXT_LIMITS: Limits = Limits { value_bytes: 2 * 1024, changes: 4, changes_per_s: 40.0 };
 pub(super) const PATIENCE: Duration = Duration::from_secs(60);
 
 fn host(net: u8, n: usize) -> IpAddr {
@@ -59,6 +64,7 @@
         world::CANCEL_S
     );
     text += "[params.state]\nrps = 500.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n";
+    text += "[params.state.next]\nwrite_rps = 40.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
     text += &format!("[params.cloud]\nrps = 20.0\nlist_lag_s = {:?}\n", world::LIST_LAG_S);
     text += "[params.limits]\nmax_sockets = 400\n";
     toml::from_str(&text).unwrap()
--- a/tests/sim/faults.rs
+++ b/tests/sim/faults.rs
@@ -2,12 +2,21 @@
 
 use super::net::Cut;
 use super::world::{BootFaults, GUEST, LEASE_S, secs};
-use super::{NODES, Sim, cloud_of, controller, machines, state_of, users};
+use super::{NEXT_LIMITS, NODES, Sim, cloud_of, controller, machines, state_of, users};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::IpAddr;
 use tokio::time::Instant;
 
+/// How much happens on a random day.
+pub struct RandomDay {
+    pub day_s: f64,
+    /// Faults that overlap, of the first kinds and of the later ones.
+    pub faults: usize,
+    pub later: usize,
+    pub pipelines: usize,
+}
+
 /// What is to be done at an instant of the day.
 enum FaultAction {
     Submit,
@@ -33,6 +42,8 @@
     BootFaults(BootFaults),
     SubmitMistaken,
     SubmitGuests,
+    SubmitPipeline,
+    LimitState,
 }
 
 /// The deeds of one fault that begins then.
@@ -108,6 +119,12 @@
     /// The same with so many faults of the later kinds as well. They are drawn last, so
     /// that the days of known seeds stay what they were.
     pub async fn random_day_with(&mut self, day_s: f64, faults: usize, later: usize) {
+        self.random_day_of(RandomDay { day_s, faults, later, pipelines: 0 }).await;
+    }
+
+    /// The same with pipelines, and with limits of the state service that shrink if there are any.
+    pub async fn random_day_of(&mut self, day: RandomDay) {
+        let RandomDay { day_s, faults, later, pipelines } = day;
         let mut rng = StdRng::seed_from_u64(self.g.seed.wrapping_mul(0x9e37_79b9));
         self.g.w.lock().unwrap().faulty = 0.04;
         tokio::spawn(users::stranger(self.g.clone(), rng.random()));
@@ -127,6 +144,16 @@
             let at = rng.random_range(4.0..day_s * 0.6);
             fault_actions.extend(later_fault(&mut rng, at));
         }
+        for _ in 0..pipelines {
+            let at = rng.random_range(3.0..day_s * 0.6);
+            fault_actions.push((at, FaultAction::SubmitPipeline));
+            if rng.random_bool(0.5) {
+                fault_actions.push((at + rng.random_range(0.2..20.0), FaultAction::Cancel));
+            }
+        }
+        if pipelines > 0 {
+            fault_actions.push((rng.random_range(0.0..day_s), FaultAction::LimitState));
+        }
         fault_actions.sort_by(|a, b| a.0.total_cmp(&b.0));
         let began = Instant::now();
         for (at, deed) in fault_actions {
@@ -208,6 +235,11 @@
                     self.submit(job);
                 }
             }
+            FaultAction::SubmitPipeline => {
+                let jobs = self.random_pipeline(rng);
+                self.submit_pipeline(jobs);
+            }
+            FaultAction::LimitState => self.limit_state(NEXT_LIMITS),
             FaultAction::LateReports(share) => self.late_reports(share),
             FaultAction::LateWrites(share) => self.late_writes(share),
             FaultAction::LostAnswers(share) => self.lost_answers(share),
--- a/tests/sim/jobs.rs
+++ b/tests/sim/jobs.rs
@@ -3,8 +3,9 @@
 use super::Sim;
 use super::deployment::NODES;
 use super::users;
-use super::world::{Job, secs};
+use super::world::{Job, TEAMS, secs};
 use rand::RngExt;
+use rand::rngs::StdRng;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -28,6 +29,58 @@
         id
     }
 
+    /// A user submits these in turn, each as soon as those that it waits for are accepted.
+    pub fn submit_pipeline(&mut self, jobs: Vec<Job>) -> Vec<String> {
+        let ids = jobs.iter().map(|job| job.id.clone()).collect();
+        let seeds: Vec<u64> = jobs.iter().map(|_| self.rng.random()).collect();
+        let g = self.g.clone();
+        tokio::spawn(async move {
+            for (job, seed) in jobs.into_iter().zip(seeds) {
+                let accepted = |id: &String| g.w.lock().unwrap().jobs.get(id).is_some_and(|j| j.accepted.is_some());
+                while !job.waits_on.iter().all(accepted) {
+                    sleep(secs(0.05)).await;
+                }
+                let id = job.id.clone();
+                g.w.lock().unwrap().jobs.insert(id.clone(), job);
+                tokio::spawn(users::user(g.clone(), id, seed));
+            }
+        });
+        ids
+    }
+
+    /// A short array that waits for these.
+    pub fn waiting_job(&mut self, waits_on: &[&str]) -> Job {
+        let mut job = self.job("batch", 2);
+        (job.cards, job.run_s) = (0.0, 3.0);
+        job.waits_on = waits_on.iter().map(|id| id.to_string()).collect();
+        job
+    }
+
+    /// A pipeline of a random form: a chain, a join, a fan, or a chain that splits and joins.
+    pub fn random_pipeline(&mut self, rng: &mut StdRng) -> Vec<Job> {
+        let forms: [&[&[usize]]; 4] = [
+            &[&[], &[0], &[1], &[2]],
+            &[&[], &[], &[], &[0, 1, 2], &[3]],
+            &[&[], &[0], &[0], &[0], &[0]],
+            &[&[], &[0], &[0], &[1, 2], &[3]],
+        ];
+        let form = forms[rng.random_range(0..forms.len())];
+        let team = TEAMS[rng.random_range(0..2)].0;
+        let mut jobs: Vec<Job> = Vec::new();
+        for (n, needs) in form.iter().enumerate() {
+            let mut job = self.waiting_job(&[]);
+            job.shape = ["batch", "group"][rng.random_range(0..2)];
+            job.waits_on = needs.iter().map(|stage| jobs[*stage].id.clone()).collect();
+            (job.team, job.run_s) = (team, rng.random_range(1.0..6.0));
+            job.urgency = ["urgent", "standard", "best_effort"][rng.random_range(0..3)];
+            if n + 1 == form.len() {
+                job.due_s = Some(rng.random_range(20.0..90.0));
+            }
+            jobs.push(job);
+        }
+        jobs
+    }
+
     /// Its user asks to cancel it, at these nodes in turn, until that is confirmed.
     pub fn cancel(&mut self, id: &str, nodes: &[usize]) {
         tokio::spawn(users::cancel(self.g.clone(), id.into(), nodes.to_vec(), self.rng.random()));
--- a/tests/stand_ins/store.rs
+++ b/tests/stand_ins/store.rs
@@ -24,6 +24,19 @@
     pub claims: u64,
     /// Puts and deletes that were carried out.
     pub writes: u64,
+    /// Limits of values, commits and changes; none if there are none.
+    pub limits: Option<Limits>,
+    /// Changes that may still be made now, under the limits.
+    allowed: f64,
+    refilled: Option<Instant>,
+}
+
+/// What the service takes.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub value_bytes: usize,
+    pub changes: usize,
+    pub changes_per_s: f64,
 }
 
 impl Store {
@@ -56,8 +69,28 @@
         self.grants.values_mut().for_each(|g| g.0 = now);
     }
 
+    /// Why a commit is not taken under the limits, if so.
+    fn refusal(&mut self, apply: &[Value]) -> Option<Response> {
+        let limits = self.limits?;
+        let too_large = |a: &Value| a.get("data").is_some_and(|data| data.to_string().len() > limits.value_bytes);
+        if apply.len() > limits.changes || apply.iter().any(too_large) {
+            return Some(Response::error(400, "too large"));
+        }
+        let now = Instant::now();
+        let since = self.refilled.replace(now).map_or(1.0, |at| (now - at).as_secs_f64());
+        self.allowed = (self.allowed + since * limits.changes_per_s).min(limits.changes_per_s);
+        if apply.len() as f64 > self.allowed {
+            return Some(Response::error(429, "too many changes"));
+        }
+        self.allowed -= apply.len() as f64;
+        None
+    }
+
     fn commit(&mut self, body: &Value) -> Response {
         let apply = body["apply"].as_array().unwrap();
+        if let Some(refusal) = self.refusal(apply) {
+            return refusal;
+        }
         if apply.iter().filter_map(|a| a["grant"].as_u64()).any(|g| !self.grants.contains_key(&g)) {
             return Response::json(400, &json!({"error": "no such lease"}));
         }
