--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -12,7 +12,11 @@
 mod paused_controllers;
 mod pipelines;
 mod poll_storms;
+#[allow(dead_code, reason = "declared as they are in production")]
+#[path = "../stand_ins/production_format.rs"]
+mod production_format;
 mod random_days;
+mod rollouts;
 mod scenario;
 #[path = "../sim/mod.rs"]
 mod sim;
--- a/tests/fault_combinations/random_days.rs
+++ b/tests/fault_combinations/random_days.rs
@@ -60,7 +60,21 @@
     run_all(&seeds(1..=16), |seed| {
         simulate(seed, async |mut sim| {
             let faults = 2 + (seed % 4) as usize;
-            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 6 };
+            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 6, rollout: false };
+            sim.random_day_of(day).await;
+            sim.settle().await;
+        });
+    });
+}
+
+// The version in production serves at first, and is replaced while faults come.
+#[test]
+fn random_faults_break_no_rule_while_controllers_are_upgraded() {
+    run_all(&seeds(1..=16), |seed| {
+        let setup = Setup { production: true, ..Setup::default() };
+        simulate_with(setup, seed, async |mut sim| {
+            let faults = 2 + (seed % 4) as usize;
+            let day = RandomDay { day_s: 110.0, faults, later: (seed % 3) as usize, pipelines: 3, rollout: true };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
--- a/tests/sim/faults.rs
+++ b/tests/sim/faults.rs
@@ -15,6 +15,8 @@
     pub faults: usize,
     pub later: usize,
     pub pipelines: usize,
+    /// The controllers are upgraded in turn, and pipelines come after that.
+    pub rollout: bool,
 }
 
 /// What is to be done at an instant of the day.
@@ -44,6 +46,7 @@
     SubmitGuests,
     SubmitPipeline,
     LimitState,
+    Upgrade(usize),
 }
 
 /// The deeds of one fault that begins then.
@@ -119,12 +122,12 @@
     /// The same with so many faults of the later kinds as well. They are drawn last, so
     /// that the days of known seeds stay what they were.
     pub async fn random_day_with(&mut self, day_s: f64, faults: usize, later: usize) {
-        self.random_day_of(RandomDay { day_s, faults, later, pipelines: 0 }).await;
+        self.random_day_of(RandomDay { day_s, faults, later, pipelines: 0, rollout: false }).await;
     }
 
     /// The same with pipelines, and with limits of the state service that shrink if there are any.
     pub async fn random_day_of(&mut self, day: RandomDay) {
-        let RandomDay { day_s, faults, later, pipelines } = day;
+        let RandomDay { day_s, faults, later, pipelines, rollout } = day;
         let mut rng = StdRng::seed_from_u64(self.g.seed.wrapping_mul(0x9e37_79b9));
         self.g.w.lock().unwrap().faulty = 0.04;
         tokio::spawn(users::stranger(self.g.clone(), rng.random()));
@@ -144,15 +147,26 @@
             let at = rng.random_range(4.0..day_s * 0.6);
             fault_actions.extend(later_fault(&mut rng, at));
         }
+        let mut earliest = 3.0;
+        if rollout {
+            let every = rng.random_range(4.0..day_s * 0.15);
+            for node in 0..NODES {
+                earliest += every;
+                fault_actions.push((earliest, FaultAction::Upgrade(node)));
+                fault_actions.push((earliest + rng.random_range(0.3..5.0), FaultAction::Start(node)));
+            }
+            earliest += 5.0;
+        }
         for _ in 0..pipelines {
-            let at = rng.random_range(3.0..day_s * 0.6);
+            let at = rng.random_range(earliest..day_s * 0.7);
             fault_actions.push((at, FaultAction::SubmitPipeline));
             if rng.random_bool(0.5) {
                 fault_actions.push((at + rng.random_range(0.2..20.0), FaultAction::Cancel));
             }
         }
         if pipelines > 0 {
-            fault_actions.push((rng.random_range(0.0..day_s), FaultAction::LimitState));
+            fault_actions
+                .push((rng.random_range(if rollout { earliest } else { 0.0 }..day_s), FaultAction::LimitState));
         }
         fault_actions.sort_by(|a, b| a.0.total_cmp(&b.0));
         let began = Instant::now();
@@ -239,6 +253,7 @@
                 let jobs = self.random_pipeline(rng);
                 self.submit_pipeline(jobs);
             }
+            FaultAction::Upgrade(node) => self.kill_to_upgrade(node),
             FaultAction::LimitState => self.limit_state(NEXT_LIMITS),
             FaultAction::LateReports(share) => self.late_reports(share),
             FaultAction::LateWrites(share) => self.late_writes(share),
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -13,6 +13,7 @@
 mod settle;
 mod state_service;
 mod users;
+mod versions;
 pub mod world;
 
 pub use deployment::{NEXT_LIMITS, NODES, PRESENT_LIMITS, cloud_of, controller, state_of};
@@ -44,6 +45,8 @@
     /// The time of day stands still, as it did when the first seeds were hunted: their days
     /// stay what they were.
     pub time_of_day_stands: bool,
+    /// The controllers are of the version in production until they are upgraded.
+    pub production: bool,
 }
 
 impl Setup {
@@ -57,7 +60,11 @@
 
 impl Default for Setup {
     fn default() -> Setup {
-        Setup { operator: Operator { idle_keep: 3.0, ..Operator::default() }, time_of_day_stands: false }
+        Setup {
+            operator: Operator { idle_keep: 3.0, ..Operator::default() },
+            time_of_day_stands: false,
+            production: false,
+        }
     }
 }
 
@@ -78,6 +85,7 @@
         let w: Shared = std::sync::Arc::new(std::sync::Mutex::new(SimulationState::new(seed, NODES)));
         let user = Client::on(&fabric.process(deployment::users()).0, 16);
         w.lock().unwrap().store.limits = Some(PRESENT_LIMITS);
+        w.lock().unwrap().production = vec![setup.production; NODES];
         let g = SimulationContext { seed, w, fabric, user };
         for i in 0..NODES {
             g.serve(state_of(i), move |g, req| state_service::state(g, i, req));
@@ -117,13 +125,23 @@
         if self.lives[node].is_none() {
             let (net, life) = self.g.fabric.process(controller(node));
             self.lives[node] = Some(life);
-            self.g.log(format!("n{node} starts"));
+            let production = self.g.w.lock().unwrap().production[node];
+            if production {
+                self.g.fabric.speak_as_production(life);
+            }
+            self.g.log(format!("n{node} starts, of the version in production: {production}"));
             self.pauses[node] = Arc::default();
             let controller = node::run_on(net, deployment::settings(node), self.operator.clone());
             tokio::spawn(task::behind(self.pauses[node].clone(), controller));
         }
     }
 
+    /// Ends a controller, which comes back with this version.
+    pub fn kill_to_upgrade(&mut self, node: usize) {
+        self.kill(node);
+        self.g.w.lock().unwrap().production[node] = false;
+    }
+
     /// Pauses a controller's process, or lets it go on.
     pub fn pause(&self, node: usize, paused: bool) {
         self.g.log(format!("n{node} paused: {paused}"));
@@ -195,8 +213,8 @@
     }
 
     pub fn check(&self) {
-        if let Some(storm) = self.g.fabric.storm() {
-            self.g.w.lock().unwrap().fail(storm);
+        if let Some(broken) = self.g.fabric.broken() {
+            self.g.w.lock().unwrap().fail(broken);
         }
         let w = self.g.w.lock().unwrap();
         if let Some(b) = w.broken.clone() {
--- a/tests/sim/net.rs
+++ b/tests/sim/net.rs
@@ -1,9 +1,10 @@
 //! A network in memory: latency from the seed, and cuts between pairs of hosts.
 
+use super::versions::{INTERNAL_PORT, production_frame};
 use badgerdrift::net::{BoxFuture, Listener, Net, Network, ReadHalf, Stream, WriteHalf};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
@@ -67,7 +68,10 @@
     mended: Arc<Notify>,
     /// Connections that each process opened at an instant or close to it.
     opened: HashMap<u64, (Instant, u32)>,
-    storm: Option<String>,
+    /// Processes of the version in production.
+    production: HashSet<u64>,
+    /// The first rule that was broken on the network.
+    broken: Option<String>,
 }
 
 /// The whole network.
@@ -89,7 +93,8 @@
             next_life: 0,
             mended: Arc::default(),
             opened: HashMap::new(),
-            storm: None,
+            production: HashSet::new(),
+            broken: None,
         })))
     }
 
@@ -101,6 +106,12 @@
         (Net::new(Process { fabric: self.clone(), host, life }), life)
     }
 
+    /// What the process says to other controllers, and hears from them, is in the form of the
+    /// version in production.
+    pub fn speak_as_production(&self, life: u64) {
+        self.0.lock().unwrap().production.insert(life);
+    }
+
     /// Ends a process as far as anybody can tell: what it had sent still arrives,
     /// what it does later goes nowhere.
     pub fn kill(&self, life: u64) {
@@ -124,9 +135,9 @@
         }
     }
 
-    /// A process that opened connections without end.
-    pub fn storm(&self) -> Option<String> {
-        self.0.lock().unwrap().storm.clone()
+    /// A process that opened connections without end, or said what another can't read.
+    pub fn broken(&self) -> Option<String> {
+        self.0.lock().unwrap().broken.clone()
     }
 
     /// Ends all cuts.
@@ -193,7 +204,7 @@
         *count += 1;
         let storms = *count > 1000;
         if storms {
-            inner.storm = Some(format!("{} opens over 1000 connections a second, to {addr}", self.host));
+            inner.broken = Some(format!("{} opens over 1000 connections a second, to {addr}", self.host));
         }
         storms
     }
@@ -223,9 +234,11 @@
             }))
         };
         let (out, back) = (pipe(), pipe());
+        let of_production = [self.life, there].iter().any(|life| inner.production.contains(life));
+        let in_production_form = addr.port() == INTERNAL_PORT && of_production;
         let end = |read: &Shared<Pipe>, write: &Shared<Pipe>, life| MemStream {
             read: MemRead { pipe: read.clone(), timer: None },
-            write: MemWrite { pipe: write.clone(), fabric: self.fabric.clone(), life },
+            write: MemWrite { pipe: write.clone(), fabric: self.fabric.clone(), life, in_production_form },
         };
         let (ours, theirs) = (end(&back, &out, self.life), end(&out, &back, there));
         inner.links.retain(|l| l.pipes.iter().any(|p| p.strong_count() > 0));
@@ -286,6 +299,8 @@
     pipe: Shared<Pipe>,
     fabric: Fabric,
     life: u64,
+    /// What is written are frames, which are put into the form of the version in production.
+    in_production_form: bool,
 }
 
 impl AsyncRead for MemRead {
@@ -357,13 +372,21 @@
             return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
         }
         let lag = Duration::from_millis(inner.rng.random_range(1..=5));
+        let sent = match self.in_production_form.then(|| production_frame(buf)) {
+            Some(Ok(frame)) => frame,
+            Some(Err(broken)) => {
+                inner.broken.get_or_insert(broken);
+                return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+            }
+            None => buf.to_vec(),
+        };
         let mut p = self.pipe.lock().unwrap();
         if p.reset || p.closed.is_some() {
             return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
         }
         let at = p.last.max(Instant::now() + lag);
         p.last = at;
-        p.chunks.push_back((at, buf.to_vec()));
+        p.chunks.push_back((at, sent));
         p.wake();
         Poll::Ready(Ok(buf.len()))
     }
--- a/tests/sim/state_service.rs
+++ b/tests/sim/state_service.rs
@@ -3,6 +3,7 @@
 use super::deployment::PATIENCE;
 use super::ground::SimulationContext;
 use super::machines;
+use super::versions::production_records;
 use super::world::secs;
 use badgerdrift::http::{Request, Response};
 use rand::RngExt;
@@ -11,6 +12,24 @@
 
 /// The state service, as one of the controllers sees it.
 pub async fn state(g: SimulationContext, node: usize, req: Request) -> Response {
+    if !g.w.lock().unwrap().production[node] {
+        return answer(g, node, req).await;
+    }
+    let req = Request { body: in_production_form(&g, req.body), ..req };
+    let response = answer(g.clone(), node, req).await;
+    Response { body: in_production_form(&g, response.body), ..response }
+}
+
+/// The records in a body as the version in production reads or writes them.
+fn in_production_form(g: &SimulationContext, body: Vec<u8>) -> Vec<u8> {
+    let Ok(mut value) = serde_json::from_slice(&body) else { return body };
+    if let Err(broken) = production_records(&mut value) {
+        g.w.lock().unwrap().fail(broken);
+    }
+    serde_json::to_vec(&value).unwrap()
+}
+
+async fn answer(g: SimulationContext, node: usize, req: Request) -> Response {
     let down = |g: &SimulationContext| {
         let w = g.w.lock().unwrap();
         w.store.down || w.refused[node]
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -68,12 +68,24 @@
     }
 }
 
+/// A node to submit a job at: for one that waits for others a node of this version, if any.
+fn node_to_submit_at(g: &SimulationContext, id: &str, rng: &mut StdRng) -> Option<usize> {
+    let w = g.w.lock().unwrap();
+    let waits = !w.jobs[id].waits_on.is_empty();
+    let nodes: Vec<usize> = (0..NODES).filter(|node| !waits || !w.production[*node]).collect();
+    (!nodes.is_empty()).then(|| nodes[rng.random_range(0..nodes.len())])
+}
+
 /// The whole life of a job as its user sees it.
 pub async fn user(g: SimulationContext, id: String, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let began = Instant::now();
     loop {
-        let (status, _) = ask(&g, &id, rng.random_range(0..NODES), "submit").await;
+        let Some(node) = node_to_submit_at(&g, &id, &mut rng) else {
+            sleep(secs(0.5)).await;
+            continue;
+        };
+        let (status, _) = ask(&g, &id, node, "submit").await;
         match status {
             200 | 201 => break,
             400 | 422 => return,
--- /dev/null
+++ b/tests/sim/versions.rs
@@ -0,0 +1,66 @@
+//! Controllers of the version in production, as the others and the state service see them.
+//!
+//! They run the code of this version, and everything that goes between them and others is put
+//! into the form of that version: frames lose their format, records the fields that it does not
+//! know. What that version could not read, or would misunderstand, breaks a rule.
+
+use crate::production_format as production;
+use ciborium::Value as Cbor;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// Port on which controllers serve each other.
+pub const INTERNAL_PORT: u16 = 81;
+
+/// Bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+
+/// A frame as it goes between a controller of the version in production and another one; the
+/// rule that it breaks otherwise.
+pub fn production_frame(frame: &[u8]) -> Result<Vec<u8>, String> {
+    let body = &frame[LENGTH_BYTES..];
+    let request = ciborium::from_reader::<production::Numbered<production::PeerRequest>, _>(body);
+    let response = ciborium::from_reader::<production::Numbered<production::PeerResponse>, _>(body);
+    if let Ok(production::Numbered {
+        body: production::PeerRequest::User { call: production::UserCall::Submit(submission), .. },
+        ..
+    }) = &request
+        && waits(&serde_json::from_slice(submission).unwrap_or_default())
+    {
+        return Err("a job that waits for others is passed to an owner that would start it".into());
+    }
+    if request.is_err() && response.is_err() {
+        return Err(format!("a frame that the version in production can't read: {:?}", response.err()));
+    }
+    let Ok(Cbor::Map(entries)) = ciborium::from_reader(body) else { return Err("a frame without a map".into()) };
+    let known = entries.into_iter().filter(|(name, _)| *name != Cbor::Text("format".into())).collect();
+    let mut out = vec![0; LENGTH_BYTES];
+    ciborium::into_writer(&Cbor::Map(known), &mut out).unwrap();
+    let length = (out.len() - LENGTH_BYTES) as u32;
+    out[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(out)
+}
+
+/// Takes out of job records what the version in production does not know; the rule that they
+/// break if it can't read the rest.
+pub fn production_records(value: &mut Value) -> Result<(), String> {
+    match value {
+        Value::Array(values) => values.iter_mut().try_for_each(production_records),
+        Value::Object(fields) => {
+            if fields.contains_key("spec") {
+                fields["spec"].as_object_mut().unwrap().remove("waits_on");
+                if let Err(e) = production::JobRecord::deserialize(&*value) {
+                    return Err(format!("a record that the version in production can't read: {e}: {value}"));
+                }
+                return Ok(());
+            }
+            fields.values_mut().try_for_each(production_records)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Does a submission name jobs that it waits for?
+fn waits(submission: &Value) -> bool {
+    submission["waits_on"].as_array().is_some_and(|ids| !ids.is_empty())
+}
--- a/tests/sim/world/mod.rs
+++ b/tests/sim/world/mod.rs
@@ -35,6 +35,8 @@
     pub store: Store,
     /// Nodes that the state service refuses.
     pub refused: Vec<bool>,
+    /// Nodes that run the version in production.
+    pub production: Vec<bool>,
     /// Requests of each node to the state service in a second of the day.
     pub asked: Vec<(u64, u32)>,
     /// Shares of requests to the state service that are carried out late
@@ -78,6 +80,7 @@
             start: Instant::now(),
             store: Store::default(),
             refused: vec![false; nodes],
+            production: vec![false; nodes],
             asked: vec![(0, 0); nodes],
             late_writes: 0.0,
             lost_answers: 0.0,
--- a/tests/versions/main.rs
+++ b/tests/versions/main.rs
@@ -4,5 +4,6 @@
 
 mod frames;
 #[allow(dead_code, reason = "declared as they are in production")]
+#[path = "../stand_ins/production_format.rs"]
 mod production_format;
 mod records;
