--- a/tests/fault_combinations/random_days.rs
+++ b/tests/fault_combinations/random_days.rs
@@ -80,3 +80,17 @@
         });
     });
 }
+
+// Jobs wait for others that belong to another partition.
+#[test]
+fn random_faults_break_no_rule_of_pipelines_over_several_partitions() {
+    run_all(&seeds(1..=8), |seed| {
+        let mut setup = Setup::default();
+        setup.operator.partitions = 3;
+        simulate_with(setup, seed, async |mut sim| {
+            let day = RandomDay { day_s: 90.0, faults: (seed % 4) as usize, later: 0, pipelines: 5, rollout: false };
+            sim.random_day_of(day).await;
+            sim.settle().await;
+        });
+    });
+}
--- a/tests/sim/jobs.rs
+++ b/tests/sim/jobs.rs
@@ -65,13 +65,12 @@
             &[&[], &[0], &[0], &[1, 2], &[3]],
         ];
         let form = forms[rng.random_range(0..forms.len())];
-        let team = TEAMS[rng.random_range(0..2)].0;
         let mut jobs: Vec<Job> = Vec::new();
         for (n, needs) in form.iter().enumerate() {
             let mut job = self.waiting_job(&[]);
             job.shape = ["batch", "group"][rng.random_range(0..2)];
             job.waits_on = needs.iter().map(|stage| jobs[*stage].id.clone()).collect();
-            (job.team, job.run_s) = (team, rng.random_range(1.0..6.0));
+            (job.team, job.run_s) = (TEAMS[rng.random_range(0..2)].0, rng.random_range(1.0..6.0));
             job.urgency = ["urgent", "standard", "best_effort"][rng.random_range(0..3)];
             if n + 1 == form.len() {
                 job.due_s = Some(rng.random_range(20.0..90.0));
