--- a/src/api.rs
+++ b/src/api.rs
@@ -5,7 +5,7 @@
 use crate::ended_jobs::{EndedJob, EndedJobs};
 use crate::http::{Request, Response};
 use crate::job_reads::{JobReads, READ_LIMIT, RecordedJob};
-use crate::metrics::{SharedMetrics, gauge_line};
+use crate::metrics::{SharedMetrics, gauge_line, labelled_gauge_line};
 use crate::model::{JobEnd, JobPhase, JobRecord, Spec};
 use crate::owner::{self, HeartbeatReply};
 use crate::partition::{CommitResult, inbox_key, job_key};
@@ -128,6 +128,10 @@
         let mut text = self.metrics.text(self.job_reads.shared_count());
         text.push_str(&self.node_metrics.text());
         text.push_str(&gauge_line("silent_peers", self.router.silent_peers()));
+        let versions = self.router.peer_versions();
+        for (label, count) in [("current", versions.current), ("old", versions.old), ("unknown", versions.unknown)] {
+            text.push_str(&labelled_gauge_line("peers", "version", label, count));
+        }
         for handle in self.router.partitions.iter() {
             let (tx, rx) = oneshot::channel();
             if handle.owner.try_send(owner::Message::Metrics(tx)).is_ok() {
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -210,7 +210,10 @@
         badgerdrift_refusals_total{reason=\"too_many_reads\",status=\"429\"} 1\n\
         badgerdrift_polls_from_remembered_ends_total 1\n\
         badgerdrift_shared_reads_total 1\n\
-        badgerdrift_silent_peers 0\n";
+        badgerdrift_silent_peers 0\n\
+        badgerdrift_peers{version=\"current\"} 0\n\
+        badgerdrift_peers{version=\"old\"} 0\n\
+        badgerdrift_peers{version=\"unknown\"} 0\n";
     assert_eq!(String::from_utf8(text).unwrap(), expected);
 }
 
--- a/src/frame_format.rs
+++ b/src/frame_format.rs
@@ -24,28 +24,33 @@
     }
 }
 
-/// What is known of the format that a peer speaks: that of its last frame; cheap to clone.
+/// What is known of the format that a named peer speaks: that of its last frame; cheap to
+/// clone. Logs the changes.
 #[derive(Debug, Clone)]
-pub struct PeerFormat(Arc<AtomicU32>);
+pub struct PeerFormat {
+    peer: Arc<str>,
+    format: Arc<AtomicU32>,
+}
 
 /// Stands for a peer of which no frame has come.
 const UNKNOWN: u32 = u32::MAX;
 
-impl Default for PeerFormat {
-    fn default() -> PeerFormat {
-        PeerFormat(Arc::new(AtomicU32::new(UNKNOWN)))
+impl PeerFormat {
+    /// Nothing is known of this peer yet.
+    pub fn new(peer: &str) -> PeerFormat {
+        PeerFormat { peer: peer.into(), format: Arc::new(AtomicU32::new(UNKNOWN)) }
     }
-}
 
-impl PeerFormat {
     /// A frame in this format has come from the peer.
     pub fn heard(&self, format: FrameFormat) {
-        self.0.store(format.0, Ordering::Relaxed);
+        if self.format.swap(format.0, Ordering::Relaxed) != format.0 {
+            tracing::info!(peer = %self.peer, format = format.0, current = format.is_current(), "controller tells its version");
+        }
     }
 
     /// The format of the peer's last frame; `None` if none has come.
     pub fn get(&self) -> Option<FrameFormat> {
-        Some(self.0.load(Ordering::Relaxed)).filter(|format| *format != UNKNOWN).map(FrameFormat)
+        Some(self.format.load(Ordering::Relaxed)).filter(|format| *format != UNKNOWN).map(FrameFormat)
     }
 
     /// Has the peer said that it is of an earlier version?
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,5 +68,10 @@
     format!("badgerdrift_{name} {value}\n")
 }
 
+/// The same with a label.
+pub fn labelled_gauge_line(name: &str, label: &str, value_of_label: &str, value: usize) -> String {
+    format!("badgerdrift_{name}{{{label}=\"{value_of_label}\"}} {value}\n")
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -9,6 +9,7 @@
 use crate::config::{Operator, Settings};
 use crate::leader::Leader;
 use crate::membership::{self, Entitlement, OwnershipChange, PromiseStatus};
+use crate::metrics::labelled_gauge_line;
 use crate::partition::{Partition, UserAnswer};
 use crate::peer::PeerResponse;
 use crate::refusal::RefusalReason;
@@ -175,7 +176,10 @@
                 let _ = reply.send(UserAnswer::RetryLater(RefusalReason::TakeoverUnderWay));
             }
             Message::Metrics(reply) => {
-                let _ = reply.send(h.partition.metrics.text());
+                let label = self.id.to_string();
+                let waiting = h.partition.waiting_jobs();
+                let gauge = labelled_gauge_line("jobs_waiting_for_others", "partition", &label, waiting);
+                let _ = reply.send(h.partition.metrics.text() + &gauge);
             }
             // One of an earlier session must not pass for the one that is under way.
             Message::Session { session, event } if session == h.n => self.handle_event(h, event, now),
--- /dev/null
+++ b/src/partition/attempt_phases.rs
@@ -0,0 +1,76 @@
+//! Attempts as reports show them: those that are seen first, and the phases that they reach.
+
+use super::Partition;
+use crate::model::{ClusterState, HostIndex, Place, Shape, TaskAttempt, TaskKey, TaskPhase};
+
+impl Partition {
+    /// An attempt that we did not start: an earlier owner did, or a late order.
+    pub(super) fn adopt(&mut self, host_index: HostIndex, key: TaskKey, attempt: u64, phase: TaskPhase, now: u64) {
+        let job = &mut self.cluster.jobs[key.job];
+        let idle = job.tasks[key.task as usize].place == Place::Idle;
+        let ended = matches!(phase, TaskPhase::Ended(_));
+        // What is first seen after its user asked for the cancellation must go, too.
+        let mut wanted = job.active() && !ended && idle;
+        if wanted && job.spec.shape == Shape::Gang {
+            if attempt > job.gang_attempt {
+                job.gang_attempt = attempt;
+            }
+            wanted = attempt == job.gang_attempt;
+        }
+        if wanted {
+            job.tasks[key.task as usize].place = Place::On(host_index, attempt);
+        }
+        let spec = &self.cluster.jobs[key.job].spec;
+        let (image, gb, demand) = (spec.image.clone(), spec.image_gb, spec.demand);
+        let cache =
+            self.cluster.host(host_index).and_then(|h| h.flavor).map_or(0.0, |f| self.cluster.flavors[f].cache_gb);
+        if let Some(h) = self.cluster.host_mut(host_index) {
+            h.use_image(&image, gb, cache, now);
+            let stop = (!wanted && !ended).then_some(0.0);
+            h.attempts.push(TaskAttempt { stop, ..TaskAttempt::sent(key, attempt, demand, now) });
+        }
+    }
+
+    /// Takes the phase of an attempt that was in phase `before`.
+    pub(super) fn phase_seen(
+        &mut self,
+        host_index: HostIndex,
+        key: TaskKey,
+        attempt: u64,
+        before: TaskPhase,
+        phase: TaskPhase,
+        now: u64,
+    ) {
+        let ClusterState { jobs, hosts, .. } = &mut self.cluster;
+        let Some(h) = hosts[host_index].as_mut() else { return };
+        let Some(c) = h.attempt_mut(key, attempt) else { return };
+        c.phase = phase;
+        let job = &mut jobs[key.job];
+        job.tasks[key.task as usize].located |= !c.ended();
+        let after_order_ms = now.saturating_sub(c.since_ms);
+        match phase {
+            TaskPhase::Gathering | TaskPhase::Running => {
+                h.image_ready(&job.spec.image);
+                if before != phase && phase == TaskPhase::Running {
+                    self.note_running(key, attempt, after_order_ms);
+                }
+            }
+            TaskPhase::Ended(reason) if before != phase => self.attempt_ended(host_index, key, attempt, reason, now),
+            _ => {}
+        }
+    }
+
+    /// Logs and measures that an attempt has begun to run.
+    fn note_running(&mut self, key: TaskKey, attempt: u64, after_order_ms: u64) {
+        let spec = &self.cluster.jobs[key.job].spec;
+        tracing::debug!(
+            job = spec.id,
+            class = spec.class,
+            task = key.task,
+            attempt,
+            after_order = after_order_ms,
+            "running"
+        );
+        self.metrics.observe("start_after_order_ms", &spec.class, after_order_ms);
+    }
+}
--- /dev/null
+++ b/src/partition/host_routing.rs
@@ -0,0 +1,70 @@
+//! Which partition a machine belongs to, and how one is given to another partition.
+
+use super::{HostRouting, Partition};
+use crate::model::HostRecord;
+use crate::wire::Report;
+
+impl Partition {
+    /// Does this partition take the machine's reports?
+    pub fn belongs(&mut self, r: &Report) -> HostRouting {
+        if self.cluster.host_index.contains_key(&r.host) || self.released.contains(&r.host) {
+            // A worker drops what carries a lower token than it has seen: a
+            // higher term first.
+            if let Some(h) =
+                self.cluster.host_index.get(&r.host).copied().and_then(|index| self.cluster.host_mut(index))
+            {
+                h.fence = h.fence.max(r.fence);
+            }
+            return if r.fence > self.term { HostRouting::NotYet } else { HostRouting::Mine };
+        }
+        if self.id == 0 && !self.elsewhere.contains_key(&r.host) {
+            return if r.fence > self.term { HostRouting::NotYet } else { HostRouting::Mine };
+        }
+        self.recheck.insert(r.host.clone());
+        match self.elsewhere.get(&r.host) {
+            Some(p) => HostRouting::Elsewhere(*p),
+            None => HostRouting::Unknown,
+        }
+    }
+
+    /// What the registry says now of a machine that reported here.
+    pub fn rechecked(&mut self, id: &str, record: Option<HostRecord>, now: u64) {
+        match record {
+            // It is looked up again with its next report.
+            Some(r) if r.partition == self.id && self.moves_may_be_undone() => {}
+            Some(r) if r.partition == self.id => {
+                self.elsewhere.remove(id);
+                if !self.cluster.host_index.contains_key(id) {
+                    // The giver made sure that nothing is left on it.
+                    let term = self.term;
+                    let host_index = self.add_registered(id.to_string(), r, now);
+                    if let Some(h) = self.cluster.host_mut(host_index) {
+                        h.accounted = true;
+                        h.min_fence = term;
+                        tracing::info!(host = h.id, "machine joins this partition");
+                    }
+                }
+            }
+            Some(r) => {
+                self.elsewhere.insert(id.to_string(), r.partition);
+            }
+            None => {
+                self.elsewhere.remove(id);
+            }
+        }
+    }
+
+    /// Gives a free machine to another partition; false if it is not free.
+    pub fn transfer_host(&mut self, id: &str, to: u32) -> bool {
+        let undone = self.moves_may_be_undone();
+        let Some(&host_index) = self.cluster.host_index.get(id) else { return false };
+        let Some(h) = self.cluster.host_mut(host_index) else { return false };
+        let free = h.attempts.is_empty() && h.claims.is_empty() && !h.do_in_flight && !h.has_unknown_tasks;
+        if !free || undone || !h.registered || !h.accounted || h.releasing || h.notice || h.transferring_to.is_some() {
+            return false;
+        }
+        h.transferring_to = Some(to);
+        self.new_hosts.insert(host_index);
+        true
+    }
+}
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -1,11 +1,14 @@
 //! The protocol of a partition, without I/O and clock: its jobs, its machines, what
 //! reports and answers mean, which orders follow, what must be recorded.
 
+mod attempt_phases;
 mod attempts;
 mod critical_path;
 mod direct;
 mod drain;
+mod host_routing;
 mod keys;
+mod next_commit;
 mod passes;
 mod predecessors;
 mod records;
--- a/src/partition/predecessors.rs
+++ b/src/partition/predecessors.rs
@@ -189,6 +189,11 @@
 
     // ---- waiting jobs ----
 
+    /// How many jobs wait for others.
+    pub fn waiting_jobs(&self) -> usize {
+        self.dependencies.len()
+    }
+
     /// A job was added: others may wait for it, and it may wait for others.
     pub(super) fn job_added(&mut self, job_index: JobIndex) {
         let job = &self.cluster.jobs[job_index];
--- a/src/partition/reports.rs
+++ b/src/partition/reports.rs
@@ -1,9 +1,7 @@
 //! What reports mean, and which orders follow.
 
-use super::{HostRouting, Partition, ReportSource};
-use crate::model::{
-    ClusterState, ExitReason, Host, HostIndex, HostRecord, Place, Shape, TaskAttempt, TaskKey, TaskPhase, UnsavedChange,
-};
+use super::{Partition, ReportSource};
+use crate::model::{ClusterState, ExitReason, Host, HostIndex, Shape, TaskKey, TaskPhase, UnsavedChange};
 use crate::wire::{Order, Report, ReportedTask};
 
 /// Most orders in one reply, so that a line stays under 64 KiB.
@@ -18,69 +16,6 @@
 }
 
 impl Partition {
-    /// Does this partition take the machine's reports?
-    pub fn belongs(&mut self, r: &Report) -> HostRouting {
-        if self.cluster.host_index.contains_key(&r.host) || self.released.contains(&r.host) {
-            // A worker drops what carries a lower token than it has seen: a
-            // higher term first.
-            if let Some(h) =
-                self.cluster.host_index.get(&r.host).copied().and_then(|index| self.cluster.host_mut(index))
-            {
-                h.fence = h.fence.max(r.fence);
-            }
-            return if r.fence > self.term { HostRouting::NotYet } else { HostRouting::Mine };
-        }
-        if self.id == 0 && !self.elsewhere.contains_key(&r.host) {
-            return if r.fence > self.term { HostRouting::NotYet } else { HostRouting::Mine };
-        }
-        self.recheck.insert(r.host.clone());
-        match self.elsewhere.get(&r.host) {
-            Some(p) => HostRouting::Elsewhere(*p),
-            None => HostRouting::Unknown,
-        }
-    }
-
-    /// What the registry says now of a machine that reported here.
-    pub fn rechecked(&mut self, id: &str, record: Option<HostRecord>, now: u64) {
-        match record {
-            // It is looked up again with its next report.
-            Some(r) if r.partition == self.id && self.moves_may_be_undone() => {}
-            Some(r) if r.partition == self.id => {
-                self.elsewhere.remove(id);
-                if !self.cluster.host_index.contains_key(id) {
-                    // The giver made sure that nothing is left on it.
-                    let term = self.term;
-                    let host_index = self.add_registered(id.to_string(), r, now);
-                    if let Some(h) = self.cluster.host_mut(host_index) {
-                        h.accounted = true;
-                        h.min_fence = term;
-                        tracing::info!(host = h.id, "machine joins this partition");
-                    }
-                }
-            }
-            Some(r) => {
-                self.elsewhere.insert(id.to_string(), r.partition);
-            }
-            None => {
-                self.elsewhere.remove(id);
-            }
-        }
-    }
-
-    /// Gives a free machine to another partition; false if it is not free.
-    pub fn transfer_host(&mut self, id: &str, to: u32) -> bool {
-        let undone = self.moves_may_be_undone();
-        let Some(&host_index) = self.cluster.host_index.get(id) else { return false };
-        let Some(h) = self.cluster.host_mut(host_index) else { return false };
-        let free = h.attempts.is_empty() && h.claims.is_empty() && !h.do_in_flight && !h.has_unknown_tasks;
-        if !free || undone || !h.registered || !h.accounted || h.releasing || h.notice || h.transferring_to.is_some() {
-            return false;
-        }
-        h.transferring_to = Some(to);
-        self.new_hosts.insert(host_index);
-        true
-    }
-
     /// Takes a report and returns the orders of its reply.
     pub fn report(&mut self, r: &Report, via: ReportSource, now: u64) -> Vec<Order> {
         if self.released.contains(&r.host) {
@@ -261,76 +196,6 @@
         }
     }
 
-    /// An attempt that we did not start: an earlier owner did, or a late order.
-    pub(super) fn adopt(&mut self, host_index: HostIndex, key: TaskKey, attempt: u64, phase: TaskPhase, now: u64) {
-        let job = &mut self.cluster.jobs[key.job];
-        let idle = job.tasks[key.task as usize].place == Place::Idle;
-        let ended = matches!(phase, TaskPhase::Ended(_));
-        // What is first seen after its user asked for the cancellation must go, too.
-        let mut wanted = job.active() && !ended && idle;
-        if wanted && job.spec.shape == Shape::Gang {
-            if attempt > job.gang_attempt {
-                job.gang_attempt = attempt;
-            }
-            wanted = attempt == job.gang_attempt;
-        }
-        if wanted {
-            job.tasks[key.task as usize].place = Place::On(host_index, attempt);
-        }
-        let spec = &self.cluster.jobs[key.job].spec;
-        let (image, gb, demand) = (spec.image.clone(), spec.image_gb, spec.demand);
-        let cache =
-            self.cluster.host(host_index).and_then(|h| h.flavor).map_or(0.0, |f| self.cluster.flavors[f].cache_gb);
-        if let Some(h) = self.cluster.host_mut(host_index) {
-            h.use_image(&image, gb, cache, now);
-            let stop = (!wanted && !ended).then_some(0.0);
-            h.attempts.push(TaskAttempt { stop, ..TaskAttempt::sent(key, attempt, demand, now) });
-        }
-    }
-
-    /// Takes the phase of an attempt that was in phase `before`.
-    pub(super) fn phase_seen(
-        &mut self,
-        host_index: HostIndex,
-        key: TaskKey,
-        attempt: u64,
-        before: TaskPhase,
-        phase: TaskPhase,
-        now: u64,
-    ) {
-        let ClusterState { jobs, hosts, .. } = &mut self.cluster;
-        let Some(h) = hosts[host_index].as_mut() else { return };
-        let Some(c) = h.attempt_mut(key, attempt) else { return };
-        c.phase = phase;
-        let job = &mut jobs[key.job];
-        job.tasks[key.task as usize].located |= !c.ended();
-        let after_order_ms = now.saturating_sub(c.since_ms);
-        match phase {
-            TaskPhase::Gathering | TaskPhase::Running => {
-                h.image_ready(&job.spec.image);
-                if before != phase && phase == TaskPhase::Running {
-                    self.note_running(key, attempt, after_order_ms);
-                }
-            }
-            TaskPhase::Ended(reason) if before != phase => self.attempt_ended(host_index, key, attempt, reason, now),
-            _ => {}
-        }
-    }
-
-    /// Logs and measures that an attempt has begun to run.
-    fn note_running(&mut self, key: TaskKey, attempt: u64, after_order_ms: u64) {
-        let spec = &self.cluster.jobs[key.job].spec;
-        tracing::debug!(
-            job = spec.id,
-            class = spec.class,
-            task = key.task,
-            attempt,
-            after_order = after_order_ms,
-            "running"
-        );
-        self.metrics.observe("start_after_order_ms", &spec.class, after_order_ms);
-    }
-
     /// Attempts that we know of and the report does not list.
     pub(super) fn missing_tasks(&mut self, host_index: HostIndex, r: &Report, via: ReportSource) {
         let Some(h) = self.cluster.host(host_index) else { return };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -238,7 +238,7 @@
         let (tx, rx) = mpsc::channel(MAX_QUEUED);
         let health = SharedPeerHealth::new(&name, limits.health);
         let connector = Connector { net, addr, limit: limits.connect, events: tx.clone() };
-        let format = PeerFormat::default();
+        let format = PeerFormat::new(&name);
         task::spawn(Connections::new(connector, health.clone(), format.clone()).run(rx));
         Peer { name, health, format, connect_limit: limits.connect, tx }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -44,6 +44,17 @@
     pub members: mpsc::Sender<membership::Message>,
 }
 
+/// Numbers of other controllers by what is known of their version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerVersions {
+    /// Of this version, or a later one.
+    pub current: usize,
+    /// Of an earlier version.
+    pub old: usize,
+    /// Nothing has come from them yet.
+    pub unknown: usize,
+}
+
 /// The ways to all partitions; cheap to clone.
 #[derive(Clone)]
 pub struct Router {
@@ -91,6 +102,16 @@
         self.peers.iter().filter(|p| p.health.is_silent()).count()
     }
 
+    /// How many of the other controllers are of this version, of an earlier one, or not heard yet.
+    pub fn peer_versions(&self) -> PeerVersions {
+        let count = |holds: fn(&Peer) -> bool| self.peers.iter().filter(|peer| holds(peer)).count();
+        PeerVersions {
+            current: count(|peer| peer.format.is_current()),
+            old: count(|peer| peer.format.is_old()),
+            unknown: count(|peer| peer.format.get().is_none()),
+        }
+    }
+
     /// Has any of the other controllers said that it is of an earlier version?
     pub fn has_old_peer(&self) -> bool {
         self.peers.iter().any(|p| p.format.is_old())
