--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -150,18 +150,10 @@
 #[tokio::test]
 async fn an_end_that_an_owner_told_is_told_again_without_the_owner() {
     let mut api = api_at(&StateService::default()).await;
-    let (owner, mut messages) = mpsc::channel(1);
-    let (_ownership, ownership) = watch::channel(Ownership { mine: true, ..Ownership::default() });
-    let members = mpsc::channel(1).0;
-    let handle =
-        PartitionHandle { ownership, entitled: Default::default(), promise_status: Default::default(), owner, members };
-    api.router.partitions = Arc::new(vec![handle]);
-    let answer = async {
-        let Some(owner::Message::User { reply, .. }) = messages.recv().await else { panic!("the owner is asked") };
-        reply.send(UserAnswer::Status { id: ID.to_string(), phase: JobPhase::Done, done: 2, running: 0 }).unwrap();
-    };
-    let (told, ()) = tokio::join!(poll(&api), answer);
-    drop(messages);
+    let done = UserAnswer::Status { id: ID.to_string(), phase: JobPhase::Done, done: 2, running: 0 };
+    let (_ownership, mailbox) = owned_here(&mut api, done);
+    let told = poll(&api).await;
+    mailbox.await.unwrap();
     let again = poll(&api).await;
     assert_eq!((phase(&again), again.body), ((200, "done".to_string()), told.body));
 }
@@ -336,19 +328,20 @@
     assert_eq!(submit_waiting(&api, THIRD, json!([ID])).await.status, 201);
 }
 
-/// An owner on this node that gives this answer to the one user who asks.
-fn owned_here(api: &mut Api, answer: UserAnswer) -> watch::Sender<Ownership> {
+/// An owner on this node that gives this answer to the one user who asks. Its mailbox is
+/// closed once the task has ended.
+fn owned_here(api: &mut Api, answer: UserAnswer) -> (watch::Sender<Ownership>, tokio::task::JoinHandle<()>) {
     let (owner, mut messages) = mpsc::channel(1);
     let (ownership_tx, ownership) = watch::channel(Ownership { mine: true, ..Ownership::default() });
     let members = mpsc::channel(1).0;
     let handle =
         PartitionHandle { ownership, entitled: Default::default(), promise_status: Default::default(), owner, members };
     api.router.partitions = Arc::new(vec![handle]);
-    task::spawn(async move {
+    let mailbox = task::spawn(async move {
         let Some(owner::Message::User { reply, .. }) = messages.recv().await else { panic!("the owner is asked") };
         reply.send(answer).unwrap();
     });
-    ownership_tx
+    (ownership_tx, mailbox)
 }
 
 // Accepted past the owner, an old next owner would start it at once.
@@ -358,7 +351,7 @@
         let service = StateService::default();
         let mut api = api_at(&service).await;
         service.put(None);
-        let _ownership = owned_here(&mut api, UserAnswer::RetryLater(reason));
+        let _owner = owned_here(&mut api, UserAnswer::RetryLater(reason));
         assert_eq!(submit_waiting(&api, SECOND, json!([ID])).await.status, 503);
         assert!(service.written("job/run-000002").is_none());
     }
@@ -370,10 +363,10 @@
     let service = StateService::default();
     let mut api = api_beside(&service, FrameFormat::CURRENT).await;
     service.put(None);
-    let _ownership = owned_here(&mut api, UserAnswer::Unknown);
+    let (ownership, _mailbox) = owned_here(&mut api, UserAnswer::Unknown);
     assert!(api.router.owner_is_current(0), "it is this node");
     let other = Ownership { mine: false, owner: Some("worker-1".into()) };
-    _ownership.send(other).unwrap();
+    ownership.send(other).unwrap();
     assert!(api.router.owner_is_current(0));
     let unheard = crate::peer::Peer::start(
         "worker-1".into(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -137,6 +137,13 @@
     pub next: Option<NextStateLimits>,
 }
 
+impl StateLimits {
+    /// Requests per second that the service takes now and later.
+    pub fn least_rps(&self) -> f64 {
+        self.next.and_then(|next| next.rps).map_or(self.rps, |next| next.min(self.rps))
+    }
+}
+
 /// Limits of the state service that are to come; what is absent stays as it is.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 pub struct NextStateLimits {
--- a/src/node.rs
+++ b/src/node.rs
@@ -110,7 +110,7 @@
     let teams = Arc::new(settings.partitions_of_teams(operator.partitions));
     let policy = Arc::new(Policy::new(&settings, &operator, 0));
     let limits = settings.write_limits();
-    let request_budget = RequestBudget::new(settings.params.state.rps, nodes.len());
+    let request_budget = RequestBudget::new(settings.params.state.least_rps(), nodes.len());
     let job_reads = JobReads::new(state.clone(), request_budget.clone(), grant_ttl_ms);
     let api = Api {
         state,
--- a/src/partition/critical_path.rs
+++ b/src/partition/critical_path.rs
@@ -66,6 +66,9 @@
     /// Reckons a job's obligation from all that need it; true if it has changed.
     pub(super) fn recompute_obligation(&mut self, job_index: JobIndex) -> bool {
         let job = &self.cluster.jobs[job_index];
+        if job.end.is_some() {
+            return false;
+        }
         let asked = self.dependencies.dependents(&job.spec.id).map(|dependent| self.asked_by(dependent));
         let obligation = asked.fold(Obligation::to_nobody(job), Obligation::and);
         self.set_obligation(job_index, obligation)
