--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -63,6 +63,20 @@
     assert!(wait_ms(&router, poll()).await > 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_controller_is_known_to_be_old_by_the_promises_that_it_asks_for_until_it_comes_back_new() {
+    let (peer, _accepted) = scripted_peer(Some(Duration::ZERO));
+    let (router, _owner) = router(Some(peer), GRANT_TTL_MS);
+    let versions =
+        |router: &Router| (router.has_old_peer(), router.owner_is_current(0), router.peer_versions().unknown);
+    assert_eq!(versions(&router), (false, false, 1), "it was never heard");
+    let promise = || PeerRequest::Promise { partition: 0, owner: "b".into(), term: 1, for_ms: 5, state_ok: true };
+    router.answer(promise(), FrameFormat::UNNAMED).await;
+    assert_eq!(versions(&router), (true, false, 0));
+    router.answer(promise(), FrameFormat::CURRENT).await;
+    assert_eq!(versions(&router), (false, true, 0));
+}
+
 // Found on the grown deployments: 500 submissions of the first ten seconds went
 // a second way past an owner that was only slow, and used up its writes.
 #[tokio::test(start_paused = true)]
