--- a/src/partition/tests/followed_cancellations.rs
+++ b/src/partition/tests/followed_cancellations.rs
@@ -123,3 +123,44 @@
     let commit = p.next_commit(2000, 1).unwrap();
     assert_eq!(commit.apply[0]["put"], "job/run-000005");
 }
+
+/// A job on which a thousand others wait.
+fn wide_fan() -> (Partition, Vec<String>) {
+    let mut p = partition();
+    p.report(&report("h1", 1, 1, 1, vec![]), ReportSource::Heartbeat, 1000);
+    accept_waiting(&mut p, FIRST, &[], json!({}));
+    let ids: Vec<String> = (100..1100).map(|n| format!("run-{n:06}")).collect();
+    for id in &ids {
+        accept_waiting(&mut p, id, &[FIRST], json!({}));
+    }
+    (p, ids)
+}
+
+#[test]
+fn one_change_cancels_a_thousand_dependents() {
+    let (mut p, ids) = wide_fan();
+    cancel(&mut p, FIRST);
+    assert_eq!(p.next_commit(2000, 1).unwrap().apply.len(), 1);
+    p.committed(CommitResult::Done { revision: 5000 }).unwrap();
+    assert!(ids.iter().all(|id| phase(p.status(id)) == Ok(JobPhase::Cancelled)));
+    let mut followed = 0;
+    let mut revision = 5000;
+    while let Some(commit) = p.next_commit(2000, 4) {
+        followed += commit.apply.iter().filter(|a| a["data"]["end"] == "Cancelled").count();
+        revision += 1;
+        p.committed(CommitResult::Done { revision }).unwrap();
+    }
+    assert_eq!(followed, 1000);
+}
+
+#[test]
+fn a_thousand_dependents_are_released_together() {
+    let (mut p, ids) = wide_fan();
+    p.pass(1001, 1001);
+    assert_eq!(p.cluster.live.len(), 1);
+    report_ended(&mut p, FIRST, 2);
+    commit_all(&mut p, 2000);
+    assert_eq!(p.cluster.live.len(), 1000);
+    assert!(ids.iter().all(|id| job(&p, id).active()));
+    assert_eq!(p.waiting_jobs(), 0);
+}
--- a/tests/fault_combinations/pipelines.rs
+++ b/tests/fault_combinations/pipelines.rs
@@ -178,3 +178,32 @@
         until_cancelled(sim, &late[1..], s(40)).await;
     });
 }
+
+// The tasks of the first job are done, and the owner ends before that is recorded.
+#[test]
+fn the_owner_ends_before_the_end_of_a_needed_job_is_recorded() {
+    days(async |sim| {
+        for _ in 0..3 {
+            let ids = chain(sim, 3.0).await;
+            let ended = |w: &crate::sim::world::SimulationState| w.jobs[&ids[0]].all_done();
+            sim.until("the tasks of the first have ended", s(60), ended).await;
+            let leader = sim.leader().expect("there is a leader");
+            sim.kill(leader);
+            sim.run(s(5)).await;
+            sim.start(leader);
+            sim.until("the last is done", s(120), |w| w.jobs[&ids[3]].done_told.is_some()).await;
+        }
+    });
+}
+
+// The last job of a pipeline comes when all that it needs is over.
+#[test]
+fn a_late_last_job_begins_at_once() {
+    days(async |sim| {
+        let ids = chain(sim, 3.0).await;
+        sim.until("the chain is done", s(120), |w| w.jobs[&ids[3]].done_told.is_some()).await;
+        let last = sim.waiting_job(&[&ids[3], &ids[0]]);
+        let last = sim.submit_pipeline(vec![last]);
+        sim.until("it has begun", s(12), |w| w.jobs.get(&last[0]).is_some_and(|job| job.began.is_some())).await;
+    });
+}
--- a/tests/sim/jobs.rs
+++ b/tests/sim/jobs.rs
@@ -36,8 +36,7 @@
         let g = self.g.clone();
         tokio::spawn(async move {
             for (job, seed) in jobs.into_iter().zip(seeds) {
-                let accepted = |id: &String| g.w.lock().unwrap().jobs.get(id).is_some_and(|j| j.accepted.is_some());
-                while !job.waits_on.iter().all(accepted) {
+                while !job.waits_on.iter().all(|id| g.w.lock().unwrap().may_be_named(id, job.comes_late)) {
                     sleep(secs(0.05)).await;
                 }
                 let id = job.id.clone();
@@ -74,6 +73,7 @@
             job.urgency = ["urgent", "standard", "best_effort"][rng.random_range(0..3)];
             if n + 1 == form.len() {
                 job.due_s = Some(rng.random_range(20.0..90.0));
+                job.comes_late = rng.random_bool(0.2);
             }
             jobs.push(job);
         }
--- a/tests/sim/world/job.rs
+++ b/tests/sim/world/job.rs
@@ -30,6 +30,8 @@
     /// Jobs that have to be done before it starts.
     pub waits_on: Vec<String>,
     pub due_s: Option<f64>,
+    /// It is submitted only when the jobs that it waits for are over.
+    pub comes_late: bool,
     /// Its tasks fail on every machine.
     pub mistaken: bool,
     /// It must be refused.
@@ -70,6 +72,7 @@
             bundle: 0,
             waits_on: Vec::new(),
             due_s: None,
+            comes_late: false,
             mistaken: false,
             invalid: false,
             submitted: false,
--- a/tests/sim/world/rules.rs
+++ b/tests/sim/world/rules.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// May a user name this job in another submission: it is accepted, or over for one that comes late.
+    pub fn may_be_named(&self, id: &str, comes_late: bool) -> bool {
+        self.jobs.get(id).is_some_and(|job| job.accepted.is_some() && (job.over() || !comes_late))
+    }
+
     /// The end that the record of a job tells; empty if none.
     fn recorded_end(&self, id: &str) -> String {
         self.store.value(&format!("job/{id}"))["end"].as_str().unwrap_or_default().to_string()
