--- a/src/api.rs
+++ b/src/api.rs
@@ -193,7 +193,7 @@
     /// of them can reach, as in a zone that is cut off or after all controllers
     /// ended in an outage: the token with which it answers, which is the worker's
     /// own. Nothing is ordered. It is bound by no promise, so that no owner counts
-    /// on the end of leases meanwhile (`membership::Bonds`). A worker that has
+    /// on the end of leases meanwhile (`membership::PromiseStatus`). A worker that has
     /// seen a later term was asked by an owner since: it is to look for that one.
     fn keeps(&self, r: &Report) -> Option<u64> {
         let (now, grant_ttl_ms) = (clock::now_ms(), self.router.grant_ttl_ms);
--- a/src/membership/takeover.rs
+++ b/src/membership/takeover.rs
@@ -21,7 +21,7 @@
 }
 
 /// The partition that is to come under a new term.
-struct PartClaim<'a> {
+struct PartitionClaim<'a> {
     partition: u32,
     node: &'a str,
     /// The version that its key must have; 0 if it must not exist.
@@ -95,7 +95,7 @@
         }
     };
     let grant = state.new_grant(grant_ttl_ms).await.ok()?;
-    match next_term(state, &PartClaim { partition, node, version: 0, grant }, &last).await {
+    match next_term(state, &PartitionClaim { partition, node, version: 0, grant }, &last).await {
         Ok(taken) => Some(taken),
         Err(_) => {
             let _ = state.end_grant(grant).await;
@@ -115,12 +115,12 @@
     let Ok((Some(item), _)) = state.get(TERM_KEY).await else { return Err(CommitResult::Refused) };
     let Ok(record) = serde_json::from_value(item.value) else { return Err(CommitResult::Refused) };
     let last = LastTerm { record, version: item.version };
-    let taken = next_term(state, &PartClaim { partition, node, version, grant }, &last).await?;
+    let taken = next_term(state, &PartitionClaim { partition, node, version, grant }, &last).await?;
     Ok(RaisedTerm { term: taken.term, version: taken.version })
 }
 
 /// Commits the term after `last` and puts the partition under it.
-async fn next_term(state: &State, claim: &PartClaim<'_>, last: &LastTerm) -> Result<Acquired, CommitResult> {
+async fn next_term(state: &State, claim: &PartitionClaim<'_>, last: &LastTerm) -> Result<Acquired, CommitResult> {
     let (grant, start_ms) = (claim.grant, last.record.start_ms);
     let term = last.record.n + 1;
     let record = json!({ "holder": claim.node, "term": term, "grant": grant });
--- a/src/partition/attempts.rs
+++ b/src/partition/attempts.rs
@@ -25,7 +25,7 @@
         tracing::debug!(job = job.spec.id, task = key.task, attempt, reason = ?reason, "task ended");
         let shape = job.spec.shape;
         if reason == ExitReason::Done && shape != Shape::Service {
-            self.copy_completed(host_index, key, now);
+            self.attempt_completed(host_index, key, now);
             return;
         }
         if !self.free_place(host_index, key, attempt) {
@@ -46,7 +46,7 @@
     }
 
     /// A task of an array is done, or a gang: its tasks complete together.
-    fn copy_completed(&mut self, host_index: HostIndex, key: TaskKey, now: u64) {
+    fn attempt_completed(&mut self, host_index: HostIndex, key: TaskKey, now: u64) {
         let spec = &self.cluster.jobs[key.job].spec;
         let done: Vec<u32> = if spec.shape == Shape::Gang { (0..spec.tasks).collect() } else { vec![key.task] };
         self.tasks_done(key.job, &done, now);
--- /dev/null
+++ b/src/sched/pass/displacement.rs
@@ -0,0 +1,222 @@
+//! What has to leave a machine to make room there: what is moved, what is stopped, and what
+//! that costs.
+
+use super::candidates::Candidate;
+use super::cost::MOVE_COST;
+use super::preemption::PreemptionScope;
+use super::request::PlacementRequest;
+use super::room::MADE;
+use super::{Eviction, Pass};
+use crate::model::{Claim, Demand, Host, HostIndex, JobIndex, Shape, Spec, TaskAttempt};
+use std::cmp::Reverse;
+
+/// The cost of stopping a gang, and of each of its tasks: it loses its place whole, and
+/// places for gangs are few.
+const STOPPED_GANG: f64 = 2.0;
+const STOPPED_GANG_TASK: f64 = 2.0;
+/// The cost of stopping a replica: its users are without it until its image is
+/// somewhere else.
+const STOPPED_REPLICA: f64 = 8.0;
+/// The cost of stopping a task of an array, and of one that has hardly begun.
+const STOPPED_TASK: f64 = 1.0;
+const STOPPED_EARLY: f64 = 0.5;
+/// The further cost if the job can't be in time any more.
+const STOPPED_LATE: f64 = 1.0;
+
+/// An attempt that would leave its machine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Departure {
+    attempt: TaskAttempt,
+    /// Where it is moved; none if it is stopped.
+    destination: Option<HostIndex>,
+}
+
+/// Room that can be had on a machine.
+#[derive(Debug)]
+pub(super) struct Vacancy {
+    /// A measure of what the departures cost.
+    pub(super) cost: f64,
+    pub(super) departures: Vec<Departure>,
+}
+
+/// An attempt that may leave its machine.
+struct Victim<'a> {
+    attempt: &'a TaskAttempt,
+    /// It may be stopped, and not only moved.
+    evict: bool,
+}
+
+/// Room that is promised to a replica that moves.
+struct PromisedRoom {
+    host: HostIndex,
+    demand: Demand,
+}
+
+impl Pass<'_> {
+    /// A machine with free room and the image for a running replica, so that
+    /// moving it there costs it next to nothing. `taken` is promised already.
+    fn relocation_target(&self, from: HostIndex, c: &TaskAttempt, taken: &[PromisedRoom]) -> Option<HostIndex> {
+        let spec = &self.cluster.jobs[c.key.job].spec;
+        if spec.shape != Shape::Service || !c.running() || c.stop.is_some() || !self.settled(c) {
+            return None;
+        }
+        let room_for = |host_index: HostIndex| {
+            let s = &self.index.slots[host_index];
+            let mut room = s.free;
+            room.sub(&s.claimed);
+            taken.iter().filter(|t| t.host == host_index).for_each(|t| room.sub(&t.demand));
+            s.usable && host_index != from && spec.demand.fits(&room)
+        };
+        let warm = self.index.warm(self.cluster, &spec.image);
+        let mut open = warm.iter().copied().filter(|h| room_for(*h)).peekable();
+        open.peek()?;
+        let request = self.request(c.key.job);
+        let mut counts = self.index.counts(c.key.job);
+        counts.sub(self.index.slots[from].zone);
+        let mut best: Option<Candidate> = None;
+        for host_index in open {
+            let ready = |h: &Host| h.images.iter().any(|i| i.ready && i.name == spec.image);
+            if !request.requirements.takes(&self.index.slots[host_index], &counts)
+                || !self.cluster.host(host_index).is_some_and(ready)
+            {
+                continue;
+            }
+            let cost = self.cost(&request, host_index);
+            if best.is_none_or(|b| cost < b.cost) {
+                best = Some(Candidate { cost, host: host_index });
+            }
+        }
+        best.map(|b| b.host)
+    }
+
+    /// What would have to leave the machine so that `demand` fits, and where
+    /// to, if it is moved; with a measure of what that costs.
+    pub(super) fn plan_displacements(
+        &self,
+        request: &PlacementRequest,
+        scope: PreemptionScope,
+        host_index: HostIndex,
+        demand: &Demand,
+    ) -> Option<Vacancy> {
+        self.hosts_examined.set(self.hosts_examined.get() + 1);
+        let h = self.cluster.host(host_index)?;
+        let mut room = self.index.slots[host_index].free;
+        for c in h.attempts.iter().filter(|c| !c.ended() && c.stop.is_some()) {
+            room.add(&c.demand);
+        }
+        if demand.fits(&room) {
+            return Some(Vacancy { cost: 0.0, departures: Vec::new() });
+        }
+        let victims = self.victims(request, self.scope_on(scope, request, host_index), h);
+        // Most is settled by a look at what could leave at best.
+        let mut most = room;
+        victims.iter().for_each(|v| most.add(&v.attempt.demand));
+        if !demand.fits(&most) {
+            return None;
+        }
+        self.depart(victims, host_index, room, demand)
+    }
+
+    /// The attempts that may leave a machine, in the order in which they would.
+    fn victims<'a>(&self, request: &PlacementRequest, scope: PreemptionScope, h: &'a Host) -> Vec<Victim<'a>> {
+        let job = &self.cluster.jobs[request.job_index];
+        let mut victims: Vec<Victim> = Vec::new();
+        for attempt in h.attempts.iter().filter(|c| !c.ended() && c.stop.is_none()) {
+            let evict = self.may_evict(job, scope, attempt);
+            let service = self.cluster.jobs[attempt.key.job].spec.shape == Shape::Service;
+            let moves = attempt.running() && self.settled(attempt) && service;
+            if evict || moves {
+                victims.push(Victim { attempt, evict });
+            }
+        }
+        victims
+    }
+
+    /// Takes victims until `demand` fits into `room` with what they leave: the least
+    /// urgent first; of those, the ones that lose least.
+    fn depart(
+        &self,
+        mut victims: Vec<Victim>,
+        host_index: HostIndex,
+        mut room: Demand,
+        demand: &Demand,
+    ) -> Option<Vacancy> {
+        let urgency = |c: &TaskAttempt| self.cluster.jobs[c.key.job].urgency;
+        victims.sort_by_key(|v| (urgency(v.attempt), !self.restart_in_time(v.attempt), Reverse(v.attempt.since_ms)));
+        let mut departures = Vec::new();
+        let mut taken = Vec::new();
+        let mut cost = 0.0;
+        for Victim { attempt, evict } in victims {
+            if demand.fits(&room) {
+                break;
+            }
+            let destination = self.relocation_target(host_index, attempt, &taken);
+            if let Some(host) = destination {
+                taken.push(PromisedRoom { host, demand: attempt.demand });
+                cost += MOVE_COST;
+            } else if evict {
+                cost = self.add_stop_cost(cost, attempt);
+            } else {
+                continue;
+            }
+            departures.push(Departure { attempt: *attempt, destination });
+            room.add(&attempt.demand);
+        }
+        demand.fits(&room).then_some(Vacancy { cost, departures })
+    }
+
+    /// `cost` with that of stopping an attempt.
+    fn add_stop_cost(&self, cost: f64, attempt: &TaskAttempt) -> f64 {
+        let victim = &self.cluster.jobs[attempt.key.job].spec;
+        let stopped = match victim.shape {
+            Shape::Gang => STOPPED_GANG + STOPPED_GANG_TASK * f64::from(victim.tasks),
+            Shape::Service => STOPPED_REPLICA,
+            Shape::Batch if self.started_recently(attempt) => STOPPED_EARLY,
+            Shape::Batch => STOPPED_TASK,
+        };
+        let late = if self.restart_in_time(attempt) { 0.0 } else { STOPPED_LATE };
+        cost + stopped + late
+    }
+
+    /// Carries out what `plan_displacements` found.
+    pub(super) fn clear(&mut self, request: &PlacementRequest, host_index: HostIndex, departures: &[Departure]) {
+        let until_ms = self.now + MADE * self.policy.react_ms;
+        for Departure { attempt, destination } in departures {
+            if let Some(to) = destination {
+                self.claim(*to, Claim { job: attempt.key.job, demand: attempt.demand, until_ms });
+            }
+            let grace_s = self.stop_grace_s(request, host_index, &self.cluster.jobs[attempt.key.job].spec);
+            self.stop_tasks_of_job(request.job_index, host_index, attempt, grace_s);
+        }
+    }
+
+    /// Seconds that a stopped task has to save. An array task has none where a start that
+    /// could be in time would be late for its class's objective by then: it goes on from its
+    /// last checkpoint. A gang would lose as much with each of its tasks, and keeps its time.
+    fn stop_grace_s(&self, request: &PlacementRequest, host_index: HostIndex, victim: &Spec) -> f64 {
+        let grace_s = victim.grace_s();
+        let fetch_s = self.fetch_s(request, host_index);
+        let late_by_saving = request.wait_s.is_some_and(|left_s| fetch_s <= left_s && left_s < fetch_s + grace_s);
+        if late_by_saving && victim.shape == Shape::Batch { 0.0 } else { grace_s }
+    }
+
+    /// Orders a stop; a gang stops whole.
+    fn stop_tasks_of_job(&mut self, by: JobIndex, host_index: HostIndex, attempt: &TaskAttempt, grace_s: f64) {
+        let TaskAttempt { key, attempt, .. } = *attempt;
+        let whole = self.cluster.jobs[key.job].spec.shape == Shape::Gang;
+        let mut hosts: Vec<HostIndex> = if whole { self.index.hosts_of(key.job).collect() } else { vec![host_index] };
+        hosts.sort_unstable();
+        hosts.dedup();
+        for i in hosts {
+            let Some(h) = self.cluster.hosts[i].as_mut() else { continue };
+            for c in h.attempts.iter_mut().filter(|c| !c.ended() && c.stop.is_none()) {
+                let same = i == host_index && c.key == key && c.attempt == attempt;
+                if same || (whole && c.key.job == key.job) {
+                    c.stop = Some(grace_s);
+                    self.index.stop(&self.cluster.jobs[key.job].spec);
+                    self.out.stops.push(Eviction { host: i, key: c.key, attempt: c.attempt, grace_s, by });
+                }
+            }
+        }
+    }
+}
--- a/src/sched/pass/mod.rs
+++ b/src/sched/pass/mod.rs
@@ -3,6 +3,7 @@
 mod candidates;
 mod claims;
 mod cost;
+mod displacement;
 mod gang;
 mod limits;
 mod preemption;
--- a/src/sched/pass/tasks.rs
+++ b/src/sched/pass/tasks.rs
@@ -1,7 +1,7 @@
 //! Placement of arrays and services, task by task.
 
+use super::displacement::Vacancy;
 use super::request::PlacementRequest;
-use super::room::Vacancy;
 use super::{Assignment, Pass};
 use crate::model::{Claim, HostIndex, Place, TaskAttempt, TaskKey};
 use crate::sched::index::ZoneCounts;
--- a/src/sched/tests/planning.rs
+++ b/src/sched/tests/planning.rs
@@ -45,10 +45,10 @@
         for t in 0..n {
             let key = TaskKey { job: job_index, task: t };
             let demand = w.jobs[job_index].spec.demand;
-            let copy = TaskAttempt { phase: TaskPhase::Running, ..TaskAttempt::sent(key, 1, demand, 0) };
+            let attempt = TaskAttempt { phase: TaskPhase::Running, ..TaskAttempt::sent(key, 1, demand, 0) };
             w.jobs[job_index].tasks[t as usize].place = Place::On(host, 1);
             let h = w.host_mut(host).unwrap();
-            h.attempts.push(copy);
+            h.attempts.push(attempt);
             h.use_image("i", 10.0, 100.0, 1);
             h.image_ready("i");
         }
