--- /dev/null
+++ b/src/sched/pass/ending.rs
@@ -0,0 +1,56 @@
+//! Room that frees by itself soon, and so needs no stops.
+
+use super::Pass;
+use super::request::PlacementRequest;
+use crate::model::{Demand, Shape};
+
+/// Tasks of one size that are expected to end before a stop would show its effect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndingTasks {
+    demand: Demand,
+    /// Expected number, less those whose room was counted for waiting work in this pass.
+    count: f64,
+}
+
+impl Pass<'_> {
+    /// How many of `tasks` tasks will find room where others end by themselves, at least as
+    /// soon as stops would make it. That room counts once in a pass, and only while at least
+    /// half of the guarantee's time is left: more urgent work may be quicker to take it.
+    pub(super) fn tasks_with_ending_room(&mut self, request: &PlacementRequest, tasks: usize) -> usize {
+        let enough_time = match (request.guarantee_s, self.policy.guarantee_s) {
+            (Some(left_s), Some(within_s)) => left_s >= within_s / 2.0,
+            _ => false,
+        };
+        if !enough_time {
+            return 0;
+        }
+        let mut ending = self.ending.take().unwrap_or_else(|| self.count_ending());
+        let mut found = 0;
+        for group in ending.iter_mut().filter(|group| request.requirements.demand.fits(&group.demand)) {
+            let taken = (group.count as usize).min(tasks - found);
+            group.count -= taken as f64;
+            found += taken;
+        }
+        self.ending = Some(ending);
+        found
+    }
+
+    /// The array tasks expected to end within the time that an order takes to show, by size.
+    fn count_ending(&self) -> Vec<EndingTasks> {
+        let react_s = self.policy.react_ms as f64 / 1000.0;
+        let mut ending: Vec<EndingTasks> = Vec::new();
+        for job_index in &self.cluster.live {
+            let spec = &self.cluster.jobs[*job_index].spec;
+            if spec.shape != Shape::Batch || spec.expected_s <= 0.0 {
+                continue;
+            }
+            let running = self.index.hosts_of(*job_index).count() as f64;
+            let count = running * (react_s / spec.expected_s).min(1.0);
+            match ending.iter_mut().find(|group| group.demand == spec.demand) {
+                Some(group) => group.count += count,
+                None => ending.push(EndingTasks { demand: spec.demand, count }),
+            }
+        }
+        ending
+    }
+}
--- a/src/sched/pass/gang.rs
+++ b/src/sched/pass/gang.rs
@@ -169,12 +169,20 @@
         room
     }
 
+    /// Does the gang hold room for a while before anything is stopped for it? Where no time to
+    /// start is wanted, most of its room frees by itself: stopping a thousand short tasks for one
+    /// large gang is a loss that nobody asked for.
+    fn gathers_first(&self, request: &PlacementRequest, until_ms: u64) -> bool {
+        let wants_quick_start = self.policy.waits.contains_key(&self.cluster.jobs[request.job_index].spec.class);
+        !wants_quick_start && self.now + self.policy.hold_ms / 4 < until_ms
+    }
+
     /// Holds room for all tasks of a gang on the cheapest of these machines.
     fn hold_on(&mut self, request: &PlacementRequest, scope: PreemptionScope, mut hosts: Vec<GangRoom>, until_ms: u64) {
         let tasks = self.cluster.jobs[request.job_index].spec.tasks;
         hosts.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let certain = hosts.iter().filter(|h| h.cost < UNSURE / f64::from(tasks));
-        let sure = certain.map(|h| h.tasks).sum::<u32>() >= tasks;
+        let sure = certain.map(|h| h.tasks).sum::<u32>() >= tasks && !self.gathers_first(request, until_ms);
         let mut left = tasks;
         self.release_claim(request.job_index);
         for GangRoom { tasks, host, .. } in hosts {
--- a/src/sched/pass/limits.rs
+++ b/src/sched/pass/limits.rs
@@ -1,7 +1,7 @@
 //! The limits and guarantees of teams.
 
 use super::Pass;
-use crate::model::{Job, Shape, Spec, Urgency};
+use crate::model::{Demand, Job, Shape, Spec, Urgency};
 
 /// Sums of decimal amounts may be off by rounding.
 const ROUNDING: f64 = 1e-6;
@@ -26,25 +26,71 @@
         job.urgency == Urgency::Low && job.spec.shape == Shape::Batch && attempts >= self.policy.max_attempts
     }
 
-    /// Would the job's team be within its guarantee with one more task?
-    pub(super) fn within_guarantee(&self, spec: &Spec) -> bool {
+    /// Would the job's team be within its guarantee with so many more tasks?
+    pub(super) fn within_guarantee(&self, spec: &Spec, tasks: u32) -> bool {
         let Some(team) = self.policy.teams.get(&spec.team) else { return false };
         if !team.guarantees(&spec.demand) {
             return false;
         }
         let mut total = self.index.staying.get(&spec.team).copied().unwrap_or_default();
-        total.add(&spec.demand);
+        total.add(&spec.demand.times(f64::from(tasks)));
         total.gpus <= team.guarantee.gpus + ROUNDING
             && (team.guarantee.cpus <= 0.0 || total.cpus <= team.guarantee.cpus + ROUNDING)
     }
 
-    /// Would the victim's team be beyond its guarantee even without it? Else
-    /// two teams would go on taking the same room from each other.
+    /// For how many more tasks the guarantee of the job's team has room, beside what runs and
+    /// what room is held for already. Without this bound an array of hundreds of tasks, one of
+    /// which is within its guarantee, would stop hundreds of tasks.
+    pub(super) fn tasks_within_guarantee(&self, spec: &Spec, most: usize) -> usize {
+        let Some(team) = self.policy.teams.get(&spec.team) else { return 0 };
+        if !team.guarantees(&spec.demand) {
+            return 0;
+        }
+        let mut taken = self.index.staying.get(&spec.team).copied().unwrap_or_default();
+        taken.add(&self.claimed_by_team(&spec.team));
+        let tasks = |guaranteed: f64, taken: f64, each: f64| {
+            let left = guaranteed + ROUNDING - taken;
+            if left < 0.0 {
+                0
+            } else if each <= 0.0 {
+                most
+            } else {
+                (left / each) as usize
+            }
+        };
+        let by_gpus = tasks(team.guarantee.gpus, taken.gpus, spec.demand.gpus);
+        let by_cpus =
+            if team.guarantee.cpus > 0.0 { tasks(team.guarantee.cpus, taken.cpus, spec.demand.cpus) } else { most };
+        most.min(by_gpus).min(by_cpus)
+    }
+
+    /// Room that is held for jobs of a team.
+    fn claimed_by_team(&self, team: &str) -> Demand {
+        let mut claimed = Demand::default();
+        for (host_index, host) in self.cluster.each_host() {
+            if self.index.slots[host_index].claims == 0 {
+                continue;
+            }
+            let of_team = host.claims.iter().filter(|claim| self.cluster.jobs[claim.job].spec.team == team);
+            of_team.for_each(|claim| claimed.add(&claim.demand));
+        }
+        claimed
+    }
+
+    /// Would the victim's team be at or beyond its guarantee even without it? Else it could
+    /// start the same work within its guarantee again, and two teams would go on taking the
+    /// same room from each other. So each amount counts that [`Self::within_guarantee`] counts,
+    /// and a gang counts whole, as it stops whole.
     pub(super) fn beyond_guarantee(&self, victim: &Spec) -> bool {
-        let used = self.index.staying.get(&victim.team).copied().unwrap_or_default();
-        self.policy
-            .teams
-            .get(&victim.team)
-            .is_some_and(|t| used.gpus - victim.demand.gpus >= t.guarantee.gpus - ROUNDING)
+        let Some(team) = self.policy.teams.get(&victim.team) else { return false };
+        let mut kept = self.index.staying.get(&victim.team).copied().unwrap_or_default();
+        let stopped_together = if victim.shape == Shape::Gang { victim.tasks } else { 1 };
+        kept.sub(&victim.demand.times(f64::from(stopped_together)));
+        let guarantee = &team.guarantee;
+        let covers_cpus = guarantee.cpus > 0.0;
+        let counts_gpus = victim.demand.gpus > 0.0 || !covers_cpus;
+        let beyond_gpus = counts_gpus && kept.gpus >= guarantee.gpus - ROUNDING;
+        let beyond_cpus = covers_cpus && kept.cpus >= guarantee.cpus - ROUNDING;
+        beyond_gpus || beyond_cpus
     }
 }
--- a/src/sched/pass/mod.rs
+++ b/src/sched/pass/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod cost;
 mod displacement;
+mod ending;
 mod gang;
 mod limits;
 mod preemption;
@@ -15,6 +16,8 @@
 use super::Policy;
 use super::index::{Index, TaskRequirements};
 use crate::model::{ClusterState, Demand, HostIndex, JobIndex, Reserve, Shape, TaskKey, Urgency};
+use ending::EndingTasks;
+use queue::QueuedJob;
 use request::PlacementRequest;
 use room::BlockedRequirements;
 use std::cell::Cell;
@@ -79,6 +82,8 @@
     blocked: Vec<BlockedRequirements>,
     /// What machines that are not accounted for may hold of each team's tasks.
     unseen: HashMap<String, Demand>,
+    /// Array tasks that end by themselves soon, once they were counted.
+    ending: Option<Vec<EndingTasks>>,
     hosts_examined: Cell<u64>,
     out: Outcome,
 }
@@ -125,6 +130,7 @@
         full: Vec::new(),
         blocked: Vec::new(),
         unseen,
+        ending: None,
         hosts_examined: Cell::new(0),
         out: Outcome::default(),
     };
@@ -154,12 +160,14 @@
     /// Places what waits, and makes room for what found none.
     fn place_all(&mut self, least: Urgency, attempt: &mut impl FnMut() -> u64) {
         let mut gang_leads = false;
-        for job_index in self.queue(least) {
-            let request = self.request(job_index);
+        for QueuedJob { job_index, turn } in self.queue(least) {
+            let request = PlacementRequest { turn, ..self.request(job_index) };
             if self.place(&request, attempt) {
                 continue;
             }
-            self.out.unplaced.push(job_index);
+            if self.out.unplaced.last() != Some(&job_index) && !self.out.unplaced.contains(&job_index) {
+                self.out.unplaced.push(job_index);
+            }
             let gang = self.cluster.jobs[job_index].spec.shape == Shape::Gang;
             if gang && !gang_leads {
                 gang_leads = true;
--- a/src/sched/pass/preemption.rs
+++ b/src/sched/pass/preemption.rs
@@ -29,7 +29,9 @@
     /// teams' arrays stop each other over and over, and none is in time.
     pub(super) fn scope(&self, request: &PlacementRequest) -> PreemptionScope {
         let job = &self.cluster.jobs[request.job_index];
-        if !self.within_guarantee(&job.spec) {
+        // A gang starts whole, and so all of it has to be within the guarantee.
+        let started_together = if job.spec.shape == Shape::Gang { job.spec.tasks } else { 1 };
+        if !self.within_guarantee(&job.spec, started_together) {
             PreemptionScope::None
         } else if self.wall.saturating_sub(job.ready_ms) >= self.policy.hold_ms {
             PreemptionScope::Any
--- a/src/sched/pass/queue.rs
+++ b/src/sched/pass/queue.rs
@@ -4,12 +4,28 @@
 use crate::model::{Job, JobIndex, Shape, Urgency};
 use std::cmp::Reverse;
 
+/// Which tasks of a job are looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// Those within the guarantee of its team, which may stop equal work beyond others'
+    /// guarantees. They come first: what is placed before them they would stop next.
+    Guaranteed,
+    /// All that wait.
+    Ordinary,
+}
+
+/// A job whose turn comes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct QueuedJob {
+    pub(super) job_index: JobIndex,
+    pub(super) turn: Turn,
+}
+
 /// Where a job is in the queue; the lowest is first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueRank {
     urgency: Reverse<Urgency>,
-    /// False for what may stop any equal work for its guarantee.
-    yields: bool,
+    turn: Turn,
     bin: u64,
     ready_ms: u64,
     job: JobIndex,
@@ -17,14 +33,14 @@
 
 impl Pass<'_> {
     /// Jobs with tasks to place: of those that may preempt one another the more
-    /// urgent first, as preemption would turn any other order round; then the
-    /// lowest bin, then the older.
-    pub(super) fn queue(&self, least: Urgency) -> Vec<JobIndex> {
+    /// urgent first, as preemption would turn any other order round; then what is within
+    /// guarantees, then the lowest bin, then the older.
+    pub(super) fn queue(&self, least: Urgency) -> Vec<QueuedJob> {
         let live = self.cluster.live.iter().copied();
         let waiting = live.filter(|job_index| self.waits_for_place(&self.cluster.jobs[*job_index], least));
-        let mut queue: Vec<QueueRank> = waiting.map(|job_index| self.queue_rank(job_index)).collect();
+        let mut queue: Vec<QueueRank> = waiting.flat_map(|job_index| self.queue_ranks(job_index)).collect();
         queue.sort_unstable();
-        queue.into_iter().map(|rank| rank.job).collect()
+        queue.into_iter().map(|rank| QueuedJob { job_index: rank.job, turn: rank.turn }).collect()
     }
 
     /// Has it tasks to place, of this urgency at least?
@@ -35,13 +51,26 @@
         job.urgency >= least && job.active() && job.tasks.iter().any(|t| t.retry_ms <= self.now && placeable.open(t))
     }
 
-    fn queue_rank(&self, job_index: JobIndex) -> QueueRank {
+    /// Its ordinary turn, and before that one of what may stop equal work for its guarantee.
+    fn queue_ranks(&self, job_index: JobIndex) -> impl Iterator<Item = QueueRank> {
         let job = &self.cluster.jobs[job_index];
         let bin = self.policy.bin(self.policy.effective_deadline_ms(job, self.wall));
-        // What may stop any equal work for its guarantee would do so next.
-        let waits = self.wall.saturating_sub(job.ready_ms) >= self.policy.hold_ms;
-        let pushes = waits && job.spec.shape == Shape::Batch && self.within_guarantee(&job.spec);
-        let urgency = Reverse(job.urgency);
-        QueueRank { urgency, yields: !pushes, bin, ready_ms: job.ready_ms, job: job_index }
+        let rank = move |turn: Turn| QueueRank {
+            urgency: Reverse(job.urgency),
+            turn,
+            bin,
+            ready_ms: job.ready_ms,
+            job: job_index,
+        };
+        let guaranteed = self.has_guaranteed_turn(job).then(|| rank(Turn::Guaranteed));
+        guaranteed.into_iter().chain([rank(Turn::Ordinary)])
+    }
+
+    /// May it stop equal work for its guarantee?
+    fn has_guaranteed_turn(&self, job: &Job) -> bool {
+        let waited_ms = self.wall.saturating_sub(job.ready_ms);
+        let in_time = self.policy.guarantee_s.is_some_and(|within_s| (waited_ms as f64) < within_s * 1000.0);
+        let may_stop_equals = in_time || waited_ms >= self.policy.hold_ms;
+        job.spec.shape == Shape::Batch && may_stop_equals && self.within_guarantee(&job.spec, 1)
     }
 }
--- a/src/sched/pass/request.rs
+++ b/src/sched/pass/request.rs
@@ -1,6 +1,7 @@
 //! What a pass needs to know of a job that it places.
 
 use super::Pass;
+use super::queue::Turn;
 use crate::model::{Flavor, HostIndex, Job, JobIndex, Reserve, Shape, Spec};
 use crate::sched::index::TaskRequirements;
 use std::collections::HashSet;
@@ -21,6 +22,8 @@
 /// What a pass needs to know of the job that it places, worked out once.
 pub(super) struct PlacementRequest {
     pub(super) job_index: JobIndex,
+    /// Which of its tasks it is the turn of.
+    pub(super) turn: Turn,
     pub(super) requirements: TaskRequirements,
     pub(super) image: String,
     pub(super) image_gb: f64,
@@ -55,6 +58,7 @@
         let within = self.policy.waits.get(&spec.class).map(|w| w.0).or(self.policy.guarantee_s);
         PlacementRequest {
             job_index,
+            turn: Turn::Ordinary,
             requirements: self.index.requirements(self.cluster, spec),
             image: spec.image.clone(),
             image_gb: spec.image_gb,
@@ -75,7 +79,7 @@
     fn guarantee_left_s(&self, job: &Job) -> Option<f64> {
         let waited_s = self.wall.saturating_sub(job.ready_ms) as f64 / 1000.0;
         let left_s = self.policy.guarantee_s? - waited_s;
-        (left_s > 0.0 && self.within_guarantee(&job.spec)).then_some(left_s)
+        (left_s > 0.0 && self.within_guarantee(&job.spec, 1)).then_some(left_s)
     }
 
     /// The classes whose room its tasks could take, with what that costs.
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -5,6 +5,7 @@
 use super::candidates::Candidate;
 use super::displacement::Vacancy;
 use super::preemption::PreemptionScope;
+use super::queue::Turn;
 use super::request::PlacementRequest;
 use crate::model::{Claim, HostIndex, Shape, Task, Urgency};
 use crate::sched::index::{TaskRequirements, ZoneCounts};
@@ -29,8 +30,9 @@
 }
 
 impl Pass<'_> {
-    /// Preempts lesser work for a job that found no room, on the machine where
-    /// that costs least, and holds the room for it.
+    /// Preempts lesser work for a job that found no room, on the machines where
+    /// that costs least, and holds the room for it. Equal work is stopped for as many tasks
+    /// as the guarantee covers, and no more.
     pub(super) fn make_room(&mut self, request: &PlacementRequest) {
         let scope = self.scope(request);
         if self.known_in_vain(request, scope) {
@@ -39,7 +41,29 @@
         let mut counts = self.index.counts(request.job_index);
         let waiting = self.waiting_tasks(request);
         let left = waiting.saturating_sub(self.claims_of_use(request, &mut counts));
-        if left == 0 {
+        let guaranteed = match scope {
+            PreemptionScope::None => 0,
+            _ => self.tasks_within_guarantee(&self.cluster.jobs[request.job_index].spec, left),
+        };
+        let to_be_stopped_for = match scope {
+            PreemptionScope::Begun => guaranteed - self.tasks_with_ending_room(request, guaranteed),
+            _ => guaranteed,
+        };
+        self.make_room_within(request, scope, &mut counts, to_be_stopped_for);
+        if request.turn == Turn::Ordinary {
+            self.make_room_within(request, PreemptionScope::None, &mut counts, left - guaranteed);
+        }
+    }
+
+    /// The same for so many tasks, where equal work may be stopped as far as `scope` says.
+    fn make_room_within(
+        &mut self,
+        request: &PlacementRequest,
+        scope: PreemptionScope,
+        counts: &mut ZoneCounts,
+        tasks: usize,
+    ) {
+        if tasks == 0 || self.known_in_vain(request, scope) {
             return;
         }
         let mut costs = self.room_costs(request, scope);
@@ -48,7 +72,7 @@
         }
         // The least cost last.
         costs.sort_by(|a, b| b.cost.total_cmp(&a.cost));
-        self.take_cheapest(request, scope, costs, counts, left);
+        self.take_cheapest(request, scope, costs, counts, tasks);
     }
 
     /// Was it in vain for a job like this one? Then it is so again.
@@ -108,13 +132,13 @@
         request: &PlacementRequest,
         scope: PreemptionScope,
         mut costs: Vec<Candidate>,
-        mut counts: ZoneCounts,
+        counts: &mut ZoneCounts,
         mut left: usize,
     ) {
         while left > 0
             && let Some(Candidate { host, .. }) = costs.pop()
         {
-            if !request.requirements.takes(&self.index.slots[host], &counts) {
+            if !request.requirements.takes(&self.index.slots[host], counts) {
                 continue;
             }
             let Some(vacancy) = self.room_at(request, scope, host) else { continue };
--- a/src/sched/pass/tasks.rs
+++ b/src/sched/pass/tasks.rs
@@ -1,6 +1,7 @@
 //! Placement of arrays and services, task by task.
 
 use super::displacement::Vacancy;
+use super::queue::Turn;
 use super::request::PlacementRequest;
 use super::{Assignment, Pass};
 use crate::model::{Claim, HostIndex, Place, TaskAttempt, TaskKey};
@@ -49,6 +50,9 @@
             if !self.within_limit(&self.cluster.jobs[job_index].spec, 1.0) {
                 return true; // waits for its own team, not for room
             }
+            if request.turn == Turn::Guaranteed && !self.within_guarantee(&self.cluster.jobs[job_index].spec, 1) {
+                return true; // the rest waits for its ordinary turn
+            }
             if self.too_many_attempts(&self.cluster.jobs[job_index]) {
                 return true; // waits for others to end, not for room
             }
--- /dev/null
+++ b/src/sched/tests/guarantees.rs
@@ -0,0 +1,203 @@
+//! Tests of guarantees among many teams: passes settle, and few tasks are stopped on the way.
+
+use super::*;
+
+/// CPUs of each task; the guarantees are multiples, so that none is met in part.
+const TASK_CPUS: f64 = 2.0;
+const TASKS_PER_HOST: u32 = 16;
+const HOSTS: usize = 4;
+const ROUND_MS: u64 = 2000;
+/// Long enough for work to wait for several holds.
+const ROUNDS: u64 = 80;
+
+fn team_name(team: usize) -> String {
+    format!("team-{team}")
+}
+
+/// A policy in which each team is guaranteed CPUs for so many tasks.
+fn policy_of(guaranteed_tasks: &[u32]) -> Policy {
+    let mut policy = policy();
+    policy.guarantee_s = Some(10.0);
+    let unlimited = Demand { cpus: f64::INFINITY, gpus: f64::INFINITY, mem: f64::INFINITY };
+    for (team, tasks) in guaranteed_tasks.iter().enumerate() {
+        let guarantee = Demand { cpus: TASK_CPUS * f64::from(*tasks), gpus: 0.0, mem: f64::INFINITY };
+        policy.teams.insert(team_name(team), TeamRule { guarantee, limit: unlimited });
+    }
+    policy
+}
+
+#[derive(Debug, Clone)]
+struct Work {
+    team: usize,
+    shape: Shape,
+    tasks: u32,
+    accepted_round: u64,
+}
+
+fn any_work(shape: impl Strategy<Value = Shape>) -> impl Strategy<Value = Work> {
+    (0usize..8, shape, 1u32..90, 0u64..6).prop_map(|(team, shape, tasks, accepted_round)| Work {
+        team,
+        shape,
+        tasks,
+        accepted_round,
+    })
+}
+
+/// A deployment whose tasks run for ever and whose stops take effect at once.
+struct Fleet {
+    cluster: ClusterState,
+    policy: Policy,
+    next_attempt: u64,
+}
+
+impl Fleet {
+    fn new(guaranteed_tasks: &[u32]) -> Fleet {
+        let mut cluster = cluster(&[("a", false); HOSTS]);
+        cluster.flavors = vec![flavor("c32", 0.0, &["a"])];
+        Fleet { cluster, policy: policy_of(guaranteed_tasks), next_attempt: 0 }
+    }
+
+    fn add(&mut self, work: &Work, now: u64) {
+        let id = format!("run-{:06}", self.cluster.jobs.len());
+        let mut job = spec(&id, work.shape, work.tasks, 0.0);
+        job.team = team_name(work.team);
+        job.demand = Demand { cpus: TASK_CPUS, gpus: 0.0, mem: 1.0 };
+        job.expected_s = 600.0;
+        add(&mut self.cluster, job, now);
+    }
+
+    fn pass(&mut self, now: u64) -> Outcome {
+        let next_attempt = &mut self.next_attempt;
+        pass(&mut self.cluster, &self.policy, now, now, Urgency::Low, || {
+            *next_attempt += 1;
+            *next_attempt
+        })
+    }
+
+    /// What was stopped is gone.
+    fn carry_out(&mut self, stops: &[Eviction]) {
+        for stop in stops {
+            let host = self.cluster.host_mut(stop.host).unwrap();
+            host.attempts.retain(|attempt| attempt.key != stop.key);
+            self.cluster.jobs[stop.key.job].tasks[stop.key.task as usize].place = Place::Idle;
+        }
+    }
+
+    fn running(&self, team: usize) -> u32 {
+        let name = team_name(team);
+        let attempts = self.cluster.each_host().flat_map(|(_, host)| &host.attempts);
+        attempts.filter(|attempt| self.cluster.jobs[attempt.key.job].spec.team == name).count() as u32
+    }
+
+    fn wanted(&self, team: usize) -> u32 {
+        let name = team_name(team);
+        self.cluster.jobs.iter().filter(|job| job.spec.team == name).map(|job| job.spec.tasks).sum()
+    }
+}
+
+/// Guarantees of eight teams, which fit into the deployment together.
+fn any_guarantees() -> impl Strategy<Value = Vec<u32>> {
+    prop::collection::vec(0u32..=TASKS_PER_HOST * HOSTS as u32 / 8, 8)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Chains of stops among hundreds of teams cost nine of ten started tasks: what lay within
+    // a guarantee of CPUs was stopped, and one guaranteed task stopped as much as its whole
+    // array could take.
+    #[test]
+    fn arrays_of_many_teams_settle_at_their_guarantees_after_few_stops(
+        guaranteed_tasks in any_guarantees(),
+        work in prop::collection::vec(any_work(Just(Shape::Batch)), 1..14),
+    ) {
+        let mut fleet = Fleet::new(&guaranteed_tasks);
+        let mut stops = 0;
+        let mut last_stop_round = 0;
+        for round in 1..ROUNDS {
+            let now = round * ROUND_MS;
+            work.iter().filter(|w| w.accepted_round + 1 == round).for_each(|w| fleet.add(w, now));
+            let outcome = fleet.pass(now);
+            stops += outcome.stops.len();
+            if !outcome.stops.is_empty() {
+                last_stop_round = round;
+            }
+            fleet.carry_out(&outcome.stops);
+        }
+        for (team, guaranteed) in guaranteed_tasks.iter().enumerate() {
+            let due = (*guaranteed).min(fleet.wanted(team));
+            prop_assert!(fleet.running(team) >= due, "team {team}: {} of {due}", fleet.running(team));
+        }
+        // Each guaranteed task stops at most one task, once.
+        let bound = guaranteed_tasks.iter().sum::<u32>() as usize;
+        prop_assert!(stops <= bound, "{stops} stops, at most {bound} expected");
+        prop_assert!(last_stop_round < ROUNDS / 2, "still stopping in round {last_stop_round}");
+    }
+
+    #[test]
+    fn no_team_is_brought_below_its_guarantee_by_equal_work(
+        guaranteed_tasks in any_guarantees(),
+        work in prop::collection::vec(any_work(prop_oneof![Just(Shape::Batch), Just(Shape::Gang)]), 1..14),
+    ) {
+        let mut fleet = Fleet::new(&guaranteed_tasks);
+        for round in 1..ROUNDS {
+            let now = round * ROUND_MS;
+            work.iter().filter(|w| w.accepted_round + 1 == round).for_each(|w| fleet.add(w, now));
+            let outcome = fleet.pass(now);
+            let before: Vec<u32> = (0..guaranteed_tasks.len()).map(|team| fleet.running(team)).collect();
+            fleet.carry_out(&outcome.stops);
+            for (team, guaranteed) in guaranteed_tasks.iter().enumerate() {
+                let kept = before[team].min(*guaranteed);
+                prop_assert!(fleet.running(team) >= kept, "team {team}: {} of {kept}", fleet.running(team));
+            }
+            prop_assert!(round < ROUNDS / 2 || outcome.stops.is_empty(), "still stopping in round {round}");
+        }
+    }
+}
+
+// An array of 400 tasks, one of which was within its team's guarantee, stopped 365 tasks.
+#[test]
+fn a_guarantee_stops_no_more_than_it_covers() {
+    let mut fleet = Fleet::new(&[0, 5]);
+    fleet.add(&Work { team: 0, shape: Shape::Batch, tasks: 64, accepted_round: 0 }, 1);
+    assert_eq!(fleet.pass(1).starts.len(), 64);
+    fleet.add(&Work { team: 1, shape: Shape::Batch, tasks: 60, accepted_round: 0 }, 2);
+    assert_eq!(fleet.pass(2 + fleet.policy.hold_ms).stops.len(), 5);
+}
+
+// Beyond-guarantee work of the lower bin was started first, and stopped in the same pass.
+#[test]
+fn free_room_goes_first_to_what_is_within_a_guarantee() {
+    let mut fleet = Fleet::new(&[0, 5]);
+    fleet.add(&Work { team: 0, shape: Shape::Batch, tasks: 70, accepted_round: 0 }, 1);
+    fleet.add(&Work { team: 1, shape: Shape::Batch, tasks: 70, accepted_round: 0 }, 2);
+    let outcome = fleet.pass(3);
+    assert!(outcome.stops.is_empty());
+    let of_guaranteed = outcome.starts.iter().filter(|start| start.key.job == 1).count();
+    assert_eq!(of_guaranteed, 5, "the rest of the room goes by the bins");
+}
+
+// Room for guaranteed tasks was made by stops while as much was free a moment later.
+#[test]
+fn nothing_is_stopped_where_enough_ends_by_itself() {
+    let stops = |expected_s: f64| {
+        let mut fleet = Fleet::new(&[0, 2]);
+        fleet.add(&Work { team: 0, shape: Shape::Batch, tasks: 64, accepted_round: 0 }, 1);
+        fleet.cluster.jobs[0].spec.expected_s = expected_s;
+        fleet.pass(1);
+        fleet.add(&Work { team: 1, shape: Shape::Batch, tasks: 60, accepted_round: 0 }, 2);
+        fleet.pass(3).stops.len()
+    };
+    assert_eq!(stops(10.0), 0, "several of the 64 end within a second");
+    assert_eq!(stops(600.0), 2, "none is likely to end soon");
+}
+
+// A task of a small array stopped gangs of 256 tasks.
+#[test]
+fn a_gang_is_not_stopped_where_its_team_would_fall_below_its_guarantee() {
+    let mut fleet = Fleet::new(&[4, 5]);
+    fleet.add(&Work { team: 0, shape: Shape::Gang, tasks: 64, accepted_round: 0 }, 1);
+    assert_eq!(fleet.pass(1).starts.len(), 64);
+    fleet.add(&Work { team: 1, shape: Shape::Batch, tasks: 60, accepted_round: 0 }, 2);
+    assert!(fleet.pass(2 + fleet.policy.hold_ms).stops.is_empty());
+}
--- a/src/sched/tests/mod.rs
+++ b/src/sched/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of decisions, and jobs and machines for them.
 
 mod faulty_machines;
+mod guarantees;
 mod ordering;
 mod planning;
 mod preemption;
