Stand-ins in a package of their own, with parameters in place of constants

Moved from tests/sim and tests/stand_ins; times, zones, teams, machine types and the network are parameters, whose defaults are the former constants.

--- a/tests/sim/cloud.rs
+++ b/crates/stand-ins/src/cloud.rs
@@ -2,7 +2,6 @@
 
 use super::ground::SimulationContext;
 use super::machines;
-use super::world::{FLAVORS, ZONES};
 use badgerdrift::http::{Request, Response};
 use rand::RngExt;
 use serde_json::{Value, json};
@@ -18,12 +17,14 @@
     }
     match (req.method.as_str(), req.path.split('?').next().unwrap()) {
         ("GET", "/flavors") => {
-            let all: Vec<Value> = FLAVORS
+            let parameters = g.w.lock().unwrap().parameters.clone();
+            let all: Vec<Value> = parameters
+                .flavors
                 .iter()
                 .map(|f| {
                     json!({"sku": f.sku, "cores": f.cores, "cards": f.cards, "mem_gb": f.mem_gb, "cache_gb": 50.0,
                         "fetch_gb_per_s": 1.0, "rate": 1.0 + f.cards, "low_price": 0.4 + 0.4 * f.cards,
-                        "startup_s": f.startup_s, "regions": ZONES})
+                        "startup_s": f.startup_s, "regions": parameters.zones})
                 })
                 .collect();
             Response::json(200, &json!({"flavors": all}))
--- a/tests/sim/deployment.rs
+++ b/crates/stand-ins/src/deployment.rs
@@ -4,6 +4,7 @@
 use crate::store::Limits;
 use badgerdrift::config::Settings;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub const NODES: usize = 3;
@@ -32,8 +33,16 @@
     host(3, 0)
 }
 
+/// Port of the stand-ins, and of the controllers for users and workers.
+pub const PORT: u16 = 80;
+
+/// Where the controllers of a simulated day serve users and workers.
+pub fn doors() -> Arc<[SocketAddr]> {
+    (0..NODES).map(door).collect()
+}
+
 pub fn door(i: usize) -> SocketAddr {
-    SocketAddr::new(controller(i), 80)
+    SocketAddr::new(controller(i), PORT)
 }
 
 pub(super) fn settings(i: usize) -> Settings {
--- a/tests/sim/ground.rs
+++ b/crates/stand-ins/src/ground.rs
@@ -1,12 +1,13 @@
 //! What every part of a simulated day works with.
 
-use super::deployment::PATIENCE;
+use super::deployment::{PATIENCE, PORT};
 use super::net::Fabric;
 use super::world::Shared;
 use badgerdrift::http::{self, Client, Request, Response};
 use badgerdrift::net::Net;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 /// What every part of a simulated day works with.
 #[derive(Clone)]
@@ -15,6 +16,10 @@
     pub w: Shared,
     pub fabric: Fabric,
     pub user: Client,
+    /// Where the controllers serve users and workers.
+    pub doors: Arc<[SocketAddr]>,
+    /// The network that all use in place of the one in memory, in a run in real time.
+    pub real_network: Option<Net>,
 }
 
 impl SimulationContext {
@@ -32,19 +37,22 @@
         self.w.lock().unwrap().refused[node] = refused;
     }
 
-    /// Serves port 80 of a host.
-    pub(super) fn serve<F>(&self, at: IpAddr, handler: impl Fn(SimulationContext, Request) -> F + Send + Sync + 'static)
+    /// Serves [`deployment::PORT`] of a host.
+    pub fn serve<F>(&self, at: IpAddr, handler: impl Fn(SimulationContext, Request) -> F + Send + Sync + 'static)
     where
         F: Future<Output = Response> + Send + 'static,
     {
-        let (g, net) = (self.clone(), self.fabric.process(at).0);
+        let (g, net) = (self.clone(), self.process(at).0);
         tokio::spawn(async move {
-            let listener = net.bind(SocketAddr::new(at, 80)).await.unwrap();
+            let listener = net.bind(SocketAddr::new(at, PORT)).await.unwrap();
             http::serve(listener, 500, PATIENCE, move |req| handler(g.clone(), req)).await;
         });
     }
 
     pub fn process(&self, at: IpAddr) -> (Net, u64) {
-        self.fabric.process(at)
+        match &self.real_network {
+            Some(net) => (net.clone(), 0),
+            None => self.fabric.process(at),
+        }
     }
 }
--- a/tests/sim/mod.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,25 +1,28 @@
-//! Simulated days: real controllers, and scripted workers, users, cloud and
-//! state service, on one thread, in simulated time, over a network in memory.
+//! Stand-ins written from the protocol: a state service, a cloud, workers and users, which
+//! check the rules as things happen. [`Sim`] puts them and real controllers on one thread, in
+//! simulated time, over a network in memory; the scale run uses them over loopback.
 
-mod cloud;
-mod deployment;
+#![expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
+
+pub mod cloud;
+pub mod deployment;
 mod faults;
-mod ground;
+pub mod ground;
 mod jobs;
-mod machines;
+pub mod machines;
 pub mod net;
 mod pause;
-mod run;
+pub mod production_format;
 mod settle;
-mod state_service;
-mod users;
+pub mod state_service;
+pub mod store;
+pub mod users;
 mod versions;
 pub mod world;
 
-pub use deployment::{NEXT_LIMITS, NODES, PRESENT_LIMITS, cloud_of, controller, state_of};
+pub use deployment::{NEXT_LIMITS, NODES, PRESENT_LIMITS, cloud_of, controller, doors, state_of};
 pub use faults::RandomDay;
 pub use ground::SimulationContext;
-pub use run::{seeds, simulate, simulate_with};
 
 use crate::store::Limits;
 use badgerdrift::config::Operator;
@@ -86,7 +89,7 @@
         let user = Client::on(&fabric.process(deployment::users()).0, 16);
         w.lock().unwrap().store.limits = Some(PRESENT_LIMITS);
         w.lock().unwrap().production = vec![setup.production; NODES];
-        let g = SimulationContext { seed, w, fabric, user };
+        let g = SimulationContext { seed, w, fabric, user, doors: doors(), real_network: None };
         for i in 0..NODES {
             g.serve(state_of(i), move |g, req| state_service::state(g, i, req));
             g.serve(cloud_of(i), cloud::cloud);
--- a/tests/sim/machines.rs
+++ b/crates/stand-ins/src/machines.rs
@@ -1,8 +1,8 @@
 //! The workers' side of the protocol: reports, direct commands, late copies.
 
-use super::deployment::{NODES, PATIENCE, door};
+use super::deployment::PATIENCE;
 use super::ground::SimulationContext;
-use super::world::{LEASE_S, REPORT_S, secs};
+use super::world::secs;
 use badgerdrift::http::{self, Client, Response};
 use rand::RngExt;
 use serde_json::Value;
@@ -92,12 +92,15 @@
 async fn reports(g: SimulationContext, id: String, client: Client) {
     let mut at = {
         let mut w = g.w.lock().unwrap();
-        w.rng.random_range(0..NODES)
+        w.rng.random_range(0..g.doors.len())
     };
     loop {
         // The next one is due, or something has changed.
         let last = Instant::now();
-        let due = last + secs(REPORT_S * g.w.lock().unwrap().rng.random_range(0.75..1.25));
+        let due = {
+            let mut w = g.w.lock().unwrap();
+            last + secs(w.parameters.report_s * w.rng.random_range(0.75..1.25))
+        };
         loop {
             sleep(Duration::from_millis(50)).await;
             if !awake(&g, &id).await {
@@ -110,7 +113,7 @@
         }
         let (sent, tenure, body, mute) = {
             let mut w = g.w.lock().unwrap();
-            w.tick();
+            w.tick_if_due();
             if !w.machines[&id].exists() {
                 return;
             }
@@ -123,14 +126,14 @@
         copies(&g, &id, &body);
         let mut next = false;
         // A redirection is followed at once.
-        for _ in 0..NODES {
+        for _ in 0..g.doors.len() {
             if mute {
                 sleep(Duration::from_secs(4)).await;
                 next = true;
                 break;
             }
             let limit = Duration::from_secs(4).saturating_sub(sent.elapsed());
-            let r = client.call(door(at), "POST", "/agent/beat", Some(body.as_bytes()), limit).await;
+            let r = client.call(g.doors[at], "POST", "/agent/beat", Some(body.as_bytes()), limit).await;
             let deaf = g.w.lock().unwrap().machines[&id].deaf > Instant::now();
             if deaf {
                 sleep(Duration::from_secs(4).saturating_sub(sent.elapsed())).await;
@@ -153,7 +156,7 @@
                 Ok((421, b)) => {
                     let v: Value = serde_json::from_slice(&b).unwrap_or_default();
                     let to = v["reports_to"].as_str().and_then(|n| n.strip_prefix('n')?.parse::<usize>().ok());
-                    match to.filter(|n| *n != at && *n < NODES) {
+                    match to.filter(|n| *n != at && *n < g.doors.len()) {
                         Some(n) => at = n,
                         None => {
                             next = true;
@@ -168,7 +171,7 @@
             }
         }
         if next {
-            at = (at + 1) % NODES;
+            at = (at + 1) % g.doors.len();
             sleep(Duration::from_secs(1)).await;
         }
     }
@@ -196,9 +199,10 @@
             return;
         }
         let all = w.rng.random_bool(0.5);
-        let one = w.rng.random_range(0..NODES);
-        let to: Vec<usize> = if all { (0..NODES).collect() } else { vec![one] };
-        (ip, secs(w.rng.random_range(1.0..LEASE_S * 2.5)), to)
+        let one = w.rng.random_range(0..g.doors.len());
+        let to: Vec<usize> = if all { (0..g.doors.len()).collect() } else { vec![one] };
+        let latest = w.parameters.lease_s * 2.5;
+        (ip, secs(w.rng.random_range(1.0..latest)), to)
     };
     send_copy(g, ip, body.into(), after, to);
 }
@@ -209,7 +213,8 @@
         tokio::spawn(async move {
             sleep(after).await;
             let client = Client::on(&g.process(ip).0, 0);
-            let r = client.call(door(node), "POST", "/agent/beat", Some(body.as_bytes()), Duration::from_secs(2)).await;
+            let r =
+                client.call(g.doors[node], "POST", "/agent/beat", Some(body.as_bytes()), Duration::from_secs(2)).await;
             let status = r.map_or(0, |r| r.0);
             g.log(format!("late copy at n{node} answered {status}: {body}"));
         });
@@ -222,7 +227,7 @@
     let kept: Vec<(IpAddr, String)> = std::mem::take(&mut g.w.lock().unwrap().kept).into_values().flatten().collect();
     for (ip, body) in kept {
         for ms in [0, 20, 60, 150, 400, 1000] {
-            send_copy(g, ip, body.clone(), Duration::from_millis(ms), (0..NODES).collect());
+            send_copy(g, ip, body.clone(), Duration::from_millis(ms), (0..g.doors.len()).collect());
         }
     }
 }
--- a/tests/stand_ins/store.rs
+++ b/crates/stand-ins/src/store.rs
@@ -123,7 +123,6 @@
     }
 
     /// The value of a key; null if there is none.
-    #[allow(dead_code, reason = "not every suite asks for it")]
     pub fn value(&self, key: &str) -> Value {
         self.keys.get(key).map_or(Value::Null, |entry| entry.0.clone())
     }
--- a/tests/sim/users.rs
+++ b/crates/stand-ins/src/users.rs
@@ -1,8 +1,7 @@
 //! Users: they submit, poll, repeat themselves, cancel, and ask at every node.
 
-use super::deployment::{NODES, door};
 use super::ground::SimulationContext;
-use crate::sim::world::secs;
+use crate::world::secs;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -16,6 +15,7 @@
             let mut w = g.w.lock().unwrap();
             let job = w.jobs.get_mut(id).unwrap();
             job.submitted = true;
+            job.first_submitted.get_or_insert(Instant::now());
             ("POST", "/v1/jobs".to_string(), Some(job.body()), 5.0)
         }
         "withdraw" => {
@@ -25,7 +25,7 @@
         _ => ("GET", format!("/v1/jobs/{id}"), None, 2.0),
     };
     let sent = Instant::now();
-    match g.user.call(door(node), method, &path, body.as_deref().map(str::as_bytes), secs(limit)).await {
+    match g.user.call(g.doors[node], method, &path, body.as_deref().map(str::as_bytes), secs(limit)).await {
         Ok((status, b)) => {
             let v: Value = serde_json::from_slice(&b).unwrap_or_default();
             g.w.lock().unwrap().heard(id, sent, node, what, status, &v);
@@ -45,7 +45,7 @@
 }
 
 fn at_every_node(g: &SimulationContext, id: &str, what: &'static str) {
-    for node in 0..NODES {
+    for node in 0..g.doors.len() {
         let (g, id) = (g.clone(), id.to_string());
         tokio::spawn(async move {
             sleep(Duration::from_millis(1)).await;
@@ -72,7 +72,7 @@
 fn node_to_submit_at(g: &SimulationContext, id: &str, rng: &mut StdRng) -> Option<usize> {
     let w = g.w.lock().unwrap();
     let waits = !w.jobs[id].waits_on.is_empty();
-    let nodes: Vec<usize> = (0..NODES).filter(|node| !waits || !w.production[*node]).collect();
+    let nodes: Vec<usize> = (0..g.doors.len()).filter(|node| !waits || !w.production[*node]).collect();
     (!nodes.is_empty()).then(|| nodes[rng.random_range(0..nodes.len())])
 }
 
@@ -102,7 +102,7 @@
         sleep(secs(rng.random_range(1.0..5.0) / rate)).await;
         let what = if rng.random_bool(0.1) { "submit" } else { "poll" };
         let over = g.w.lock().unwrap().jobs[&id].over();
-        ask(&g, &id, rng.random_range(0..NODES), what).await;
+        ask(&g, &id, rng.random_range(0..g.doors.len()), what).await;
         if !over && g.w.lock().unwrap().jobs[&id].over() {
             ask_all(&g, &id);
         }
@@ -121,8 +121,8 @@
         let rate = g.w.lock().unwrap().poll_rate;
         sleep(secs(rng.random_range(2.0..6.0) / rate)).await;
         let id = format!("run-9{:05}", rng.random_range(0..100_000));
-        let node = rng.random_range(0..NODES);
-        let r = g.user.call(door(node), "GET", &format!("/v1/jobs/{id}"), None, secs(2.0)).await;
+        let node = rng.random_range(0..g.doors.len());
+        let r = g.user.call(g.doors[node], "GET", &format!("/v1/jobs/{id}"), None, secs(2.0)).await;
         if let Ok((200, _)) = r {
             g.w.lock().unwrap().fail(format!("invented: {id} is answered 200 by n{node}"));
         }
--- a/tests/sim/world/gang.rs
+++ b/crates/stand-ins/src/world/gang.rs
@@ -2,7 +2,7 @@
 
 use super::SimulationState;
 use super::machine::Phase;
-use super::parameters::{GANG_PEER_S, secs};
+use super::parameters::secs;
 use rand::RngExt;
 use std::collections::BTreeMap;
 use tokio::time::Instant;
@@ -17,6 +17,7 @@
 impl SimulationState {
     pub(super) fn gangs_step(&mut self, now: Instant) {
         // Members of each attempt: machine, key, phase, whether it executes, when due.
+        let gang_peer_s = self.parameters.gang_peer_s;
         type Member = (String, (String, u64), Phase, bool, Instant);
         let mut members: BTreeMap<(String, u64), Vec<Member>> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.alive(now)) {
@@ -51,7 +52,7 @@
             let ran = (g.stopped.unwrap_or(now) - g.began).as_secs_f64();
             let mut ends: Option<(&'static str, bool)> = None;
             if !whole && !g.failed {
-                let after = secs(self.rng.random_range(0.2..GANG_PEER_S * 0.95));
+                let after = secs(self.rng.random_range(0.2..gang_peer_s * 0.95));
                 g.failed = now >= *g.fails.get_or_insert(now + after);
             } else if whole {
                 g.fails = None;
@@ -60,7 +61,7 @@
                 ends = Some(("mates_gone", false));
             } else if flushing == size && executing.iter().all(|m| m.4 <= now) {
                 ends = Some(("halted", true));
-            } else if g.stopped.is_some_and(|s| s + secs(GANG_PEER_S) <= now) {
+            } else if g.stopped.is_some_and(|s| s + secs(gang_peer_s) <= now) {
                 g.failed = true;
                 ends = Some(("mates_gone", false));
             } else if g.stopped.is_none() && whole && progress + ran >= job.run_s {
--- a/tests/sim/world/job.rs
+++ b/crates/stand-ins/src/world/job.rs
@@ -37,6 +37,8 @@
     /// It must be refused.
     pub invalid: bool,
     pub submitted: bool,
+    pub first_submitted: Option<Instant>,
+    pub(super) started_tasks: BTreeSet<u32>,
     pub accepted: Option<Instant>,
     /// Its first task had its image then.
     pub began: Option<Instant>,
@@ -76,6 +78,8 @@
             mistaken: false,
             invalid: false,
             submitted: false,
+            first_submitted: None,
+            started_tasks: BTreeSet::new(),
             accepted: None,
             began: None,
             starts: 0,
--- a/tests/sim/world/machine.rs
+++ b/crates/stand-ins/src/world/machine.rs
@@ -35,6 +35,7 @@
 #[derive(Debug, Clone)]
 pub struct TaskAttempt {
     pub job: String,
+    pub team: &'static str,
     pub n: u32,
     pub phase: Phase,
     pub(super) why: Option<&'static str>,
--- a/tests/sim/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -13,23 +13,28 @@
 pub use job::Job;
 pub use machine::Machine;
 pub use parameters::{
-    CANCEL_S, FLAVORS, GANG_PEER_S, GANG_WAIT_S, GUEST, LEASE_S, LIST_LAG_S, REPORT_S, TEAMS, ZONES, secs,
+    CANCEL_S, FLAVORS, Flavor, GANG_PEER_S, GANG_WAIT_S, GUEST, LEASE_S, LIST_LAG_S, Parameters, REPORT_S, TEAMS,
+    TeamLimit, ZONES, secs,
 };
 pub use rental::BootFaults;
 
 use crate::store::Store;
 use gang::Gang;
 use machine::Phase;
-use parameters::CAPACITY;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use terms::Term;
 use tokio::time::Instant;
 
 pub struct SimulationState {
+    pub parameters: Parameters,
+    last_tick: Instant,
+    /// Waits for first starts of tasks, since they were last taken.
+    pub start_waits: Vec<StartWait>,
     pub rng: StdRng,
     pub start: Instant,
     pub store: Store,
@@ -47,8 +52,6 @@
     /// Share of machines on which every task fails.
     pub faulty: f64,
     pub boot_faults: BootFaults,
-    /// Machines of a type, zone and kind that the cloud has.
-    pub capacity: usize,
     /// How many times as often as usual users ask about their jobs.
     pub poll_rate: f64,
     /// Share of reports of which copies come late.
@@ -71,11 +74,26 @@
     pub broken: Option<String>,
 }
 
+/// How long a task waited from the first attempt to submit its job until it had its image.
+#[derive(Debug, Clone, Copy)]
+pub struct StartWait {
+    pub urgency: &'static str,
+    pub shape: &'static str,
+    pub wait: Duration,
+}
+
 pub type Shared = Arc<Mutex<SimulationState>>;
 
 impl SimulationState {
     pub fn new(seed: u64, nodes: usize) -> SimulationState {
+        SimulationState::of(Parameters::default(), seed, nodes)
+    }
+
+    pub fn of(parameters: Parameters, seed: u64, nodes: usize) -> SimulationState {
         SimulationState {
+            parameters,
+            last_tick: Instant::now(),
+            start_waits: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             start: Instant::now(),
             store: Store::default(),
@@ -87,7 +105,6 @@
             cloud_down: false,
             faulty: 0.0,
             boot_faults: BootFaults::default(),
-            capacity: CAPACITY,
             poll_rate: 1.0,
             late_reports: 0.0,
             keeping: false,
@@ -160,9 +177,17 @@
         ok
     }
 
+    /// What happens by itself, unless that was looked at just now.
+    pub fn tick_if_due(&mut self) {
+        if self.last_tick.elapsed() >= self.parameters.tick_every {
+            self.tick();
+        }
+    }
+
     /// What happens by itself.
     pub fn tick(&mut self) {
         let now = Instant::now();
+        self.last_tick = now;
         self.expire_leases();
         let taken: Vec<String> = self
             .machines
--- a/tests/sim/world/rental.rs
+++ b/crates/stand-ins/src/world/rental.rs
@@ -2,7 +2,7 @@
 
 use super::SimulationState;
 use super::machine::{Machine, Phase};
-use super::parameters::{FLAVORS, LIST_LAG_S, secs};
+use super::parameters::secs;
 use rand::RngExt;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -44,9 +44,9 @@
         let now = Instant::now();
         let (sku, zone) = (body["flavor"].as_str().unwrap(), body["region"].as_str().unwrap());
         let spot = body["preemptible"].as_bool().unwrap();
-        let flavor = FLAVORS.iter().find(|f| f.sku == sku).unwrap();
+        let flavor = *self.parameters.flavors.iter().find(|f| f.sku == sku).unwrap();
         let used = |m: &&Machine| m.exists() && m.flavor.sku == sku && m.zone == zone && m.spot == spot;
-        let free = self.capacity.saturating_sub(self.machines.values().filter(used).count());
+        let free = self.parameters.capacity.saturating_sub(self.machines.values().filter(used).count());
         let count = free.min(body["number"].as_u64().unwrap() as usize);
         if count == 0 {
             return (None, Vec::new());
@@ -55,7 +55,8 @@
         for _ in 0..count {
             let n = self.machines.len();
             let id = format!("host-{n:06}");
-            let ip = IpAddr::V4(Ipv4Addr::new(10, 1, (n / 200) as u8, (n % 200 + 1) as u8));
+            let [a, b] = self.parameters.machine_network;
+            let ip = IpAddr::V4(Ipv4Addr::new(a, b, (n / 200) as u8, (n % 200 + 1) as u8));
             let up = self.boot_end(flavor.startup_s).unwrap_or(now + secs(NEVER_S));
             let m = Machine {
                 id: id.clone(),
@@ -112,7 +113,7 @@
     /// The list as it was a while ago.
     pub fn list(&mut self, from: &str, most: usize) -> Value {
         let now = Instant::now();
-        let at = now - secs(self.rng.random_range(0.0..2.0 * LIST_LAG_S));
+        let at = now - secs(self.rng.random_range(0.0..2.0 * self.parameters.list_lag_s));
         let mut hosts = Vec::new();
         let mut more = false;
         for m in self.machines.values_mut().filter(|m| m.id.as_str() > from) {
--- a/tests/sim/world/rules.rs
+++ b/crates/stand-ins/src/world/rules.rs
@@ -3,7 +3,6 @@
 use super::SimulationState;
 use super::job::Job;
 use super::machine::{Machine, TaskAttempt};
-use super::parameters::team_limit;
 use serde_json::Value;
 use tokio::time::Instant;
 
@@ -20,8 +19,8 @@
         if let Some((other, k, _)) = on.iter().find(|(_, k, _)| k.0 == key.0) {
             wrong.push(format!("ran_twice: {} try {} starts on {id}, try {} is on {}", key.0, key.1, k.1, other.id));
         }
-        if let Some((core_limit, card_limit)) = team_limit(job.team) {
-            let team = || on.iter().filter_map(|o| self.jobs.get(&o.2.job)).filter(|j| j.team == job.team);
+        if let Some((core_limit, card_limit)) = self.parameters.team_limit(job.team) {
+            let team = || on.iter().filter(|o| o.2.team == job.team).filter_map(|o| self.jobs.get(&o.2.job));
             let cores = team().map(|j| j.cores).sum::<f64>() + job.cores;
             let cards = team().map(|j| j.cards).sum::<f64>() + job.cards;
             if cores > core_limit || cards > card_limit {
--- a/tests/sim/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -1,9 +1,9 @@
 //! What a worker does with replies and direct commands: leases, tokens, starts and stops.
 
-use super::SimulationState;
 use super::job::Job;
 use super::machine::{Machine, Phase, TaskAttempt};
-use super::parameters::{GANG_WAIT_S, LEASE_S, secs};
+use super::parameters::secs;
+use super::{SimulationState, StartWait};
 use rand::RngExt;
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -62,10 +62,11 @@
 
     pub(super) fn see_fence(&mut self, id: &str, fence: u64) {
         let now = Instant::now();
+        let lease_s = self.parameters.lease_s;
         let m = self.machines.get_mut(id).unwrap();
         if fence > m.fence {
             m.fence = fence;
-            if m.told_fence + secs(LEASE_S / 2.0) <= now {
+            if m.told_fence + secs(lease_s / 2.0) <= now {
                 m.told_fence = now;
                 m.changed = true;
             }
@@ -117,9 +118,19 @@
             }
             _ => None,
         };
-        let fetch = secs(self.rng.random_range(0.1..1.5));
+        let (least, most) = self.parameters.fetch_s;
+        let fetch = secs(self.rng.random_range(least..most));
         let phase = if refused.is_some() { Phase::Ended } else { Phase::Fetching };
-        let c = TaskAttempt { job: job_id.into(), n, phase, why: refused, stored: false, due: now + fetch, since: now };
+        let c = TaskAttempt {
+            job: job_id.into(),
+            team: job.map_or("", |j| j.team),
+            n,
+            phase,
+            why: refused,
+            stored: false,
+            due: now + fetch,
+            since: now,
+        };
         if let Some(why) = refused {
             self.log(format!("{id} refuses {} try {}: {why}", key.0, key.1));
         }
@@ -171,7 +182,8 @@
     /// what they had after that.
     pub(super) fn expire_leases(&mut self) {
         let now = Instant::now();
-        let over = |m: &&mut Machine| m.alive(now) && m.lease_from + secs(LEASE_S) < now;
+        let lease_s = self.parameters.lease_s;
+        let over = |m: &&mut Machine| m.alive(now) && m.lease_from + secs(lease_s) < now;
         let mut told = Vec::new();
         for m in self.machines.values_mut().filter(over) {
             let killed: Vec<_> = std::mem::take(&mut m.copies).into_keys().collect();
@@ -192,9 +204,15 @@
         self.log(format!("{id} starts {} try {}", key.0, key.1));
         self.starts += 1;
         let started = self.jobs.get_mut(&job.id).unwrap();
+        if started.started_tasks.insert(c.n)
+            && let Some(submitted) = started.first_submitted
+        {
+            self.start_waits.push(StartWait { urgency: job.urgency, shape: job.shape, wait: now - submitted });
+        }
         started.began.get_or_insert(now);
         started.starts += 1;
         self.check_start(id, key, &job);
+        let gang_wait_s = self.parameters.gang_wait_s;
         let left = job.run_s - job.saved_s.get(&c.n).copied().unwrap_or(0.0);
         let m = self.machines.get_mut(id).unwrap();
         let c = m.copies.get_mut(key).unwrap();
@@ -203,7 +221,7 @@
         if job.done.contains(&c.n) {
             self.end(id, key, "done", false);
         } else if job.shape == "group" {
-            (c.phase, c.due) = (Phase::Gathering, now + secs(GANG_WAIT_S));
+            (c.phase, c.due) = (Phase::Gathering, now + secs(gang_wait_s));
         } else {
             let run_s = if job.mistaken { MISTAKE_SHOWS_S } else { left.max(0.1) };
             (c.phase, c.due) = (Phase::Running, now + secs(run_s));
--- a/tests/fault_combinations/answers.rs
+++ b/tests/fault_combinations/answers.rs
@@ -1,8 +1,9 @@
 //! What users are told, while answers are lost and reports come late.
 
 use crate::scenario::{days, s};
-use crate::sim::net::Cut;
-use crate::sim::{NODES, controller, seeds, simulate, world};
+use crate::simulation::{seeds, simulate};
+use badgerdrift_stand_ins::net::Cut;
+use badgerdrift_stand_ins::{NODES, controller, world};
 use std::time::Duration;
 
 // Who can't reach the leader reads the record; the leader has lost the answer to its write.
--- a/tests/fault_combinations/cancellations.rs
+++ b/tests/fault_combinations/cancellations.rs
@@ -1,7 +1,8 @@
 //! Jobs are cancelled while their machines or their owner are out of reach.
 
 use crate::scenario::{days, long_jobs, machines, others, s};
-use crate::sim::{NODES, seeds, simulate, world};
+use crate::simulation::{seeds, simulate};
+use badgerdrift_stand_ins::{NODES, world};
 use std::time::Duration;
 
 #[test]
--- a/tests/fault_combinations/faulty_machines.rs
+++ b/tests/fault_combinations/faulty_machines.rs
@@ -1,7 +1,7 @@
 //! Machines on which every task fails.
 
 use crate::scenario::{days_without_headroom, s};
-use crate::sim::world::SimulationState;
+use badgerdrift_stand_ins::world::SimulationState;
 
 /// Within this time another machine has booted, and the gang has run on it.
 const DONE_S: u64 = 60;
--- a/tests/fault_combinations/guests.rs
+++ b/tests/fault_combinations/guests.rs
@@ -2,8 +2,8 @@
 //! idle time, while teams with guarantees use them.
 
 use crate::scenario::{days, s};
-use crate::sim::Sim;
-use crate::sim::world::{GUEST, Job, TEAMS, secs};
+use badgerdrift_stand_ins::Sim;
+use badgerdrift_stand_ins::world::{GUEST, Job, TEAMS, secs};
 use tokio::time::Instant;
 
 const DAY_S: u64 = 150;
@@ -85,7 +85,7 @@
 fn guest_day(spot: bool, free_cards: f64) {
     days(async |sim| {
         // One machine of a type in each zone, of either kind.
-        sim.g.w.lock().unwrap().capacity = 1;
+        sim.g.w.lock().unwrap().parameters.capacity = 1;
         sim.run(s(5)).await;
         let jobs = submit_guests_work(sim, spot);
         let began = Instant::now();
--- a/tests/fault_combinations/leaders.rs
+++ b/tests/fault_combinations/leaders.rs
@@ -1,8 +1,9 @@
 //! The owner of the jobs is cut off, refused or ends.
 
 use crate::scenario::{days, long_jobs, machines, others, s};
-use crate::sim::net::Cut;
-use crate::sim::{NODES, controller, seeds, simulate, state_of, world};
+use crate::simulation::{seeds, simulate};
+use badgerdrift_stand_ins::net::Cut;
+use badgerdrift_stand_ins::{NODES, controller, state_of, world};
 use std::time::Duration;
 
 #[test]
--- a/tests/fault_combinations/mistakes.rs
+++ b/tests/fault_combinations/mistakes.rs
@@ -2,8 +2,8 @@
 //! cancelled.
 
 use crate::scenario::{days_without_headroom, s};
-use crate::sim::Sim;
-use crate::sim::world::{SimulationState, secs};
+use badgerdrift_stand_ins::Sim;
+use badgerdrift_stand_ins::world::{SimulationState, secs};
 use tokio::time::Instant;
 
 /// Starts of each task while its job fails for a minute: with pauses that double they are few.
--- a/tests/fault_combinations/paused_controllers.rs
+++ b/tests/fault_combinations/paused_controllers.rs
@@ -1,7 +1,8 @@
 //! Controllers are paused: they are silent, and then go on with whatever waits for them.
 
 use crate::scenario::{ask_closely, days, long_jobs, others, s, short_jobs};
-use crate::sim::{NODES, Sim, seeds, simulate};
+use crate::simulation::{seeds, simulate};
+use badgerdrift_stand_ins::{NODES, Sim};
 use std::time::Duration;
 
 /// Longer than each of these days, and short enough for a day to be settled after it.
--- a/tests/fault_combinations/pipelines.rs
+++ b/tests/fault_combinations/pipelines.rs
@@ -1,8 +1,8 @@
 //! Jobs that wait for others, cancelled in the midst of other faults.
 
 use crate::scenario::{ask_closely, days, others, s};
-use crate::sim::world::CANCEL_S;
-use crate::sim::{NEXT_LIMITS, Sim, controller, net::Cut};
+use badgerdrift_stand_ins::world::CANCEL_S;
+use badgerdrift_stand_ins::{NEXT_LIMITS, Sim, controller, net::Cut};
 use std::time::Duration;
 
 /// Long enough for what runs first to be still running.
@@ -23,8 +23,9 @@
 }
 
 pub async fn all_accepted(sim: &Sim, ids: &[String]) {
-    let accepted =
-        |id: &String, w: &crate::sim::world::SimulationState| w.jobs.get(id).is_some_and(|job| job.accepted.is_some());
+    let accepted = |id: &String, w: &badgerdrift_stand_ins::world::SimulationState| {
+        w.jobs.get(id).is_some_and(|job| job.accepted.is_some())
+    };
     sim.until("all are accepted", s(120), |w| ids.iter().all(|id| accepted(id, w))).await;
 }
 
@@ -139,7 +140,7 @@
     days(async |sim| {
         for n in 0..4 {
             let ids = chain(sim, 3.0).await;
-            let ended = |w: &crate::sim::world::SimulationState| w.jobs[&ids[0]].all_done();
+            let ended = |w: &badgerdrift_stand_ins::world::SimulationState| w.jobs[&ids[0]].all_done();
             sim.until("the tasks of the first have ended", s(60), ended).await;
             sim.run(Duration::from_millis(20 * n)).await;
             sim.cancel(&ids[0], &[0, 1, 2]);
@@ -185,7 +186,7 @@
     days(async |sim| {
         for _ in 0..3 {
             let ids = chain(sim, 3.0).await;
-            let ended = |w: &crate::sim::world::SimulationState| w.jobs[&ids[0]].all_done();
+            let ended = |w: &badgerdrift_stand_ins::world::SimulationState| w.jobs[&ids[0]].all_done();
             sim.until("the tasks of the first have ended", s(60), ended).await;
             let leader = sim.leader().expect("there is a leader");
             sim.kill(leader);
--- a/tests/fault_combinations/poll_storms.rs
+++ b/tests/fault_combinations/poll_storms.rs
@@ -1,7 +1,7 @@
 //! Users ask about their jobs eight times as often as usual, while the owner is paused.
 
 use crate::scenario::{ask_closely, days, long_jobs, others, s, short_jobs};
-use crate::sim::Sim;
+use badgerdrift_stand_ins::Sim;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/tests/fault_combinations/random_days.rs
+++ b/tests/fault_combinations/random_days.rs
@@ -1,6 +1,7 @@
 //! Days with random faults; the seeds that failed are printed.
 
-use crate::sim::{RandomDay, Setup, seeds, simulate, simulate_with};
+use crate::simulation::{seeds, simulate, simulate_with};
+use badgerdrift_stand_ins::{RandomDay, Setup};
 
 /// On the day of this seed one of two machines is faulty, and a gang needs both zones.
 const FAULTY_MACHINE_OF_TWO: u64 = 497;
--- a/tests/fault_combinations/rollouts.rs
+++ b/tests/fault_combinations/rollouts.rs
@@ -1,7 +1,8 @@
 //! Controllers of two versions at once.
 
 use crate::scenario::{long_jobs, s};
-use crate::sim::{NODES, Setup, Sim, seeds, simulate_with};
+use crate::simulation::{seeds, simulate_with};
+use badgerdrift_stand_ins::{NODES, Setup, Sim};
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/tests/fault_combinations/scenario.rs
+++ b/tests/fault_combinations/scenario.rs
@@ -1,7 +1,8 @@
 //! Steps that several scripted days share.
 
-use crate::sim::world::Machine;
-use crate::sim::{NODES, Setup, Sim, seeds, simulate, simulate_with};
+use crate::simulation::{seeds, simulate, simulate_with};
+use badgerdrift_stand_ins::world::Machine;
+use badgerdrift_stand_ins::{NODES, Setup, Sim};
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/tests/sim/run.rs
+++ b/tests/fault_combinations/simulation.rs
@@ -1,6 +1,6 @@
 //! Runs simulated days, each the same for the same seed.
 
-use super::{Setup, Sim};
+use badgerdrift_stand_ins::{Setup, Sim};
 use std::future::Future;
 
 /// The order of every hash map, and what tokio chooses at random, comes from
--- a/tests/fault_combinations/slow_boots.rs
+++ b/tests/fault_combinations/slow_boots.rs
@@ -1,8 +1,9 @@
 //! Machines that are rented come up late, or never, while they are charged.
 
 use crate::scenario::{charged, days_without_headroom, s};
-use crate::sim::world::{BootFaults, SimulationState, secs};
-use crate::sim::{Setup, Sim, seeds, simulate_with};
+use crate::simulation::{seeds, simulate_with};
+use badgerdrift_stand_ins::world::{BootFaults, SimulationState, secs};
+use badgerdrift_stand_ins::{Setup, Sim};
 use tokio::time::Instant;
 
 /// Machines that the work of these days takes.
--- a/tests/fault_combinations/teams.rs
+++ b/tests/fault_combinations/teams.rs
@@ -1,8 +1,8 @@
 //! Teams at their limits.
 
 use crate::scenario::{days, machines, s};
-use crate::sim::net::Cut;
-use crate::sim::{NODES, controller, world};
+use badgerdrift_stand_ins::net::Cut;
+use badgerdrift_stand_ins::{NODES, controller, world};
 
 // Every team is at its limit; jobs are cancelled whose machines are cut off or hang, the
 // leader changes, and more work waits.
--- a/tests/fault_combinations/writes.rs
+++ b/tests/fault_combinations/writes.rs
@@ -1,7 +1,8 @@
 //! Writes lag or are carried out late, and there are many of them.
 
 use crate::scenario::{days, s};
-use crate::sim::{NODES, simulate};
+use crate::simulation::simulate;
+use badgerdrift_stand_ins::NODES;
 use std::time::Duration;
 
 // Transactions without an answer are carried out at once or after newer ones, while the
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,15 +1,13 @@
 //! Stand-ins for the outside world, written from the protocol: a state service,
 //! a cloud whose machines are up at once, and their workers.
 
-pub mod store;
-
 use badgerdrift::http::{self, Client, Request, Response};
+use badgerdrift_stand_ins::store::{Store, query};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use store::{Store, query};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
--- a/tests/versions/frames.rs
+++ b/tests/versions/frames.rs
@@ -1,9 +1,9 @@
 //! Frames between controllers.
 
-use crate::production_format as production;
 use badgerdrift::frame_format::FrameFormat;
 use badgerdrift::peer::{CapacityReport, Machines, Peer, PeerLimits, PeerRequest, PeerResponse, UserCall, serve};
 use badgerdrift::refusal::RefusalReason;
+use badgerdrift_stand_ins::production_format as production;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
--- a/tests/versions/main.rs
+++ b/tests/versions/main.rs
@@ -3,7 +3,4 @@
 #![expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
 
 mod frames;
-#[allow(dead_code, reason = "declared as they are in production")]
-#[path = "../stand_ins/production_format.rs"]
-mod production_format;
 mod records;
--- a/tests/versions/records.rs
+++ b/tests/versions/records.rs
@@ -1,8 +1,8 @@
 //! Records in the state service.
 
-use crate::production_format as production;
 use badgerdrift::membership::{PartitionRecord, TermRecord};
 use badgerdrift::model::{Flavor, HostRecord, Job, JobEnd, JobRecord, Predecessors};
+use badgerdrift_stand_ins::production_format as production;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
