--- /dev/null
+++ b/crates/scale/src/child.rs
@@ -0,0 +1,42 @@
+//! A region's process as the run sees it: it gets its plan, tells how far it is, and ends with the run.
+
+use crate::plan::{RegionMessage, RegionPlan};
+use std::process::Stdio;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
+
+/// The process of a region. It ends when this is dropped, and its controllers with it.
+pub struct RegionProcess {
+    process: Child,
+    /// The process goes on while this is open.
+    input: Option<ChildStdin>,
+    output: Lines<BufReader<ChildStdout>>,
+}
+
+impl RegionProcess {
+    /// Starts the process of a region.
+    pub async fn start(plan: &RegionPlan) -> Result<RegionProcess, String> {
+        let program = std::env::current_exe().map_err(|error| error.to_string())?;
+        let mut command = Command::new(program);
+        command.arg("region").stdin(Stdio::piped()).stdout(Stdio::piped()).kill_on_drop(true);
+        let mut process = command.spawn().map_err(|error| format!("{}: {error}", plan.name()))?;
+        let mut input = process.stdin.take().ok_or("no standard input")?;
+        let output = BufReader::new(process.stdout.take().ok_or("no standard output")?).lines();
+        let mut line = serde_json::to_string(plan).map_err(|error| error.to_string())?;
+        line.push('\n');
+        input.write_all(line.as_bytes()).await.map_err(|error| format!("{}: {error}", plan.name()))?;
+        Ok(RegionProcess { process, input: Some(input), output })
+    }
+
+    /// The next message of the process; none if it ended.
+    pub async fn next(&mut self) -> Option<RegionMessage> {
+        let line = self.output.next_line().await.ok()??;
+        Some(serde_json::from_str(&line).unwrap_or_else(|error| RegionMessage::Failed(format!("{error}: {line}"))))
+    }
+
+    /// Tells the process to end its controllers and itself, and waits for that.
+    pub async fn stop(mut self) {
+        drop(self.input.take());
+        let _ = self.process.wait().await;
+    }
+}
--- /dev/null
+++ b/crates/scale/src/controllers.rs
@@ -0,0 +1,143 @@
+//! The real controllers of a region: processes that are started, killed and held still by id.
+
+use crate::plan::RegionPlan;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io;
+use std::process::Stdio;
+use tokio::process::{Child, Command};
+
+/// The controllers of a region. They end when this is dropped.
+pub struct Controllers {
+    plan: RegionPlan,
+    processes: Vec<Option<Child>>,
+}
+
+impl Controllers {
+    /// Starts all controllers.
+    pub fn start(plan: &RegionPlan) -> io::Result<Controllers> {
+        let count = plan.scenario.controllers_per_region;
+        let mut controllers = Controllers { plan: plan.clone(), processes: (0..count).map(|_| None).collect() };
+        (0..count).try_for_each(|number| controllers.start_one(number))?;
+        Ok(controllers)
+    }
+
+    /// Starts a controller that is not running.
+    pub fn start_one(&mut self, number: usize) -> io::Result<()> {
+        if self.processes[number].is_some() {
+            return Ok(());
+        }
+        let base = self.plan.directory.join(format!("{}-n{number}", self.plan.name()));
+        let settings = base.with_extension("toml");
+        std::fs::write(&settings, settings_text(&self.plan, number))?;
+        let log = File::options().create(true).append(true).open(base.with_extension("log"))?;
+        let mut command = Command::new(&self.plan.controller);
+        command.arg("serve").arg("--config").arg(&settings).kill_on_drop(true);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).env("LOG_LEVEL", "error");
+        self.processes[number] = Some(command.spawn()?);
+        Ok(())
+    }
+
+    /// Ends a controller without notice.
+    pub async fn kill(&mut self, number: usize) -> io::Result<()> {
+        match self.processes[number].take() {
+            Some(mut process) => process.kill().await,
+            None => Ok(()),
+        }
+    }
+
+    /// Ends all controllers.
+    pub async fn kill_all(&mut self) -> io::Result<()> {
+        for number in 0..self.processes.len() {
+            self.kill(number).await?;
+        }
+        Ok(())
+    }
+
+    /// Holds a controller still, or lets it go on.
+    pub fn hold(&self, number: usize, held: bool) -> io::Result<()> {
+        let Some(pid) = self.process_id(number).and_then(|id| Pid::from_raw(id as i32)) else { return Ok(()) };
+        Ok(kill_process(pid, if held { Signal::STOP } else { Signal::CONT })?)
+    }
+
+    /// The id of a controller's process, while it runs.
+    pub fn process_id(&self, number: usize) -> Option<u32> {
+        self.processes[number].as_ref().and_then(Child::id)
+    }
+
+    /// How many controllers there are.
+    pub fn count(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// A controller that has ended by itself, if there is one.
+    pub fn ended(&mut self) -> Option<usize> {
+        let ended = |process: &mut Option<Child>| process.as_mut().is_some_and(|p| matches!(p.try_wait(), Ok(Some(_))));
+        self.processes.iter_mut().position(ended)
+    }
+}
+
+/// The platform's settings for one controller.
+fn settings_text(plan: &RegionPlan, number: usize) -> String {
+    let (scenario, networks, zones) = (&plan.scenario, plan.networks, plan.zones());
+    let mut text = format!(
+        "node = \"{}\"\nsite = {:?}\nserve_on = \"{}\"\ninternal_addr = \"{}\"\n",
+        controller_name(number),
+        zones[number % zones.len()],
+        networks.controller(number),
+        networks.controller_internal(number)
+    );
+    for other in (0..scenario.controllers_per_region).filter(|other| *other != number) {
+        text += &format!(
+            "[[seeds]]\nnode = \"{}\"\nsite = {:?}\nendpoint = \"{}\"\n",
+            controller_name(other),
+            zones[other % zones.len()],
+            networks.controller_internal(other)
+        );
+    }
+    text += &format!(
+        "[endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\nzones = {zones:?}\n",
+        networks.cloud(number),
+        networks.state_service(number)
+    );
+    let teams = &scenario.teams;
+    for team in 0..teams.count {
+        text += &format!(
+            "[[params.teams]]\nname = \"{}\"\ncpus = {:?}\ncpus_max = {:?}\ngpus = {:?}\ngpus_max = {:?}\n",
+            team_name(team),
+            plan.part(teams.guaranteed_cores),
+            plan.part(teams.most_cores),
+            plan.part(teams.guaranteed_cards),
+            plan.part(teams.most_cards)
+        );
+    }
+    let (worker, state) = (&scenario.worker, &scenario.state);
+    text += &format!(
+        "[params.workers]\nreport_s = {:?}\nlease_s = {:?}\ngang_wait_s = {:?}\ngang_peer_s = {:?}\ncancel_s = {:?}\n",
+        worker.report_s, worker.lease_s, worker.gang_wait_s, worker.gang_peer_s, worker.cancel_s
+    );
+    text += &format!(
+        "[params.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n",
+        state.rps, state.write_rps, state.value_kb, state.txn_ops
+    );
+    text + &format!(
+        "[params.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n[params.limits]\nmax_sockets = {MOST_SOCKETS}\n"
+    )
+}
+
+/// The name of a controller; the workers' stand-ins read its number from that.
+pub fn controller_name(number: usize) -> String {
+    format!("n{number}")
+}
+
+/// The name of a team.
+pub fn team_name(team: usize) -> String {
+    format!("team-{team:03}")
+}
+
+/// Calls a second that the cloud takes.
+const CLOUD_RPS: f64 = 10.0;
+/// Seconds by which the cloud's list of machines lags.
+pub const LIST_LAG_S: f64 = 4.0;
+/// Sockets that a controller may have open.
+const MOST_SOCKETS: usize = 2677;
--- /dev/null
+++ b/crates/scale/src/faults.rs
@@ -0,0 +1,124 @@
+//! What goes wrong in one region: named faults at set times, and failures of an ordinary day.
+
+use crate::controllers::Controllers;
+use crate::plan::RegionPlan;
+use crate::scenario::{Fault, FaultKind};
+use badgerdrift_stand_ins::ground::SimulationContext;
+use badgerdrift_stand_ins::machines;
+use badgerdrift_stand_ins::world::secs;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+/// What faults act on.
+#[derive(Clone)]
+pub struct FaultTargets {
+    pub context: SimulationContext,
+    pub controllers: Arc<Mutex<Controllers>>,
+}
+
+/// Starts the region's named faults and its failures of ordinary days.
+pub fn start(targets: &FaultTargets, plan: &RegionPlan) {
+    for fault in plan.scenario.fault.values().filter(|fault| fault.region == plan.region) {
+        let (targets, fault) = (targets.clone(), fault.clone());
+        tokio::spawn(async move {
+            sleep(secs(fault.at_s)).await;
+            targets.bring_about(&fault).await;
+        });
+    }
+    let failures = &plan.scenario.failures;
+    let a_day = plan.part(failures.machines_a_day + failures.replaced_a_day);
+    let per_s = a_day * failures.compression / SECONDS_PER_DAY;
+    if per_s > 0.0 {
+        tokio::spawn(ordinary_failures(targets.clone(), per_s, plan.seed ^ plan.region as u64));
+    }
+}
+
+async fn ordinary_failures(targets: FaultTargets, per_s: f64, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    loop {
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        sleep(secs(-uniform.ln() / per_s)).await;
+        targets.stop_machines(1, |_| true);
+    }
+}
+
+impl FaultTargets {
+    async fn bring_about(&self, fault: &Fault) {
+        match fault.kind {
+            FaultKind::Machines => self.stop_machines(fault.count, |_| true),
+            FaultKind::Rack => self.stop_in_one_zone(fault.count),
+            FaultKind::Zone => self.stop_in_one_zone(usize::MAX),
+            FaultKind::ControllerKilled => self.restart_controllers(&[self.owner()], fault.for_s).await,
+            FaultKind::ControllersRestarted => {
+                let all: Vec<usize> = (0..self.context.doors.len()).collect();
+                self.restart_controllers(&all, fault.for_s).await;
+            }
+            FaultKind::ControllerHeld => self.hold_owner(fault.for_s).await,
+            FaultKind::StateOutage => {
+                self.context.state_down(true);
+                sleep(secs(fault.for_s)).await;
+                self.context.state_down(false);
+            }
+            FaultKind::StateAnswersLost => {
+                self.context.w.lock().unwrap().lost_answers = 1.0;
+                sleep(secs(fault.for_s)).await;
+                self.context.w.lock().unwrap().lost_answers = 0.0;
+            }
+        }
+    }
+
+    /// Stops so many of the machines that are up and that `which` accepts by their zone.
+    fn stop_machines(&self, count: usize, which: impl Fn(&str) -> bool) {
+        let stopped: Vec<String> = {
+            let world = self.context.w.lock().unwrap();
+            let now = Instant::now();
+            let up = world.machines.values().filter(|machine| machine.alive(now) && which(&machine.zone));
+            up.take(count).map(|machine| machine.id.clone()).collect()
+        };
+        stopped.iter().for_each(|id| machines::die(&self.context, id));
+    }
+
+    fn stop_in_one_zone(&self, count: usize) {
+        let zone = self.context.w.lock().unwrap().parameters.zones[0];
+        self.stop_machines(count, |other| other == zone);
+    }
+
+    /// The controller that holds the jobs, as the state service knows it; the first if none does.
+    fn owner(&self) -> usize {
+        owner(&self.context).unwrap_or(0)
+    }
+
+    async fn restart_controllers(&self, numbers: &[usize], after_s: f64) {
+        for number in numbers {
+            report(self.controllers.lock().await.kill(*number).await);
+        }
+        sleep(secs(after_s)).await;
+        for number in numbers {
+            report(self.controllers.lock().await.start_one(*number));
+        }
+    }
+
+    async fn hold_owner(&self, for_s: f64) {
+        let owner = self.owner();
+        report(self.controllers.lock().await.hold(owner, true));
+        sleep(secs(for_s)).await;
+        report(self.controllers.lock().await.hold(owner, false));
+    }
+}
+
+/// The controller that holds the jobs, as the state service knows it.
+pub fn owner(context: &SimulationContext) -> Option<usize> {
+    let record = context.w.lock().unwrap().store.value("part/0");
+    record["holder"].as_str()?.strip_prefix('n')?.parse().ok()
+}
+
+fn report(result: std::io::Result<()>) {
+    if let Err(error) = result {
+        eprintln!("badgerdrift-scale: a fault could not be brought about: {error}");
+    }
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,1 +1,143 @@
-fn main() {}
+//! Runs real controllers against stand-ins at the size of a target fleet, and reports how they fare.
+
+#![expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
+
+mod addresses;
+mod child;
+mod controllers;
+mod counting;
+mod faults;
+mod plan;
+mod region;
+mod report;
+mod results;
+mod run;
+mod samples;
+mod scenario;
+mod sweep;
+mod workload;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit status for a scenario that is not sound.
+const BAD_SCENARIO: u8 = 2;
+
+/// Runs real controllers of badgerdrift against stand-ins at the size of a target fleet.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a scenario once.
+    Run(RunArguments),
+    /// Runs a scenario at several sizes and fits a line to each cost.
+    Sweep {
+        #[command(flatten)]
+        run: RunArguments,
+        /// Sizes as parts of the scenario's, at least four.
+        #[arg(long, value_delimiter = ',', default_value = "0.1,0.2,0.3,0.4")]
+        sizes: Vec<f64>,
+    },
+    /// The stand-ins of one region and its controllers; started by `run`.
+    #[command(hide = true)]
+    Region,
+}
+
+#[derive(clap::Args, Clone)]
+struct RunArguments {
+    /// The scenario (HCL).
+    scenario: PathBuf,
+    /// Where the report goes (JSON).
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Repeats the workload of an earlier run.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Takes this part of the scenario's workers and arrivals.
+    #[arg(long, default_value_t = 1.0)]
+    size: f64,
+    /// The controller program; built if it is not named.
+    #[arg(long, value_name = "FILE")]
+    controller: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&format!("no runtime: {error}")),
+    };
+    match cli.command {
+        Command::Region => {
+            runtime.block_on(region::serve());
+            ExitCode::SUCCESS
+        }
+        Command::Run(arguments) => match prepare(&arguments) {
+            Ok(prepared) => outcome(runtime.block_on(run::run(&prepared)), &arguments),
+            Err(error) => refuse(&error),
+        },
+        Command::Sweep { run, sizes } => {
+            match prepare(&run).and_then(|prepared| sweep::check(&sizes).map(|()| prepared)) {
+                Ok(prepared) => sweep_outcome(runtime.block_on(sweep::sweep(&prepared, &sizes)), &run),
+                Err(error) => refuse(&error),
+            }
+        }
+    }
+}
+
+/// A scenario that was read and checked, with what the command line says of the run.
+fn prepare(arguments: &RunArguments) -> Result<run::Prepared, String> {
+    let scenario = scenario::load(&arguments.scenario)?.scaled(arguments.size)?;
+    let seed = arguments.seed.unwrap_or_else(|| u64::from(std::process::id()));
+    Ok(run::Prepared { scenario, seed, controller: arguments.controller.clone() })
+}
+
+fn outcome(result: Result<report::Report, String>, arguments: &RunArguments) -> ExitCode {
+    let report = match result {
+        Ok(report) => report,
+        Err(error) => return fail(&error),
+    };
+    println!("{}", report.table());
+    if let Err(error) = write(&arguments.report, &report) {
+        return fail(&error);
+    }
+    for broken in &report.broken_rules {
+        eprintln!("rule broken in {}: {}\n{}", broken.region, broken.rule, broken.history);
+    }
+    if report.broken_rules.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn sweep_outcome(result: Result<sweep::Sweep, String>, arguments: &RunArguments) -> ExitCode {
+    let sweep = match result {
+        Ok(sweep) => sweep,
+        Err(error) => return fail(&error),
+    };
+    println!("{}", sweep.table());
+    match write(&arguments.report, &sweep) {
+        Ok(()) if sweep.rules_hold() => ExitCode::SUCCESS,
+        Ok(()) => ExitCode::FAILURE,
+        Err(error) => fail(&error),
+    }
+}
+
+fn write(path: &Option<PathBuf>, value: &impl serde::Serialize) -> Result<(), String> {
+    let Some(path) = path else { return Ok(()) };
+    let text = serde_json::to_string_pretty(value).map_err(|error| error.to_string())?;
+    std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn refuse(error: &str) -> ExitCode {
+    eprintln!("badgerdrift-scale: {error}");
+    ExitCode::from(BAD_SCENARIO)
+}
+
+fn fail(error: &str) -> ExitCode {
+    eprintln!("badgerdrift-scale: {error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/scale/src/region.rs
@@ -0,0 +1,265 @@
+//! The process of one region: its stand-ins, its workload, and its real controllers as children.
+
+use crate::controllers::{Controllers, LIST_LAG_S, team_name};
+use crate::counting::{Traffic, counting};
+use crate::faults::{self, FaultTargets};
+use crate::plan::{RegionMessage, RegionPlan};
+use crate::results::{RegionResult, Role, ServiceTraffic};
+use crate::samples::Sampler;
+use crate::workload::{self, leak};
+use badgerdrift::http::Client;
+use badgerdrift_stand_ins::ground::SimulationContext;
+use badgerdrift_stand_ins::net::Fabric;
+use badgerdrift_stand_ins::store::Limits;
+use badgerdrift_stand_ins::world::{Flavor, Parameters, SimulationState, TeamLimit};
+use badgerdrift_stand_ins::{cloud, state_service};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader, Lines, Stdin};
+use tokio::sync::Mutex;
+use tokio::time::{Instant, interval};
+
+/// How often the stand-ins look at what happens by itself.
+const TICK: Duration = Duration::from_millis(50);
+/// How often processes are sampled.
+const SAMPLE: Duration = Duration::from_secs(1);
+/// Bytes in a KiB.
+const KIB: f64 = 1024.0;
+/// Idle connections that the users keep.
+const USER_CONNECTIONS: usize = 16;
+
+/// Runs the region that the first line on standard input tells, until its time is over or the
+/// input ends: whoever started this process is gone then.
+pub async fn serve() {
+    let mut input = BufReader::new(tokio::io::stdin()).lines();
+    let plan = match input.next_line().await {
+        Ok(Some(line)) => serde_json::from_str::<RegionPlan>(&line).map_err(|error| error.to_string()),
+        _ => return,
+    };
+    let message = match plan {
+        Ok(plan) => match run(plan, input).await {
+            Ok(Some(result)) => RegionMessage::Result(Box::new(result)),
+            Ok(None) => return,
+            Err(error) => RegionMessage::Failed(error),
+        },
+        Err(error) => RegionMessage::Failed(error),
+    };
+    say(&message);
+}
+
+fn say(message: &RegionMessage) {
+    if let Ok(line) = serde_json::to_string(message) {
+        println!("{line}");
+    }
+}
+
+/// What went over the networks of a region.
+#[derive(Default)]
+struct RegionTraffic {
+    workers: Arc<Traffic>,
+    state: Arc<Traffic>,
+    cloud: Arc<Traffic>,
+    users: Arc<Traffic>,
+}
+
+/// The result; none if the run was given up.
+async fn run(plan: RegionPlan, mut input: Lines<BufReader<Stdin>>) -> Result<Option<RegionResult>, String> {
+    let traffic = RegionTraffic::default();
+    let context = start_stand_ins(&plan, &traffic);
+    let controllers = Controllers::start(&plan).map_err(|error| format!("a controller does not start: {error}"))?;
+    let controllers = Arc::new(Mutex::new(controllers));
+    workload::start(&context, &plan);
+    faults::start(&FaultTargets { context: context.clone(), controllers: controllers.clone() }, &plan);
+
+    let mut measurement = Measurement::new(&plan, context, controllers.clone());
+    let mut ticks = interval(TICK);
+    let mut samples = interval(SAMPLE);
+    while !measurement.is_over() {
+        tokio::select! {
+            _ = ticks.tick() => measurement.context.w.lock().unwrap().tick(),
+            _ = samples.tick() => measurement.sample().await,
+            line = input.next_line() => if !matches!(line, Ok(Some(_))) {
+                return give_up(&controllers).await;
+            },
+        }
+    }
+    let result = measurement.finish(&traffic);
+    controllers.lock().await.kill_all().await.map_err(|error| error.to_string())?;
+    Ok(Some(result))
+}
+
+async fn give_up(controllers: &Mutex<Controllers>) -> Result<Option<RegionResult>, String> {
+    controllers.lock().await.kill_all().await.map_err(|error| error.to_string())?;
+    Ok(None)
+}
+
+/// Starts the state service and the cloud, each at an address for each controller.
+fn start_stand_ins(plan: &RegionPlan, traffic: &RegionTraffic) -> SimulationContext {
+    let count = plan.scenario.controllers_per_region;
+    let seed = plan.seed.wrapping_add(plan.region as u64);
+    let mut world = SimulationState::of(parameters(plan), seed, count);
+    let state = &plan.scenario.state;
+    world.store.limits = Some(Limits {
+        value_bytes: (state.value_kb * KIB) as usize,
+        changes: state.txn_ops,
+        changes_per_s: state.write_rps,
+    });
+    let user_network = counting(traffic.users.clone());
+    let workers = SimulationContext {
+        seed,
+        w: Arc::new(std::sync::Mutex::new(world)),
+        fabric: Fabric::new(seed),
+        user: Client::on(&user_network, USER_CONNECTIONS),
+        doors: (0..count).map(|number| plan.networks.controller(number)).collect(),
+        real_network: Some(counting(traffic.workers.clone())),
+    };
+    let on =
+        |traffic: &Arc<Traffic>| SimulationContext { real_network: Some(counting(traffic.clone())), ..workers.clone() };
+    let (state, clouds) = (on(&traffic.state), on(&traffic.cloud));
+    for number in 0..count {
+        state.serve(plan.networks.state_service(number), move |context, request| {
+            state_service::state(context, number, request)
+        });
+        // Machines that are rented use the workers' network.
+        let workers = workers.clone();
+        clouds.serve(plan.networks.cloud(number), move |_, request| cloud::cloud(workers.clone(), request));
+    }
+    workers
+}
+
+fn parameters(plan: &RegionPlan) -> Parameters {
+    let (scenario, machine, worker) = (&plan.scenario, &plan.scenario.machine, &plan.scenario.worker);
+    let limit = |most: f64| if most > 0.0 { plan.part(most) } else { f64::INFINITY };
+    let teams = (0..scenario.teams.count).map(|team| TeamLimit {
+        team: leak(team_name(team)),
+        cores: limit(scenario.teams.most_cores),
+        cards: limit(scenario.teams.most_cards),
+    });
+    let flavor = Flavor {
+        sku: "standard",
+        cores: machine.cores,
+        cards: machine.cards,
+        mem_gb: machine.mem_gb,
+        startup_s: machine.startup_s,
+    };
+    Parameters {
+        report_s: worker.report_s,
+        lease_s: worker.lease_s,
+        gang_wait_s: worker.gang_wait_s,
+        gang_peer_s: worker.gang_peer_s,
+        list_lag_s: LIST_LAG_S,
+        zones: plan.zones().into_iter().map(leak).collect(),
+        teams: teams.collect(),
+        flavors: vec![Box::leak(Box::new(flavor))],
+        capacity: plan.part(scenario.workers as f64 / scenario.zones_per_region as f64).round() as usize,
+        fetch_s: worker.fetch_s,
+        machine_network: plan.networks.machines(),
+        tick_every: TICK,
+        state_requests_per_s: Some(scenario.state.rps),
+    }
+}
+
+/// What is measured while a region runs.
+struct Measurement {
+    began: Instant,
+    duration: Duration,
+    context: SimulationContext,
+    controllers: Arc<Mutex<Controllers>>,
+    sampler: Sampler,
+    starts_before: u64,
+    result: RegionResult,
+}
+
+impl Measurement {
+    fn new(plan: &RegionPlan, context: SimulationContext, controllers: Arc<Mutex<Controllers>>) -> Measurement {
+        Measurement {
+            began: Instant::now(),
+            duration: Duration::from_secs_f64(plan.scenario.duration_s),
+            context,
+            controllers,
+            sampler: Sampler::new(),
+            starts_before: 0,
+            result: RegionResult { region: plan.name(), ..RegionResult::default() },
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.began.elapsed() >= self.duration || self.context.w.lock().unwrap().broken.is_some()
+    }
+
+    async fn sample(&mut self) {
+        self.sample_processes().await;
+        self.sample_world();
+        let elapsed_s = self.began.elapsed().as_secs_f64();
+        say(&RegionMessage::Progress { elapsed_s, starts: self.starts_before, workers: self.result.workers });
+    }
+
+    async fn sample_processes(&mut self) {
+        let owner = faults::owner(&self.context);
+        let mut controllers = self.controllers.lock().await;
+        if let Some(number) = controllers.ended() {
+            self.result.controllers_ended += 1;
+            let _ = controllers.kill(number).await;
+            let _ = controllers.start_one(number);
+        }
+        let ids = (0..controllers.count()).map(|number| (number, controllers.process_id(number)));
+        let mut processes: Vec<(Role, u32)> = ids
+            .filter_map(|(number, id)| Some((if owner == Some(number) { Role::Owner } else { Role::Standby }, id?)))
+            .collect();
+        processes.push((Role::StandIns, std::process::id()));
+        for (role, id) in processes {
+            if let Some(usage) = self.sampler.sample(id) {
+                self.result.usage.entry(role).or_default().add(usage);
+            }
+        }
+    }
+
+    fn sample_world(&mut self) {
+        let mut world = self.context.w.lock().unwrap();
+        let now = Instant::now();
+        let starts_per_s = (world.starts - self.starts_before) as f64 / SAMPLE.as_secs_f64();
+        self.starts_before = world.starts;
+        let result = &mut self.result;
+        result.most_starts_per_s = result.most_starts_per_s.max(starts_per_s);
+        result.workers = world.machines.values().filter(|machine| machine.alive(now)).count();
+        result.most_running_tasks = result.most_running_tasks.max(world.running_tasks());
+        for (team, used) in world.usage_by_team() {
+            let most = result.most_used.entry(team.into()).or_default();
+            *most = (most.0.max(used.0), most.1.max(used.1));
+        }
+        for wait in std::mem::take(&mut world.start_waits) {
+            result.waits_ms.entry(wait.urgency.into()).or_default().push(wait.wait.as_millis() as u32);
+        }
+    }
+
+    fn finish(mut self, traffic: &RegionTraffic) -> RegionResult {
+        self.sample_world();
+        let world = self.context.w.lock().unwrap();
+        let result = &mut self.result;
+        result.elapsed_s = self.began.elapsed().as_secs_f64();
+        result.starts = world.starts;
+        result.stopped_tasks = world.stopped.len();
+        result.machine_failures = world.machines.values().filter(|machine| machine.died.is_some()).count();
+        result.jobs_submitted = world.jobs.values().filter(|job| job.submitted).count();
+        result.jobs_accepted = world.jobs.values().filter(|job| job.accepted.is_some()).count();
+        result.jobs_done = world.jobs.values().filter(|job| job.done_told.is_some()).count();
+        result.traffic = ServiceTraffic {
+            worker_bytes: traffic.workers.bytes(),
+            worker_connections: traffic.workers.connections.load(Ordering::Relaxed),
+            state_bytes: traffic.state.bytes(),
+            state_requests: world.requests,
+            state_requests_refused: world.requests_refused,
+            state_writes: world.store.writes,
+            state_writes_refused: world.store.throttled,
+            cloud_bytes: traffic.cloud.bytes(),
+            user_bytes: traffic.users.bytes(),
+        };
+        if let Some(broken) = &world.broken {
+            result.history = world.recent(broken);
+            result.broken_rule = Some(broken.clone());
+        }
+        drop(world);
+        self.result
+    }
+}
--- /dev/null
+++ b/crates/scale/src/report.rs
@@ -0,0 +1,201 @@
+//! What a run found, over all regions together.
+
+use crate::results::{RegionResult, Role, RoleUsage, ServiceTraffic};
+use crate::run::Prepared;
+use crate::scenario::Scenario;
+use comfy_table::Table;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a run found.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    pub version: &'static str,
+    pub seed: u64,
+    pub scenario: Scenario,
+    pub workers: usize,
+    pub most_running_tasks: usize,
+    pub jobs_submitted: usize,
+    pub jobs_accepted: usize,
+    pub jobs_done: usize,
+    pub starts: u64,
+    pub starts_per_s: f64,
+    /// Sum of the most starts a second of each region.
+    pub most_starts_per_s: f64,
+    pub stopped_tasks: usize,
+    pub machine_failures: usize,
+    /// From submission to start, by urgency.
+    pub waits: BTreeMap<String, WaitSummary>,
+    pub usage: BTreeMap<Role, RoleUsage>,
+    /// Over all regions, a second.
+    pub traffic_per_s: TrafficRates,
+    pub controllers_ended: usize,
+    pub broken_rules: Vec<BrokenRule>,
+}
+
+/// A distribution of waits.
+#[derive(Debug, Serialize)]
+pub struct WaitSummary {
+    pub tasks: u64,
+    pub p50_s: f64,
+    pub p99_s: f64,
+    pub max_s: f64,
+}
+
+/// Traffic of all regions a second, as payload of TCP.
+#[derive(Debug, Default, Serialize)]
+pub struct TrafficRates {
+    /// Bytes of reports, answers, orders and the rest of HTTP, for one worker.
+    pub bytes_per_worker: f64,
+    pub state_requests: f64,
+    pub state_requests_refused: f64,
+    pub state_writes: f64,
+    pub state_writes_refused: f64,
+    pub state_bytes: f64,
+    pub cloud_bytes: f64,
+    pub user_bytes: f64,
+}
+
+/// A rule that was broken.
+#[derive(Debug, Serialize)]
+pub struct BrokenRule {
+    pub region: String,
+    pub rule: String,
+    pub history: String,
+}
+
+const MS_PER_S: f64 = 1000.0;
+/// Significant digits of the distributions.
+const HISTOGRAM_DIGITS: u8 = 3;
+/// Sums of decimal amounts may be off by rounding.
+const ROUNDING: f64 = 1e-6;
+
+impl Report {
+    /// Joins what the regions measured.
+    pub fn new(prepared: &Prepared, regions: Vec<RegionResult>) -> Report {
+        let scenario = &prepared.scenario;
+        let elapsed_s = regions.iter().map(|region| region.elapsed_s).fold(0.1, f64::max);
+        let sum = |of: fn(&RegionResult) -> usize| regions.iter().map(of).sum::<usize>();
+        let starts: u64 = regions.iter().map(|region| region.starts).sum();
+        let workers = sum(|region| region.workers);
+        let mut usage: BTreeMap<Role, RoleUsage> = BTreeMap::new();
+        for (role, used) in regions.iter().flat_map(|region| &region.usage) {
+            usage.entry(*role).or_default().join(used);
+        }
+        Report {
+            version: env!("CARGO_PKG_VERSION"),
+            seed: prepared.seed,
+            scenario: scenario.clone(),
+            workers,
+            most_running_tasks: sum(|region| region.most_running_tasks),
+            jobs_submitted: sum(|region| region.jobs_submitted),
+            jobs_accepted: sum(|region| region.jobs_accepted),
+            jobs_done: sum(|region| region.jobs_done),
+            starts,
+            starts_per_s: starts as f64 / elapsed_s,
+            most_starts_per_s: regions.iter().map(|region| region.most_starts_per_s).sum(),
+            stopped_tasks: sum(|region| region.stopped_tasks),
+            machine_failures: sum(|region| region.machine_failures),
+            waits: waits(&regions),
+            usage,
+            traffic_per_s: rates(&regions, elapsed_s, workers),
+            controllers_ended: sum(|region| region.controllers_ended),
+            broken_rules: broken_rules(scenario, &regions),
+        }
+    }
+
+    /// The figures as a table for a terminal.
+    pub fn table(&self) -> Table {
+        let mut table = Table::new();
+        table.set_header(["figure", "value"]);
+        let mut row = |name: &str, value: String| _ = table.add_row([name.to_string(), value]);
+        row("workers up at the end", format!("{} of {}", self.workers, self.scenario.workers));
+        row("tasks on machines, most", self.most_running_tasks.to_string());
+        let jobs = (self.jobs_done, self.jobs_accepted, self.jobs_submitted);
+        row("jobs done / accepted / submitted", format!("{} / {} / {}", jobs.0, jobs.1, jobs.2));
+        row("task starts a second, mean / most", format!("{:.0} / {:.0}", self.starts_per_s, self.most_starts_per_s));
+        row("tasks stopped for others", self.stopped_tasks.to_string());
+        row("machines failed", self.machine_failures.to_string());
+        for (urgency, wait) in &self.waits {
+            let text = format!("{:.2} / {:.2} / {:.2} s of {} tasks", wait.p50_s, wait.p99_s, wait.max_s, wait.tasks);
+            row(&format!("submission to start, {urgency}: p50 / p99 / max"), text);
+        }
+        for (role, usage) in &self.usage {
+            let cores = format!("{:.3} / {:.3} cores", usage.mean_cores, usage.most_cores);
+            let rest = format!("{:.0} MB, {:.0} files", usage.most_resident_mb, usage.most_open_files);
+            row(&format!("{role:?}: processor mean / most, memory, open files"), format!("{cores}, {rest}"));
+        }
+        let traffic = &self.traffic_per_s;
+        row("bytes a second for a worker", format!("{:.0}", traffic.bytes_per_worker));
+        row(
+            "state services: requests, writes a second",
+            format!("{:.0}, {:.0}", traffic.state_requests, traffic.state_writes),
+        );
+        let refused = (traffic.state_requests_refused, traffic.state_writes_refused);
+        row("state services: refused requests, commits a second", format!("{:.1}, {:.1}", refused.0, refused.1));
+        row("controllers ended by themselves", self.controllers_ended.to_string());
+        row("broken rules", self.broken_rules.len().to_string());
+        table
+    }
+}
+
+fn waits(regions: &[RegionResult]) -> BTreeMap<String, WaitSummary> {
+    let mut histograms: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
+    for (urgency, waits_ms) in regions.iter().flat_map(|region| &region.waits_ms) {
+        let histogram = histograms
+            .entry(urgency.clone())
+            .or_insert_with(|| Histogram::new(HISTOGRAM_DIGITS).expect("the number of digits is allowed"));
+        for wait in waits_ms {
+            histogram.record(u64::from(*wait)).expect("a histogram without bound takes any value");
+        }
+    }
+    let summary = |histogram: Histogram<u64>| WaitSummary {
+        tasks: histogram.len(),
+        p50_s: histogram.value_at_quantile(0.5) as f64 / MS_PER_S,
+        p99_s: histogram.value_at_quantile(0.99) as f64 / MS_PER_S,
+        max_s: histogram.max() as f64 / MS_PER_S,
+    };
+    histograms.into_iter().map(|(urgency, histogram)| (urgency, summary(histogram))).collect()
+}
+
+fn rates(regions: &[RegionResult], elapsed_s: f64, workers: usize) -> TrafficRates {
+    let rate = |of: fn(&ServiceTraffic) -> u64| {
+        regions.iter().map(|region| of(&region.traffic)).sum::<u64>() as f64 / elapsed_s
+    };
+    TrafficRates {
+        bytes_per_worker: rate(|traffic| traffic.worker_bytes) / workers.max(1) as f64,
+        state_requests: rate(|traffic| traffic.state_requests),
+        state_requests_refused: rate(|traffic| traffic.state_requests_refused),
+        state_writes: rate(|traffic| traffic.state_writes),
+        state_writes_refused: rate(|traffic| traffic.state_writes_refused),
+        state_bytes: rate(|traffic| traffic.state_bytes),
+        cloud_bytes: rate(|traffic| traffic.cloud_bytes),
+        user_bytes: rate(|traffic| traffic.user_bytes),
+    }
+}
+
+/// What the regions found, and teams whose most use in all regions together, as if it had been
+/// at the same time, is beyond their limit over the fleet.
+fn broken_rules(scenario: &Scenario, regions: &[RegionResult]) -> Vec<BrokenRule> {
+    let of_region = |region: &RegionResult| {
+        let rule = region.broken_rule.clone()?;
+        Some(BrokenRule { region: region.region.clone(), rule, history: region.history.clone() })
+    };
+    let mut broken: Vec<BrokenRule> = regions.iter().filter_map(of_region).collect();
+    let mut used: BTreeMap<&String, (f64, f64)> = BTreeMap::new();
+    for (team, most) in regions.iter().flat_map(|region| &region.most_used) {
+        let sum = used.entry(team).or_default();
+        *sum = (sum.0 + most.0, sum.1 + most.1);
+    }
+    for (team, (cores, cards)) in used {
+        let beyond = |used: f64, most: f64| most > 0.0 && used > most + ROUNDING;
+        if beyond(cores, scenario.teams.most_cores) || beyond(cards, scenario.teams.most_cards) {
+            let rule = format!("quota over the fleet: {team} uses up to {cores} cores, {cards} cards");
+            let by_region =
+                regions.iter().map(|region| format!("{}: {:?}\n", region.region, region.most_used.get(team)));
+            broken.push(BrokenRule { region: "all regions".into(), rule, history: by_region.collect() });
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/crates/scale/src/results.rs
@@ -0,0 +1,97 @@
+//! What one region measured.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What a process uses at a time.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Usage {
+    pub cores: f64,
+    pub resident_mb: f64,
+    pub open_files: f64,
+}
+
+/// What the processes of a role used over a run.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RoleUsage {
+    pub samples: u64,
+    pub mean_cores: f64,
+    pub most_cores: f64,
+    pub most_resident_mb: f64,
+    pub most_open_files: f64,
+}
+
+impl RoleUsage {
+    /// Counts one sample.
+    pub fn add(&mut self, usage: Usage) {
+        self.mean_cores = (self.mean_cores * self.samples as f64 + usage.cores) / (self.samples + 1) as f64;
+        self.samples += 1;
+        self.most_cores = self.most_cores.max(usage.cores);
+        self.most_resident_mb = self.most_resident_mb.max(usage.resident_mb);
+        self.most_open_files = self.most_open_files.max(usage.open_files);
+    }
+
+    /// Joins what another region measured.
+    pub fn join(&mut self, other: &RoleUsage) {
+        let samples = (self.samples + other.samples).max(1) as f64;
+        let sum = self.mean_cores * self.samples as f64 + other.mean_cores * other.samples as f64;
+        self.mean_cores = sum / samples;
+        self.samples += other.samples;
+        self.most_cores = self.most_cores.max(other.most_cores);
+        self.most_resident_mb = self.most_resident_mb.max(other.most_resident_mb);
+        self.most_open_files = self.most_open_files.max(other.most_open_files);
+    }
+}
+
+/// What processes are there for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    Owner,
+    Standby,
+    StandIns,
+}
+
+/// Bytes and requests of a region's services over the run, as payload of TCP.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct ServiceTraffic {
+    pub worker_bytes: u64,
+    pub worker_connections: u64,
+    pub state_bytes: u64,
+    pub state_requests: u64,
+    pub state_requests_refused: u64,
+    pub state_writes: u64,
+    pub state_writes_refused: u64,
+    pub cloud_bytes: u64,
+    pub user_bytes: u64,
+}
+
+/// What one region measured.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RegionResult {
+    pub region: String,
+    pub elapsed_s: f64,
+    /// Machines that were up at the end.
+    pub workers: usize,
+    pub most_running_tasks: usize,
+    pub jobs_submitted: usize,
+    pub jobs_accepted: usize,
+    pub jobs_done: usize,
+    /// Tasks that started, first starts and later ones.
+    pub starts: u64,
+    pub most_starts_per_s: f64,
+    /// Tasks that were stopped though their jobs were not cancelled.
+    pub stopped_tasks: usize,
+    pub machine_failures: usize,
+    /// Milliseconds from submission to first start of each task, by urgency.
+    pub waits_ms: BTreeMap<String, Vec<u32>>,
+    pub usage: BTreeMap<Role, RoleUsage>,
+    pub traffic: ServiceTraffic,
+    /// The most cores and cards that each team used at a time.
+    pub most_used: BTreeMap<String, (f64, f64)>,
+    /// Controllers that ended by themselves.
+    pub controllers_ended: usize,
+    pub broken_rule: Option<String>,
+    /// What happened to the task or team of the broken rule.
+    pub history: String,
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,132 @@
+//! One run: starts the regions, follows them, and joins what they measured.
+
+use crate::addresses::RegionNetworks;
+use crate::child::RegionProcess;
+use crate::plan::{RegionMessage, RegionPlan};
+use crate::report::Report;
+use crate::results::RegionResult;
+use crate::scenario::Scenario;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use tokio::sync::mpsc;
+
+/// A checked scenario, and how it is run.
+#[derive(Clone)]
+pub struct Prepared {
+    pub scenario: Scenario,
+    pub seed: u64,
+    /// The controller program; built if none is named.
+    pub controller: Option<PathBuf>,
+}
+
+/// Runs a scenario; whatever happens, all processes have ended afterwards.
+pub async fn run(prepared: &Prepared) -> Result<Report, String> {
+    let controller = match &prepared.controller {
+        Some(path) => path.clone(),
+        None => build_controller()?,
+    };
+    let directory = Directory::create()?;
+    let networks = RegionNetworks::find(prepared.scenario.regions)?;
+    println!("seed {}, {} regions, {} workers", prepared.seed, prepared.scenario.regions, prepared.scenario.workers);
+    let plans = networks.into_iter().enumerate().map(|(region, networks)| RegionPlan {
+        region,
+        seed: prepared.seed,
+        scenario: prepared.scenario.clone(),
+        networks,
+        controller: controller.clone(),
+        directory: directory.0.clone(),
+    });
+    let mut regions = Vec::new();
+    for plan in plans {
+        regions.push(RegionProcess::start(&plan).await?);
+    }
+    let results = tokio::select! {
+        results = follow(regions, prepared.scenario.duration_s) => results?,
+        _ = tokio::signal::ctrl_c() => return Err("interrupted".into()),
+    };
+    Ok(Report::new(prepared, results))
+}
+
+/// Waits for the results of all regions.
+async fn follow(regions: Vec<RegionProcess>, duration_s: f64) -> Result<Vec<RegionResult>, String> {
+    let progress = ProgressBar::new(duration_s as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s  {msg}") {
+        progress.set_style(style);
+    }
+    let (sender, mut messages) = mpsc::unbounded_channel();
+    let count = regions.len();
+    let mut tasks = tokio::task::JoinSet::new();
+    for (number, mut region) in regions.into_iter().enumerate() {
+        let sender = sender.clone();
+        tasks.spawn(async move {
+            while let Some(message) = region.next().await {
+                let last = !matches!(message, RegionMessage::Progress { .. });
+                let _ = sender.send((number, message));
+                if last {
+                    break;
+                }
+            }
+            region.stop().await;
+        });
+    }
+    drop(sender);
+    let mut starts = vec![0; count];
+    let mut workers = vec![0; count];
+    let mut results = Vec::new();
+    while let Some((number, message)) = messages.recv().await {
+        match message {
+            RegionMessage::Progress { elapsed_s, starts: started, workers: up } => {
+                (starts[number], workers[number]) = (started, up);
+                progress.set_position(elapsed_s as u64);
+                let (starts, workers) = (starts.iter().sum::<u64>(), workers.iter().sum::<usize>());
+                progress.set_message(format!("{workers} workers, {starts} starts"));
+            }
+            RegionMessage::Result(result) => results.push(*result),
+            RegionMessage::Failed(error) => return Err(error),
+        }
+    }
+    progress.finish_and_clear();
+    if results.len() < count {
+        return Err(format!("{} of {count} regions ended without a result", count - results.len()));
+    }
+    results.sort_by(|a, b| a.region.cmp(&b.region));
+    Ok(results)
+}
+
+/// Builds the controller program as this one was built, and tells where it is.
+fn build_controller() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let program = own.with_file_name("badgerdrift");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut command = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+    command
+        .args(["build", "--locked", "--quiet", "--package", "badgerdrift", "--bin", "badgerdrift"])
+        .current_dir(root);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let built = command.status().map_err(|error| format!("cargo: {error}"))?;
+    if built.success() && program.exists() {
+        Ok(program)
+    } else {
+        Err(format!("{}: the controller program could not be built", program.display()))
+    }
+}
+
+/// A directory for settings and logs, which is removed after the run.
+struct Directory(PathBuf);
+
+impl Directory {
+    fn create() -> Result<Directory, String> {
+        let path = std::env::temp_dir().join(format!("badgerdrift-scale-{}", std::process::id()));
+        std::fs::create_dir_all(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(Directory(path))
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- /dev/null
+++ b/crates/scale/src/scenario.rs
@@ -0,0 +1,277 @@
+//! What is run: sizes, classes of jobs, failures and named faults, read from HCL.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A scenario; amounts are those of the whole fleet.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub regions: usize,
+    pub zones_per_region: usize,
+    pub controllers_per_region: usize,
+    pub workers: usize,
+    pub duration_s: f64,
+    pub teams: Teams,
+    pub machine: MachineType,
+    pub worker: WorkerTimes,
+    pub state: StateService,
+    /// Failures of an ordinary day; none if absent.
+    #[serde(default)]
+    pub failures: Failures,
+    pub class: BTreeMap<String, JobClass>,
+    /// Named faults, at set times.
+    #[serde(default)]
+    pub fault: BTreeMap<String, Fault>,
+}
+
+/// Teams, which are all alike: what each may use over the whole fleet.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Teams {
+    pub count: usize,
+    pub guaranteed_cores: f64,
+    pub most_cores: f64,
+    pub guaranteed_cards: f64,
+    pub most_cards: f64,
+}
+
+/// The type of all machines.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineType {
+    pub cores: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub startup_s: f64,
+}
+
+/// Times of the workers, in seconds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerTimes {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+    /// Least and most time of an image fetch.
+    pub fetch_s: (f64, f64),
+}
+
+/// Limits of a region's state service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StateService {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// Machines of the whole fleet that fail or are replaced in a day, and how many times faster
+/// days go by for them.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Failures {
+    pub machines_a_day: f64,
+    pub replaced_a_day: f64,
+    pub compression: f64,
+}
+
+/// A class of jobs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobClass {
+    pub shape: Shape,
+    pub urgency: Urgency,
+    /// Least and most tasks of a job.
+    pub tasks: (u32, u32),
+    /// Least and most run time; a service is cancelled after that.
+    pub run_s: (f64, f64),
+    pub cores: f64,
+    #[serde(default)]
+    pub cards: f64,
+    pub mem_gb: f64,
+    /// Jobs a second over the whole fleet.
+    pub jobs_per_s: f64,
+    /// Jobs that are submitted at once at the start.
+    #[serde(default)]
+    pub initial_jobs: usize,
+}
+
+/// Shapes of jobs, with the protocol's names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    Batch,
+    Group,
+    Service,
+}
+
+impl Shape {
+    pub fn name(self) -> &'static str {
+        match self {
+            Shape::Batch => "batch",
+            Shape::Group => "group",
+            Shape::Service => "service",
+        }
+    }
+}
+
+/// Urgencies of jobs, with the protocol's names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    Production,
+    Urgent,
+    Standard,
+    BestEffort,
+}
+
+impl Urgency {
+    pub fn name(self) -> &'static str {
+        match self {
+            Urgency::Production => "production",
+            Urgency::Urgent => "urgent",
+            Urgency::Standard => "standard",
+            Urgency::BestEffort => "best_effort",
+        }
+    }
+}
+
+/// A fault in one region.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub kind: FaultKind,
+    pub at_s: f64,
+    pub region: usize,
+    /// How long it lasts, if it is one that ends.
+    #[serde(default)]
+    pub for_s: f64,
+    /// Machines that a fault of machines takes.
+    #[serde(default)]
+    pub count: usize,
+}
+
+/// What can go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// So many machines of the region stop.
+    Machines,
+    /// So many machines of one zone stop.
+    Rack,
+    /// All machines of one zone stop.
+    Zone,
+    /// The region's owner ends and comes back after `for_s`.
+    ControllerKilled,
+    /// The region's owner holds still.
+    ControllerHeld,
+    /// All controllers of the region end and come back after `for_s`.
+    ControllersRestarted,
+    /// The region's state service is out.
+    StateOutage,
+    /// Writes are carried out, and their answers lost.
+    StateAnswersLost,
+}
+
+/// Reads and checks a scenario; the error is one line naming field and reason.
+pub fn load(path: &Path) -> Result<Scenario, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// The scenario that a text tells.
+pub fn parse(text: &str) -> Result<Scenario, String> {
+    let one_line = |error: hcl::Error| error.to_string().split_whitespace().collect::<Vec<_>>().join(" ");
+    let scenario: Scenario = hcl::from_str(text).map_err(one_line)?;
+    scenario.check()?;
+    Ok(scenario)
+}
+
+/// Most processes of a run, with room to spare below a hundred.
+const MOST_CONTROLLERS: usize = 60;
+/// Zones and machines of a region have one byte of an address each.
+const MOST_REGIONS: usize = 20;
+const MOST_WORKERS_PER_REGION: usize = 40_000;
+
+impl Scenario {
+    fn check(&self) -> Result<(), String> {
+        in_range("regions", self.regions as f64, 1.0, MOST_REGIONS as f64)?;
+        in_range("zones_per_region", self.zones_per_region as f64, 1.0, 100.0)?;
+        let controllers = (self.regions * self.controllers_per_region) as f64;
+        in_range("controllers_per_region", self.controllers_per_region as f64, 1.0, MOST_CONTROLLERS as f64)?;
+        in_range("controllers_per_region: controllers of all regions", controllers, 1.0, MOST_CONTROLLERS as f64)?;
+        let least_workers = (self.regions * self.zones_per_region) as f64;
+        in_range("workers", self.workers as f64, least_workers, (MOST_WORKERS_PER_REGION * self.regions) as f64)?;
+        in_range("duration_s", self.duration_s, 1.0, 86_400.0)?;
+        in_range("teams.count", self.teams.count as f64, 1.0, 100_000.0)?;
+        for (field, guaranteed, most) in [
+            ("teams.guaranteed_cores", self.teams.guaranteed_cores, self.teams.most_cores),
+            ("teams.guaranteed_cards", self.teams.guaranteed_cards, self.teams.most_cards),
+        ] {
+            in_range(field, guaranteed, 0.0, if most > 0.0 { most } else { f64::MAX })?;
+        }
+        in_range("worker.lease_s", self.worker.lease_s, 2.0 * self.worker.report_s, f64::MAX)?;
+        in_range("worker.report_s", self.worker.report_s, 0.01, f64::MAX)?;
+        ordered("worker.fetch_s", self.worker.fetch_s.0, self.worker.fetch_s.1)?;
+        in_range("state.rps", self.state.rps, 1.0, f64::MAX)?;
+        in_range("state.write_rps", self.state.write_rps, 1.0, f64::MAX)?;
+        self.class.iter().try_for_each(|(name, class)| class.check(name, &self.machine))?;
+        self.fault.iter().try_for_each(|(name, fault)| fault.check(name, self))
+    }
+
+    /// The scenario with this part of its workers and arrivals.
+    pub fn scaled(mut self, size: f64) -> Result<Scenario, String> {
+        in_range("--size", size, 0.001, 100.0)?;
+        self.workers = (self.workers as f64 * size).round() as usize;
+        for class in self.class.values_mut() {
+            class.jobs_per_s *= size;
+            class.initial_jobs = (class.initial_jobs as f64 * size).round() as usize;
+        }
+        self.failures.machines_a_day *= size;
+        self.failures.replaced_a_day *= size;
+        self.check()?;
+        Ok(self)
+    }
+}
+
+impl JobClass {
+    fn check(&self, name: &str, machine: &MachineType) -> Result<(), String> {
+        ordered(&format!("class.{name}.tasks"), f64::from(self.tasks.0), f64::from(self.tasks.1))?;
+        ordered(&format!("class.{name}.run_s"), self.run_s.0, self.run_s.1)?;
+        in_range(&format!("class.{name}.cores"), self.cores, 0.01, machine.cores)?;
+        in_range(&format!("class.{name}.cards"), self.cards, 0.0, machine.cards)?;
+        in_range(&format!("class.{name}.mem_gb"), self.mem_gb, 0.0, machine.mem_gb)?;
+        in_range(&format!("class.{name}.jobs_per_s"), self.jobs_per_s, 0.0, 1e6)
+    }
+}
+
+impl Fault {
+    fn check(&self, name: &str, scenario: &Scenario) -> Result<(), String> {
+        in_range(&format!("fault.{name}.at_s"), self.at_s, 0.0, scenario.duration_s)?;
+        in_range(&format!("fault.{name}.for_s"), self.for_s, 0.0, scenario.duration_s)?;
+        in_range(&format!("fault.{name}.region"), self.region as f64, 0.0, (scenario.regions - 1) as f64)
+    }
+}
+
+fn in_range(field: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    if value >= least && value <= most {
+        Ok(())
+    } else if most < f64::MAX {
+        Err(format!("{field}: must be from {least} to {most}, is {value}"))
+    } else {
+        Err(format!("{field}: must be at least {least}, is {value}"))
+    }
+}
+
+fn ordered(field: &str, least: f64, most: f64) -> Result<(), String> {
+    if least > 0.0 && least <= most {
+        Ok(())
+    } else {
+        Err(format!("{field}: must be above 0 and in order, is {least} to {most}"))
+    }
+}
--- /dev/null
+++ b/crates/scale/tests/small_run.rs
@@ -0,0 +1,79 @@
+//! The scale run at a small size, with real controllers: it works, whatever its speed.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn scenario(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/scale").join(name)
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_badgerdrift-scale")).args(arguments).output().unwrap()
+}
+
+/// Processes that a run has started and left behind, by the directory that their command names.
+fn left_behind(run_id: u32) -> Vec<String> {
+    let directory = format!("badgerdrift-scale-{run_id}/");
+    let processes = std::fs::read_dir("/proc").unwrap().flatten();
+    let commands = processes.filter_map(|process| std::fs::read_to_string(process.path().join("cmdline")).ok());
+    commands.filter(|command| command.contains(&directory)).collect()
+}
+
+#[test]
+fn a_small_run_starts_tasks_keeps_the_rules_and_leaves_nothing_behind() {
+    let report = std::env::temp_dir().join(format!("badgerdrift-small-run-{}.json", std::process::id()));
+    let small = scenario("small.hcl");
+    let mut process = Command::new(env!("CARGO_BIN_EXE_badgerdrift-scale"))
+        .args(["run", small.to_str().unwrap(), "--seed", "7", "--report", report.to_str().unwrap()])
+        .spawn()
+        .unwrap();
+    let id = process.id();
+    let status = process.wait().unwrap();
+    let found: Value = serde_json::from_slice(&std::fs::read(&report).unwrap()).unwrap();
+    std::fs::remove_file(&report).unwrap();
+    assert!(status.success(), "{:#}", found["broken_rules"]);
+    assert_eq!(found["broken_rules"], Value::Array(Vec::new()));
+    assert_eq!(found["controllers_ended"], 0);
+    for figure in ["starts", "jobs_done", "workers"] {
+        assert!(found[figure].as_u64().unwrap() > 0, "{figure}: {found:#}");
+    }
+    for urgency in ["best_effort", "standard", "urgent"] {
+        let wait = &found["waits"][urgency];
+        assert!(wait["p50_s"].as_f64().unwrap() > 0.0, "{urgency}: an image takes time: {wait}");
+    }
+    assert!(found["traffic_per_s"]["bytes_per_worker"].as_f64().unwrap() > 0.0);
+    assert_eq!(left_behind(id), Vec::<String>::new());
+}
+
+#[test]
+fn a_bad_scenario_is_refused_in_one_line_before_anything_starts() {
+    let sound = std::fs::read_to_string(scenario("small.hcl")).unwrap();
+    let cases = [
+        ("workers                = 20", "workers = 0", "workers: must be from 4"),
+        ("lease_s     = 6", "lease_s = 0.6", "worker.lease_s: must be at least 1"),
+        ("regions                = 2\n", "regions = 2\nspeed = 3\n", "speed"),
+        ("region = 1", "region = 2", "fault.owner.region: must be from 0 to 1"),
+        ("tasks        = [10, 30]", "tasks = [30, 10]", "class.array.tasks: must be above 0 and in order"),
+    ];
+    for (number, (before, after, reason)) in cases.into_iter().enumerate() {
+        assert!(sound.contains(before), "{before}");
+        let file = std::env::temp_dir().join(format!("badgerdrift-bad-{}-{number}.hcl", std::process::id()));
+        std::fs::write(&file, sound.replace(before, after)).unwrap();
+        let output = run(&["run", file.to_str().unwrap()]);
+        std::fs::remove_file(&file).unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.contains(reason), "{said}");
+        assert!(output.stdout.is_empty(), "nothing was started");
+    }
+}
+
+#[test]
+fn a_sweep_needs_four_sizes() {
+    let small = scenario("small.hcl");
+    let output = run(&["sweep", small.to_str().unwrap(), "--sizes", "0.5,1"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("--sizes: at least 4 are needed"));
+}
--- a/crates/stand-ins/src/ground.rs
+++ b/crates/stand-ins/src/ground.rs
@@ -1,6 +1,6 @@
 //! What every part of a simulated day works with.
 
-use super::deployment::{PATIENCE, PORT};
+use super::deployment::PATIENCE;
 use super::net::Fabric;
 use super::world::Shared;
 use badgerdrift::http::{self, Client, Request, Response};
@@ -37,14 +37,14 @@
         self.w.lock().unwrap().refused[node] = refused;
     }
 
-    /// Serves [`deployment::PORT`] of a host.
-    pub fn serve<F>(&self, at: IpAddr, handler: impl Fn(SimulationContext, Request) -> F + Send + Sync + 'static)
+    /// Serves an address.
+    pub fn serve<F>(&self, at: SocketAddr, handler: impl Fn(SimulationContext, Request) -> F + Send + Sync + 'static)
     where
         F: Future<Output = Response> + Send + 'static,
     {
-        let (g, net) = (self.clone(), self.process(at).0);
+        let (g, net) = (self.clone(), self.process(at.ip()).0);
         tokio::spawn(async move {
-            let listener = net.bind(SocketAddr::new(at, PORT)).await.unwrap();
+            let listener = net.bind(at).await.unwrap();
             http::serve(listener, 500, PATIENCE, move |req| handler(g.clone(), req)).await;
         });
     }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -28,12 +28,13 @@
 use badgerdrift::config::Operator;
 use badgerdrift::http::{Client, Request};
 use badgerdrift::{clock, node, task};
+use deployment::PORT;
 use net::{Cut, Fabric};
 use pause::Pause;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::Value;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -91,8 +92,8 @@
         w.lock().unwrap().production = vec![setup.production; NODES];
         let g = SimulationContext { seed, w, fabric, user, doors: doors(), real_network: None };
         for i in 0..NODES {
-            g.serve(state_of(i), move |g, req| state_service::state(g, i, req));
-            g.serve(cloud_of(i), cloud::cloud);
+            g.serve(SocketAddr::new(state_of(i), PORT), move |g, req| state_service::state(g, i, req));
+            g.serve(SocketAddr::new(cloud_of(i), PORT), cloud::cloud);
         }
         let ticks = g.clone();
         tokio::spawn(async move {
--- a/crates/stand-ins/src/state_service.rs
+++ b/crates/stand-ins/src/state_service.rs
@@ -41,6 +41,9 @@
     if down(&g) {
         return Response::error(503, "trouble");
     }
+    if !g.w.lock().unwrap().takes_request() {
+        return Response::error(429, "too many requests");
+    }
     if req.path.starts_with("/changes") {
         let q = crate::store::query(&req.path);
         let until = Instant::now() + Duration::from_millis(q["hold_ms"].parse().unwrap());
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -33,6 +33,11 @@
 pub struct SimulationState {
     pub parameters: Parameters,
     last_tick: Instant,
+    requests_left: f64,
+    requests_refilled: Option<Instant>,
+    /// Requests that the state service took and refused under its limit.
+    pub requests: u64,
+    pub requests_refused: u64,
     /// Waits for first starts of tasks, since they were last taken.
     pub start_waits: Vec<StartWait>,
     pub rng: StdRng,
@@ -93,6 +98,10 @@
         SimulationState {
             parameters,
             last_tick: Instant::now(),
+            requests_left: 0.0,
+            requests_refilled: None,
+            requests: 0,
+            requests_refused: 0,
             start_waits: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             start: Instant::now(),
@@ -177,6 +186,39 @@
         ok
     }
 
+    /// Does the state service take one more request, under its limit? Bursts of a second's worth are.
+    pub fn takes_request(&mut self) -> bool {
+        let Some(rate) = self.parameters.state_requests_per_s else { return true };
+        let now = Instant::now();
+        let since_s = self.requests_refilled.replace(now).map_or(1.0, |at| (now - at).as_secs_f64());
+        self.requests_left = (self.requests_left + since_s * rate).min(rate);
+        let takes = self.requests_left >= 1.0;
+        if takes {
+            self.requests_left -= 1.0;
+            self.requests += 1;
+        } else {
+            self.requests_refused += 1;
+        }
+        takes
+    }
+
+    /// Tasks that are on machines now.
+    pub fn running_tasks(&self) -> usize {
+        self.machines.values().flat_map(|m| m.copies.values()).filter(|c| c.phase.on()).count()
+    }
+
+    /// Cores and cards that the tasks of each team use now.
+    pub fn usage_by_team(&self) -> BTreeMap<&'static str, (f64, f64)> {
+        let mut usage: BTreeMap<&'static str, (f64, f64)> = BTreeMap::new();
+        for attempt in self.machines.values().flat_map(|m| m.copies.values()).filter(|c| c.phase.on()) {
+            let job = &self.jobs[&attempt.job];
+            let used = usage.entry(attempt.team).or_default();
+            used.0 += job.cores;
+            used.1 += job.cards;
+        }
+        usage
+    }
+
     /// What happens by itself, unless that was looked at just now.
     pub fn tick_if_due(&mut self) {
         if self.last_tick.elapsed() >= self.parameters.tick_every {
