Fleet configuration: agreement among regions and division of limits, a pure package

Need: regions must agree on one history of changes, and a limit whose division moves must never be exceeded, whatever is lost, late or repeated. Single-decree Paxos for each version with one acceptor a region, whose record is stored with guarded writes; a region that gives a part of a limit away is counted with it until it has confirmed.

--- /dev/null
+++ b/crates/fleet-config/src/lib.rs
@@ -0,0 +1,32 @@
+//! Configuration of a fleet of several regions: a versioned set of documents that the regions
+//! agree on, and what each region may let a team use. Pure: no I/O, no clock.
+//!
+//! The documents change in numbered versions. Each version is one [`Batch`], and the regions
+//! agree on it by single-decree Paxos with one acceptor a region ([`Acceptor`], [`Proposer`]),
+//! whose record is in that region's state service. A region takes part in the agreement on one
+//! version at a time: the one after the last that it has applied.
+//!
+//! A team's limit is divided among the regions. [`ConfigState::allowance`] tells what a region may
+//! let a team use: a region that gives a part of a limit away is counted with what it had until it
+//! has confirmed that its owner, and any successor, obeys the change.
+#![warn(missing_docs)]
+
+mod acceptor;
+mod allowance;
+mod ballot;
+mod change;
+mod document;
+mod proposer;
+mod region;
+mod state;
+
+pub use acceptor::{Accepted, Acceptor, Rejection};
+pub use allowance::{Allowance, Confirmations, Held, TeamAllowance};
+pub use ballot::{Ballot, ProposerId};
+pub use change::{Batch, Change, ChangeId, Confirmation, Entry, ReadVersion};
+pub use document::{
+    Amount, Amounts, Document, DocumentError, DocumentName, OperatorDocument, RegionName, Share, TeamDocument,
+};
+pub use proposer::{Proposer, Step};
+pub use region::{RegionRecord, Reply, Request};
+pub use state::{ChangeOutcome, ConfigState, RecordedChange, VersionedDocument};
