Fleet configuration in the controllers: agreement, watch, exchange, takeover, command line; off by default

Change: `configuration` keeps a region's record in its state service and is its acceptor; one task proposes, one watches the state service, one a region exchanges versions. The owner decides by the last version, records that guarded by its key, and only what is recorded is confirmed; a takeover reads the configuration afresh. Unknown teams and unsettled limits get 503 while another region may know better. `badgerdrift config get|apply|diff|outcome|status`. Without `--fleet` nothing of it is stored, sent or read.

--- a/crates/fleet-config/src/state.rs
+++ b/crates/fleet-config/src/state.rs
@@ -67,6 +67,8 @@
     pub confirmations: Confirmations,
     /// The last changes, the oldest first.
     pub history: VecDeque<RecordedChange>,
+    /// Changes that were ever recorded here.
+    pub history_count: u64,
 }
 
 /// Changes that are remembered with their outcomes.
@@ -88,6 +90,7 @@
             confirmations: regions.iter().map(|region| (region.clone(), 0)).collect(),
             regions,
             history: VecDeque::new(),
+            history_count: 0,
         }
     }
 
@@ -121,12 +124,24 @@
                 ChangeOutcome::Taken { version: self.version }
             }
         };
-        self.history.push_back(RecordedChange { change: change.clone(), outcome, before });
+        self.remember(RecordedChange { change: change.clone(), outcome, before });
+    }
+
+    /// Adds a change with its outcome to the history.
+    pub fn remember(&mut self, recorded: RecordedChange) {
+        self.history.push_back(recorded);
+        self.history_count += 1;
         if self.history.len() > HISTORY_LENGTH {
             self.history.pop_front();
         }
     }
 
+    /// What was recorded since so many changes had been.
+    pub fn recorded_since(&self, count: u64) -> Vec<RecordedChange> {
+        let new = (self.history_count.saturating_sub(count) as usize).min(self.history.len());
+        self.history.iter().skip(self.history.len() - new).cloned().collect()
+    }
+
     /// Why a change is not taken, if so.
     fn refusal(&self, change: &Change) -> Option<ChangeOutcome> {
         for read in &change.reads {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -11,7 +11,7 @@
 mod jobs;
 pub mod machines;
 pub mod net;
-mod pause;
+pub mod pause;
 pub mod production_format;
 mod settle;
 pub mod state_service;
@@ -135,7 +135,7 @@
             }
             self.g.log(format!("n{node} starts, of the version in production: {production}"));
             self.pauses[node] = Arc::default();
-            let controller = node::run_on(net, deployment::settings(node), self.operator.clone());
+            let controller = node::run_on(net, deployment::settings(node), self.operator.clone(), None);
             tokio::spawn(task::behind(self.pauses[node].clone(), controller));
         }
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,7 +10,7 @@
 use crate::owner::{self, HeartbeatReply};
 use crate::partition::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
-use crate::refusal::RefusalReason::{self, ControllerOutdated, PredecessorUnclear};
+use crate::refusal::RefusalReason::{self, ConfigurationBehind, ControllerOutdated, PredecessorUnclear};
 use crate::request_budget::{Purpose, RequestBudget};
 use crate::router::Router;
 use crate::sched::{self, Policy};
@@ -128,6 +128,9 @@
         let mut text = self.metrics.text(self.job_reads.shared_count());
         text.push_str(&self.node_metrics.text());
         text.push_str(&gauge_line("silent_peers", self.router.silent_peers()));
+        if let Some(configuration) = &self.router.configuration {
+            text.push_str(&configuration.metrics_text());
+        }
         let versions = self.router.peer_versions();
         for (label, count) in [("current", versions.current), ("old", versions.old), ("unknown", versions.unknown)] {
             text.push_str(&labelled_gauge_line("peers", "version", label, count));
@@ -237,7 +240,7 @@
         let answer = match asked {
             Some(r) if r.status != 503 => r,
             // What keeps the owner from accepting it would not keep this node from it.
-            Some(r) if matches!(r.refusal, Some(ControllerOutdated | PredecessorUnclear)) => r,
+            Some(r) if matches!(r.refusal, Some(ConfigurationBehind | ControllerOutdated | PredecessorUnclear)) => r,
             // A second way in would only add to the work that the owner has.
             None if self.router.at_work(partition) && self.state.answers(self.router.grant_ttl_ms) => {
                 RefusalReason::SubmissionSlow.response()
@@ -277,6 +280,15 @@
         }
     }
 
+    /// The policy under the shared configuration, if there is one, and whether nothing newer is known.
+    fn current_policy(&self) -> (Arc<Policy>, bool) {
+        let Some(configuration) = &self.router.configuration else { return (self.policy.clone(), true) };
+        match (configuration.policy(&self.policy), configuration.published()) {
+            (Some(policy), Some(published)) => (Arc::new(policy), published.is_up_to_date()),
+            _ => (self.policy.clone(), false),
+        }
+    }
+
     /// Accepts a job without its partition's owner: the record is what counts. The
     /// next owner reads it; a present one is told by a key in its inbox.
     async fn accept(&self, partition: u32, spec: &Spec) -> Option<Response> {
@@ -284,8 +296,12 @@
             return Some(RefusalReason::TooManySubmissions.response());
         }
         let flavors = owner::kept_flavors(&self.state).await.filter(|flavors| !flavors.is_empty())?;
-        if let Some(why) = sched::impossible(spec, &self.policy, &flavors) {
-            return Some(Response::error(422, &why));
+        let (policy, up_to_date) = self.current_policy();
+        if let Some(why) = sched::impossible(spec, &policy, &flavors) {
+            return Some(match why.is_for_now(up_to_date) {
+                true => RefusalReason::ConfigurationBehind.response(),
+                false => Response::error(422, &why.to_string()),
+            });
         }
         let checked = match self.check_predecessors(spec).await {
             Ok(checked) => checked,
--- /dev/null
+++ b/src/configuration/actor.rs
@@ -0,0 +1,363 @@
+//! The actor: owns this region's record, and is the region's acceptor.
+
+use super::effect::settings_documents;
+use super::exchange;
+use super::handle::{ConfigurationHandle, Message, Published};
+use super::messages::{
+    ConfigurationRequest, ConfigurationResponse, Digest, RegionCondition, RegionStatus, Unavailable,
+};
+use super::proposals::{Proposals, Proposed};
+use super::records::{self, LoadError, Obeyed, REGION_KEY, StoredRecord};
+use super::regions::Regions;
+use super::settings::FleetSettings;
+use crate::clients::{State, TokenBucket};
+use crate::config::{Operator, Settings};
+use crate::metrics::SharedMetrics;
+use crate::net::Net;
+use crate::partition::CommitResult;
+use crate::peer::{Peer, PeerLimits};
+use crate::{clock, task, wire};
+use badgerdrift_fleet_config::{Acceptor, ConfigState, Confirmation, Entry, RegionName, RegionRecord, Request};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Messages to the actor that wait, at the most.
+const MAX_QUEUED: usize = 256;
+/// Of the changes that the state service takes in a second, one in so many is for the configuration.
+const WRITE_SHARE: f64 = 8.0;
+/// Another region counts as heard for so many exchanges.
+const HEARD_EXCHANGES: u64 = 5;
+/// Attempts to store a record that others change.
+const STORE_ATTEMPTS: usize = 3;
+
+/// What was last heard of another region.
+struct Heard {
+    digest: Digest,
+    at_ms: u64,
+}
+
+/// The actor of a node's configuration.
+pub struct ConfigurationActor {
+    fleet: FleetSettings,
+    genesis: u64,
+    initial: ConfigState,
+    state: State,
+    stored: Option<StoredRecord>,
+    all_capable: bool,
+    heard: BTreeMap<RegionName, Heard>,
+    heard_for_ms: u64,
+    obeyed: Obeyed,
+    /// The last version that this node has asked to be confirmed.
+    confirming: u64,
+    writes: TokenBucket,
+    proposals: mpsc::Sender<Proposed>,
+    published: watch::Sender<Option<Published>>,
+}
+
+/// Starts a node's configuration with all its tasks.
+pub fn start(
+    net: &Net,
+    settings: &Settings,
+    operator: &Operator,
+    fleet: FleetSettings,
+    state: State,
+    peers: &[Peer],
+    metrics: SharedMetrics,
+) -> ConfigurationHandle {
+    let regions = fleet.names();
+    let initial = ConfigState::initial(regions, settings_documents(settings, operator, &fleet.names()));
+    let genesis = genesis_of(&initial);
+    let (tx, rx) = mpsc::channel(MAX_QUEUED);
+    let (published_tx, published) = watch::channel(None);
+    let handle = ConfigurationHandle { region: fleet.region.clone(), tx, published };
+    let react = Duration::from_millis(settings.react_ms());
+    let limits = PeerLimits::of_grant(settings.grant_ttl_ms());
+    let ways = Regions::start(net, &fleet, limits, react);
+    let node = format!("{} {}", fleet.region, settings.node);
+    let proposals =
+        Proposals::start(node, genesis, handle.clone(), ways.clone(), settings.write_limits(), react, metrics.clone());
+    let now = clock::now_ms();
+    let actor = ConfigurationActor {
+        fleet,
+        genesis,
+        initial,
+        state: state.clone(),
+        stored: None,
+        all_capable: peers.is_empty(),
+        heard: BTreeMap::new(),
+        heard_for_ms: HEARD_EXCHANGES * settings.react_ms(),
+        obeyed: Obeyed::default(),
+        confirming: 0,
+        writes: TokenBucket::new(settings.write_limits().changes_per_s / WRITE_SHARE, WRITE_SHARE, now),
+        proposals,
+        published: published_tx,
+    };
+    task::spawn(actor.run(rx));
+    task::spawn(exchange::watch_capable(handle.clone(), peers.to_vec(), genesis, react));
+    task::spawn(exchange::watch_state(handle.clone(), state, react));
+    for region in ways.names() {
+        task::spawn(exchange::exchange(handle.clone(), ways.clone(), region, react, genesis, metrics.clone()));
+    }
+    handle
+}
+
+/// A number that tells whether two controllers begin with the same documents.
+fn genesis_of(initial: &ConfigState) -> u64 {
+    // Fixed keys: the same text leads to the same number in every process.
+    let mut hasher = DefaultHasher::new();
+    serde_json::to_string(&initial.documents.values().collect::<Vec<_>>()).unwrap_or_default().hash(&mut hasher);
+    initial.regions.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl ConfigurationActor {
+    async fn run(mut self, mut rx: mpsc::Receiver<Message>) {
+        while let Some(message) = rx.recv().await {
+            match message {
+                Message::Request(request, reply) => {
+                    if let Some((response, reply)) = self.answer(request, reply).await {
+                        let _ = reply.send(response);
+                    }
+                }
+                Message::Changed(reply) => {
+                    let loaded = self.reload().await.is_ok();
+                    let _ = reply.send(loaded);
+                }
+                Message::Heard(digest) => self.hear(digest).await,
+                Message::AllCapable => self.all_capable = true,
+                Message::Obeyed(obeyed) => self.note_obeyed(obeyed),
+            }
+            self.publish();
+        }
+    }
+
+    /// The answer to a request, unless another task gives it.
+    async fn answer(
+        &mut self,
+        request: ConfigurationRequest,
+        reply: oneshot::Sender<ConfigurationResponse>,
+    ) -> Option<(ConfigurationResponse, oneshot::Sender<ConfigurationResponse>)> {
+        let response = match request {
+            ConfigurationRequest::Capable => ConfigurationResponse::Capable { genesis: self.genesis },
+            ConfigurationRequest::Digest => ConfigurationResponse::Digest(self.digest()),
+            ConfigurationRequest::Agreement { genesis, .. } if genesis != self.genesis => {
+                ConfigurationResponse::Unavailable(Unavailable::SettingsDiffer)
+            }
+            ConfigurationRequest::Agreement { request, .. } => self.agree(&request).await,
+            ConfigurationRequest::Log(version) => match records::log_entry(&self.state, version).await {
+                Ok(entry) => ConfigurationResponse::Log(entry),
+                Err(_) => ConfigurationResponse::Unavailable(Unavailable::StateService),
+            },
+            ConfigurationRequest::Apply(change) => {
+                if !self.may_propose() {
+                    let why = ConfigurationResponse::Unavailable(Unavailable::NotStarted);
+                    return Some((why, reply));
+                }
+                let proposed = Proposed { entry: Entry::Change(change), reply: Some(reply) };
+                return match self.proposals.try_send(proposed) {
+                    Ok(()) => None,
+                    Err(mpsc::error::TrySendError::Full(proposed) | mpsc::error::TrySendError::Closed(proposed)) => {
+                        Some((ConfigurationResponse::Unavailable(Unavailable::Busy), proposed.reply?))
+                    }
+                };
+            }
+            other => self.tell(&other),
+        };
+        Some((response, reply))
+    }
+
+    /// Answers what only asks.
+    fn tell(&self, request: &ConfigurationRequest) -> ConfigurationResponse {
+        let Some(StoredRecord { record, .. }) = &self.stored else {
+            return ConfigurationResponse::Unavailable(Unavailable::NotStarted);
+        };
+        let state = &record.state;
+        match request {
+            ConfigurationRequest::Outcome(id) => ConfigurationResponse::Outcome(state.outcome(id).cloned()),
+            ConfigurationRequest::Document(name) => ConfigurationResponse::Document(state.documents.get(name).cloned()),
+            ConfigurationRequest::Documents => {
+                let names = state.documents.iter().map(|(name, versioned)| (name.clone(), versioned.version));
+                ConfigurationResponse::Documents(names.collect())
+            }
+            ConfigurationRequest::History => ConfigurationResponse::History(state.history.iter().cloned().collect()),
+            _ => ConfigurationResponse::Status(self.status(state.version)),
+        }
+    }
+
+    fn digest(&self) -> Digest {
+        let record = self.stored.as_ref().map(|stored| &stored.record);
+        Digest {
+            region: self.fleet.region.clone(),
+            genesis: self.genesis,
+            version: record.map(|record| record.acceptor.applied),
+            untouched: record.is_none_or(|record| record.acceptor == Acceptor::default()),
+            obeyed: self.obeyed.version,
+        }
+    }
+
+    /// The versions and conditions of all regions.
+    fn status(&self, own: u64) -> Vec<RegionStatus> {
+        let latest = self.latest(own);
+        let now = clock::now_ms();
+        let status = |region: &RegionName| {
+            if *region == self.fleet.region {
+                return region_status(region, own, self.obeyed.version, latest);
+            }
+            let Some(heard) = self.heard.get(region) else {
+                let condition = RegionCondition::UnreachableSince { seconds: None };
+                return RegionStatus { region: region.clone(), version: 0, obeyed: 0, condition };
+            };
+            let mut status = region_status(region, heard.digest.version.unwrap_or(0), heard.digest.obeyed, latest);
+            let silent_ms = now.saturating_sub(heard.at_ms);
+            if silent_ms > self.heard_for_ms {
+                status.condition = RegionCondition::UnreachableSince { seconds: Some(silent_ms / 1000) };
+            }
+            status
+        };
+        self.initial.regions.iter().map(status).collect()
+    }
+
+    /// The last version that any region is known to have applied.
+    fn latest(&self, own: u64) -> u64 {
+        self.heard.values().filter_map(|heard| heard.digest.version).fold(own, u64::max)
+    }
+
+    /// Handles a request of a proposer. Its answer is told only once the new record is stored.
+    async fn agree(&mut self, request: &Request) -> ConfigurationResponse {
+        for _ in 0..STORE_ATTEMPTS {
+            let Some(stored) = &self.stored else {
+                return ConfigurationResponse::Unavailable(Unavailable::NotStarted);
+            };
+            let (next, reply) = stored.record.handle(request);
+            let Some(next) = next else { return ConfigurationResponse::Agreement(reply) };
+            let batch = match request {
+                Request::Learn { batch, .. } => Some(batch),
+                _ => None,
+            };
+            let changes = records::changes(Some(&stored.record), &next, batch, self.genesis);
+            match self.store(next, &changes).await {
+                Ok(true) => return ConfigurationResponse::Agreement(reply),
+                Ok(false) => {
+                    if self.reload().await.is_err() {
+                        break;
+                    }
+                }
+                Err(LoadError::Unanswered | LoadError::Unreadable) => {
+                    let _ = self.reload().await;
+                    break;
+                }
+            }
+        }
+        ConfigurationResponse::Unavailable(Unavailable::StateService)
+    }
+
+    /// Stores a record; false if the stored one is another meanwhile.
+    async fn store(&mut self, next: RegionRecord, changes: &[serde_json::Value]) -> Result<bool, LoadError> {
+        let now = clock::now_ms();
+        if self.writes.available_tokens(now) == 0 {
+            return Err(LoadError::Unanswered);
+        }
+        self.writes.spend(changes.len());
+        let guard = wire::guard(REGION_KEY, self.stored.as_ref().map_or(0, |stored| stored.stamp));
+        match self.state.commit(&[guard], changes).await {
+            CommitResult::Done { revision } => {
+                self.stored = Some(StoredRecord { record: next, stamp: revision });
+                Ok(true)
+            }
+            CommitResult::Conflict { .. } => Ok(false),
+            _ => Err(LoadError::Unanswered),
+        }
+    }
+
+    /// Reads the region's record, if it is another than the one known.
+    async fn reload(&mut self) -> Result<(), LoadError> {
+        let version = self.state.get(REGION_KEY).await?.0.map_or(0, |item| item.version);
+        self.obeyed = records::load_obeyed(&self.state).await?;
+        if self.stored.as_ref().map_or(0, |stored| stored.stamp) != version {
+            let before = self.stored.take();
+            match records::load(&self.state, &self.initial, self.genesis).await {
+                Ok(stored) => self.stored = stored,
+                Err(error) => {
+                    self.stored = before;
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Another region tells what it has applied.
+    async fn hear(&mut self, digest: Digest) {
+        if digest.genesis != self.genesis {
+            tracing::error!(region = digest.region, "the region begins with other teams or figures than this one");
+            return;
+        }
+        self.heard.insert(digest.region.clone(), Heard { digest, at_ms: clock::now_ms() });
+        if self.stored.is_none() && self.all_capable && self.reload().await.is_ok() && self.stored.is_none() {
+            self.begin().await;
+        }
+    }
+
+    /// Creates the region's record: a first one if no region has taken part in any agreement, else
+    /// one that votes only where it can't have voted before.
+    async fn begin(&mut self) {
+        let others = self.initial.regions.len() - 1;
+        let untouched = self.heard.values().all(|heard| heard.digest.untouched);
+        let record = if self.heard.len() == others && untouched {
+            RegionRecord::new(self.initial.clone())
+        } else if !untouched && self.heard.len() > others / 2 {
+            RegionRecord::rejoin(self.initial.clone(), self.latest(0))
+        } else {
+            return;
+        };
+        let changes = records::changes(None, &record, None, self.genesis);
+        if self.store(record, &changes).await != Ok(true) {
+            let _ = self.reload().await;
+        }
+    }
+
+    /// Before version 1 all regions must have begun: one that has not could not tell whether it
+    /// has forgotten a vote.
+    fn may_propose(&self) -> bool {
+        let Some(stored) = &self.stored else { return false };
+        let others_began = self.heard.len() + 1 == self.initial.regions.len()
+            && self.heard.values().all(|heard| heard.digest.version.is_some());
+        stored.record.acceptor.applied > 0 || others_began
+    }
+
+    /// This node's owner obeys a version: the others are told where they wait for it.
+    fn note_obeyed(&mut self, obeyed: Obeyed) {
+        self.obeyed = obeyed;
+        let Some(StoredRecord { record, .. }) = &self.stored else { return };
+        let confirmed = record.state.confirmations.get(&self.fleet.region).copied().unwrap_or(0);
+        let wanted = obeyed.kept > confirmed && record.state.waits_for(&self.fleet.region);
+        if wanted && obeyed.kept > self.confirming {
+            let confirmation = Confirmation { region: self.fleet.region.clone(), version: obeyed.kept };
+            let proposed = Proposed { entry: Entry::Confirmation(confirmation), reply: None };
+            if self.proposals.try_send(proposed).is_ok() {
+                self.confirming = obeyed.kept;
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let now = clock::now_ms();
+        let heard = self.heard.values().filter(|heard| now <= heard.at_ms + self.heard_for_ms).count();
+        let published = self.stored.as_ref().map(|stored| Published {
+            state: Arc::new(stored.record.state.clone()),
+            may_start_tasks: stored.record.may_start_tasks(),
+            latest: self.latest(stored.record.state.version),
+            regions_heard: heard + 1,
+            obeyed: self.obeyed.version,
+        });
+        self.published.send_replace(published);
+    }
+}
+
+fn region_status(region: &RegionName, version: u64, obeyed: u64, latest: u64) -> RegionStatus {
+    let condition = if obeyed >= latest { RegionCondition::InForce } else { RegionCondition::Pending };
+    RegionStatus { region: region.clone(), version, obeyed, condition }
+}
--- /dev/null
+++ b/src/configuration/handle.rs
@@ -0,0 +1,104 @@
+//! The way to this node's configuration actor, for all that follow the configuration.
+
+use super::effect::policy_of;
+use super::messages::{ConfigurationRequest, ConfigurationResponse, Unavailable};
+use super::records::Obeyed;
+use crate::metrics::gauge_line;
+use crate::sched::Policy;
+use badgerdrift_fleet_config::{ConfigState, RegionName};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Messages to the actor.
+pub(super) enum Message {
+    /// A request of another controller, an operator or a task of this one.
+    Request(ConfigurationRequest, oneshot::Sender<ConfigurationResponse>),
+    /// The region's record may have changed.
+    Changed(oneshot::Sender<bool>),
+    /// Another region has told what it has applied.
+    Heard(super::messages::Digest),
+    /// All controllers of the region know the shared configuration.
+    AllCapable,
+    /// This node's owner has recorded that it obeys a version.
+    Obeyed(Obeyed),
+}
+
+/// The configuration that this node knows, as it is published to all that follow it.
+#[derive(Debug, Clone)]
+pub struct Published {
+    /// The configuration in the region's last version.
+    pub state: Arc<ConfigState>,
+    /// May the region's owner start tasks?
+    pub may_start_tasks: bool,
+    /// The last version that is known of any region.
+    pub latest: u64,
+    /// So many regions, this one included, were heard lately.
+    pub regions_heard: usize,
+    /// The version that the region's owner obeys, as recorded.
+    pub obeyed: u64,
+}
+
+impl Published {
+    /// Is nothing newer known, with a majority of regions heard lately?
+    pub fn is_up_to_date(&self) -> bool {
+        let majority = self.state.regions.len() / 2 + 1;
+        self.latest <= self.state.version && self.regions_heard >= majority
+    }
+}
+
+/// The way to the configuration; cheap to clone.
+#[derive(Clone)]
+pub struct ConfigurationHandle {
+    pub(super) region: RegionName,
+    pub(super) tx: mpsc::Sender<Message>,
+    pub(super) published: watch::Receiver<Option<Published>>,
+}
+
+impl ConfigurationHandle {
+    /// The configuration of this region; `None` while it has none.
+    pub fn published(&self) -> Option<Published> {
+        self.published.borrow().clone()
+    }
+
+    /// Answers a request.
+    pub async fn answer(&self, request: ConfigurationRequest) -> ConfigurationResponse {
+        let (reply, response) = oneshot::channel();
+        if self.tx.try_send(Message::Request(request, reply)).is_err() {
+            return ConfigurationResponse::Unavailable(Unavailable::Busy);
+        }
+        response.await.unwrap_or(ConfigurationResponse::Unavailable(Unavailable::Busy))
+    }
+
+    /// Reads the region's record afresh; false if that failed.
+    pub async fn refresh(&self) -> bool {
+        let (reply, done) = oneshot::channel();
+        self.tx.send(Message::Changed(reply)).await.is_ok() && done.await == Ok(true)
+    }
+
+    /// This node's owner has recorded that it obeys a version.
+    pub fn obeyed(&self, obeyed: Obeyed) {
+        let _ = self.tx.try_send(Message::Obeyed(obeyed));
+    }
+
+    /// The policy under the configuration, where there is one.
+    pub fn policy(&self, policy: &Policy) -> Option<Policy> {
+        Some(policy_of(policy, &self.published()?.state, &self.region))
+    }
+
+    /// Name of this node's region.
+    pub fn region(&self) -> &str {
+        &self.region
+    }
+
+    /// Its figures in the text format of `GET /metrics`.
+    pub fn metrics_text(&self) -> String {
+        let Some(published) = self.published() else { return String::new() };
+        let figures = [
+            ("configuration_version", published.state.version),
+            ("configuration_obeyed", published.obeyed),
+            ("configuration_latest", published.latest),
+            ("configuration_regions_heard", published.regions_heard as u64),
+        ];
+        figures.iter().map(|(name, value)| gauge_line(name, *value as usize)).collect()
+    }
+}
--- /dev/null
+++ b/src/configuration/messages.rs
@@ -0,0 +1,124 @@
+//! What controllers and operators ask of the configuration, and what is answered.
+
+use super::records::LogEntry;
+use badgerdrift_fleet_config::{
+    Change, ChangeId, ChangeOutcome, DocumentName, RecordedChange, RegionName, Reply, Request, VersionedDocument,
+};
+use serde::{Deserialize, Serialize};
+
+/// A request to a controller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ConfigurationRequest {
+    /// From the same region: does the controller know the shared configuration?
+    Capable,
+    /// From another region: what has this one applied, and what does its owner obey?
+    Digest,
+    /// A part of the agreement on a version.
+    Agreement {
+        /// What version 0 of the asker is made of; only the same takes part.
+        genesis: u64,
+        /// The request.
+        request: Request,
+    },
+    /// One version of the log.
+    Log(u64),
+    /// Take a change.
+    Apply(Change),
+    /// What became of a change?
+    Outcome(ChangeId),
+    /// One document.
+    Document(DocumentName),
+    /// All documents with their versions.
+    Documents,
+    /// The last changes.
+    History,
+    /// Versions and states of all regions.
+    Status,
+}
+
+/// The answer of a controller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ConfigurationResponse {
+    /// It knows the shared configuration.
+    Capable {
+        /// What its version 0 is made of.
+        genesis: u64,
+    },
+    /// What the region has applied and obeys.
+    Digest(Digest),
+    /// The acceptor's answer.
+    Agreement(Reply),
+    /// A version of the log; `None` if it is not kept.
+    Log(Option<LogEntry>),
+    /// What became of a change; `None` if that is not known.
+    Outcome(Option<ChangeOutcome>),
+    /// A document; `None` if there is none.
+    Document(Option<VersionedDocument>),
+    /// The documents with their versions.
+    Documents(Vec<(DocumentName, u64)>),
+    /// The last changes, the oldest first.
+    History(Vec<RecordedChange>),
+    /// The regions.
+    Status(Vec<RegionStatus>),
+    /// Nothing was done.
+    Unavailable(Unavailable),
+}
+
+/// Why nothing was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unavailable {
+    /// The region has not begun to take part.
+    NotStarted,
+    /// The regions' settings differ: their first versions are not the same.
+    SettingsDiffer,
+    /// The state service has not answered.
+    StateService,
+    /// No majority of regions has answered: the change may still be taken.
+    Unclear,
+    /// The change does not fit into the records of the state service.
+    TooLarge,
+    /// The controller can't do more now.
+    Busy,
+}
+
+/// What a region has applied and obeys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The region.
+    pub region: RegionName,
+    /// What its version 0 is made of.
+    pub genesis: u64,
+    /// The last version that it has applied; `None` if it has no record.
+    pub version: Option<u64>,
+    /// It has taken no part in any agreement.
+    pub untouched: bool,
+    /// The version that its owner obeys.
+    pub obeyed: u64,
+}
+
+/// What one region knows of another, or of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionStatus {
+    /// The region.
+    pub region: RegionName,
+    /// The last version that it is known to have applied.
+    pub version: u64,
+    /// The last version that its owner is known to obey.
+    pub obeyed: u64,
+    /// How it stands to the last version known here.
+    pub condition: RegionCondition,
+}
+
+/// How a region stands to the last version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RegionCondition {
+    /// Its owner obeys it.
+    InForce,
+    /// Its owner does not obey it yet.
+    Pending,
+    /// It has not been heard for so many seconds.
+    UnreachableSince {
+        /// The seconds; `None` if it was never heard.
+        seconds: Option<u64>,
+    },
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod clients;
 pub mod clock;
 pub mod config;
+pub mod config_command;
+pub mod configuration;
 pub mod dependencies;
 pub mod ended_jobs;
 pub mod frame_format;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,10 @@
 //! The program: command line, logging, runtime.
 
+use badgerdrift::config_command::{self, CommandError, ConfigCommand};
+use badgerdrift::configuration::{self, FleetSettings};
 use badgerdrift::{config, node};
 use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::LevelFilter;
@@ -20,6 +23,14 @@
     Serve(Files),
     /// Checks the settings and says what is wrong with them.
     Check(Files),
+    /// Shows and changes the configuration that the regions of a fleet share.
+    Config {
+        /// Internal address of any controller of the fleet.
+        #[arg(long, value_name = "ADDRESS")]
+        controller: SocketAddr,
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
 }
 
 #[derive(clap::Args)]
@@ -30,45 +41,86 @@
     /// The operators' own settings (HCL).
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
+    /// The regions of the fleet (HCL); without it the controller knows no other regions.
+    #[arg(long, value_name = "FILE")]
+    fleet: Option<PathBuf>,
+}
+
+/// What the files tell.
+struct Loaded {
+    settings: config::Settings,
+    operator: config::Operator,
+    fleet: Option<FleetSettings>,
 }
 
 impl Files {
-    fn load(&self) -> Result<(config::Settings, config::Operator), String> {
+    fn load(&self) -> Result<Loaded, String> {
         let settings = config::load_settings(&self.config)?;
         let operator =
             self.operator.as_deref().map_or_else(|| Ok(Default::default()), |p: &Path| config::load_operator(p))?;
-        Ok((settings, operator))
+        let fleet = self.fleet.as_deref().map(configuration::load_fleet).transpose()?;
+        if fleet.is_some() && operator.partitions > 1 {
+            return Err("partitions: must be 1 with a fleet of several regions".into());
+        }
+        Ok(Loaded { settings, operator, fleet })
     }
 }
 
+/// Exit status for input that is not sound.
+const BAD_INPUT: u8 = 2;
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (Command::Serve(files) | Command::Check(files)) = &cli.command;
-    let (settings, operator) = match files.load() {
-        Ok(s) => s,
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(r) => r,
         Err(e) => {
-            eprintln!("badgerdrift: {e}");
-            return ExitCode::from(2);
+            eprintln!("badgerdrift: no runtime: {e}");
+            return ExitCode::FAILURE;
         }
     };
-    if let Command::Check(_) = cli.command {
-        println!("{}: the settings are sound", settings.node);
-        return ExitCode::SUCCESS;
+    match cli.command {
+        Command::Serve(files) => with_files(&files, |loaded| serve(&runtime, loaded)),
+        Command::Check(files) => with_files(&files, |loaded| {
+            println!("{}: the settings are sound", loaded.settings.node);
+            ExitCode::SUCCESS
+        }),
+        Command::Config { controller, command } => {
+            configure(runtime.block_on(config_command::run(controller, &command)))
+        }
+    }
+}
+
+fn with_files(files: &Files, then: impl FnOnce(Loaded) -> ExitCode) -> ExitCode {
+    match files.load() {
+        Ok(loaded) => then(loaded),
+        Err(error) => {
+            eprintln!("badgerdrift: {error}");
+            ExitCode::from(BAD_INPUT)
+        }
     }
+}
+
+fn configure(result: Result<String, CommandError>) -> ExitCode {
+    let (error, status) = match result {
+        Ok(text) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(CommandError::BadInput(error)) => (error, ExitCode::from(BAD_INPUT)),
+        Err(CommandError::NotDone(error)) => (error, ExitCode::FAILURE),
+    };
+    eprintln!("badgerdrift: {error}");
+    status
+}
+
+fn serve(runtime: &tokio::runtime::Runtime, loaded: Loaded) -> ExitCode {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
         Ok("error") => LevelFilter::ERROR,
         Ok("debug") => LevelFilter::DEBUG,
         _ => LevelFilter::INFO,
     };
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(r) => r,
-        Err(e) => {
-            eprintln!("badgerdrift: no runtime: {e}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(node::run(settings, operator)) {
+    match runtime.block_on(node::run(loaded.settings, loaded.operator, loaded.fleet)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("badgerdrift: a port can't be opened: {e}");
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,6 +3,7 @@
 use crate::api::Api;
 use crate::clients::{Cloud, State, Worker};
 use crate::config::{Operator, Seed, Settings};
+use crate::configuration::{self, FleetSettings};
 use crate::job_reads::JobReads;
 use crate::membership::{Entitlement, Membership, Ownership, PromiseStatus, Succession};
 use crate::metrics::SharedMetrics;
@@ -19,12 +20,17 @@
 use tokio::sync::{mpsc, watch};
 
 /// Serves for ever; an error means that a port can't be opened.
-pub async fn run(settings: Settings, operator: Operator) -> std::io::Result<()> {
-    run_on(Net::default(), settings, operator).await
+pub async fn run(settings: Settings, operator: Operator, fleet: Option<FleetSettings>) -> std::io::Result<()> {
+    run_on(Net::default(), settings, operator, fleet).await
 }
 
 /// The same over a given network.
-pub async fn run_on(net: Net, settings: Settings, operator: Operator) -> std::io::Result<()> {
+pub async fn run_on(
+    net: Net,
+    settings: Settings,
+    operator: Operator,
+    fleet: Option<FleetSettings>,
+) -> std::io::Result<()> {
     clock::now_ms();
     let users = net.bind(settings.serve_on).await?;
     let internal = net.bind(settings.internal_addr).await?;
@@ -76,7 +82,10 @@
         handles.push(PartitionHandle { ownership, entitled, promise_status, owner: owner_tx, members: members_tx });
     }
     let heard_ms = Arc::new((0..operator.partitions).map(|_| AtomicU64::new(0)).collect());
-    let router = Router { partitions: Arc::new(handles), peers: Arc::new(peers), grant_ttl_ms, heard_ms };
+    let configuration = fleet
+        .map(|fleet| configuration::start(&net, &settings, &operator, fleet, state.clone(), &peers, metrics.clone()));
+    let router =
+        Router { partitions: Arc::new(handles), peers: Arc::new(peers), grant_ttl_ms, configuration, heard_ms };
     for (membership, tx, rx) in members {
         task::spawn(membership.run(tx, rx));
     }
--- a/src/owner/active_term.rs
+++ b/src/owner/active_term.rs
@@ -1,5 +1,6 @@
 //! What the actor keeps while it holds the partition.
 
+use super::configuration::FollowedConfiguration;
 use super::predecessors::KnownExternals;
 use crate::clients::TokenBucket;
 use crate::leader::Leader;
@@ -28,6 +29,8 @@
     pub(super) known_externals: Option<KnownExternals>,
     pub(super) externals_under_way: bool,
     pub(super) next_externals_ms: u64,
+    /// How far this owner follows the shared configuration.
+    pub(super) followed: FollowedConfiguration,
     /// What the leader says is on its way here.
     pub(super) pending_machines: Vec<PendingMachine>,
 }
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -2,6 +2,7 @@
 
 use super::active_term::ActiveTerm;
 use super::answers::handle_idle;
+use super::configuration::FollowedConfiguration;
 use super::load::Loaded;
 use super::messages::{HeartbeatReply, Message, SessionEvent, SessionSender};
 use crate::clients::{Cloud, State, TokenBucket, Worker};
@@ -141,6 +142,7 @@
             known_externals: None,
             externals_under_way: false,
             next_externals_ms: 0,
+            followed: FollowedConfiguration::default(),
             pending_machines: Vec::new(),
         }
     }
@@ -211,6 +213,7 @@
             }
             SessionEvent::ExternalsRead(read) => self.externals_read(h, read, now),
             SessionEvent::Raised(raised) => self.raised(h, raised, now),
+            SessionEvent::ConfigurationRecorded(obeyed) => self.configuration_recorded(h, obeyed),
             SessionEvent::Superseded => self.superseded(h),
             SessionEvent::Rented { name, result } => self.rented(h, &name, result, now),
             SessionEvent::Released { hosts, confirmed } => self.released(h, hosts, confirmed),
--- a/src/owner/load.rs
+++ b/src/owner/load.rs
@@ -3,6 +3,7 @@
 use super::actor::PartitionOwner;
 use super::messages::SessionEvent;
 use crate::clients::State;
+use crate::configuration::ConfigurationHandle;
 use crate::model::Flavor;
 use crate::partition;
 use crate::task;
@@ -53,7 +54,13 @@
 }
 
 impl Loaded {
-    async fn read(state: &State) -> Option<Loaded> {
+    /// Reads the records, and the configuration that the last owner obeyed or a later one.
+    async fn read(state: &State, configuration: Option<&ConfigurationHandle>) -> Option<Loaded> {
+        if let Some(configuration) = configuration
+            && !configuration.refresh().await
+        {
+            return None;
+        }
         let jobs = state.list("job/").await.ok()?;
         let hosts = state.list("host/").await.ok()?;
         let flavors = kept_flavors(state).await?;
@@ -65,9 +72,10 @@
     /// Reads what the state service holds, until that succeeds or the session is over.
     pub(super) fn load(&self, session: u64) {
         let (state, sender) = (self.state.clone(), self.sender(session));
+        let configuration = self.router.configuration.clone();
         task::spawn(async move {
             while sender.is_current() {
-                if let Some(loaded) = Loaded::read(&state).await {
+                if let Some(loaded) = Loaded::read(&state, configuration.as_ref()).await {
                     sender.send(SessionEvent::Loaded(loaded)).await;
                     return;
                 }
--- a/src/owner/messages.rs
+++ b/src/owner/messages.rs
@@ -3,6 +3,7 @@
 use super::load::Loaded;
 use super::predecessors::ExternalRecords;
 use crate::clients::RentResult;
+use crate::configuration::Obeyed;
 use crate::membership::RaisedTerm;
 use crate::model::{Flavor, HostRecord};
 use crate::partition::{CommitResult, Direct, DirectResult, Waiter};
@@ -97,6 +98,8 @@
     ExternalsRead(ExternalRecords),
     /// The term was raised; none if that failed.
     Raised(Option<RaisedTerm>),
+    /// It was recorded that this owner obeys a version of the configuration; `None` if that failed.
+    ConfigurationRecorded(Option<Obeyed>),
     /// The partition has another owner, or none.
     Superseded,
     /// A rental request has ended.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod cloud_tasks;
 mod commits;
+mod configuration;
 mod dispatch;
 mod load;
 mod messages;
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -66,6 +66,8 @@
     predecessors: predecessors::PredecessorBooks,
     /// A controller is known to be of a version that would not let jobs wait: none is accepted.
     pub has_old_peer: bool,
+    /// Nothing newer than the policy's teams is known; always so without a shared configuration.
+    pub configuration_up_to_date: bool,
     dirty: BTreeSet<JobIndex>,
     new_hosts: BTreeSet<HostIndex>,
     /// Keys that are of no more use.
@@ -125,6 +127,7 @@
             dependencies: DependencyGraph::default(),
             predecessors: Default::default(),
             has_old_peer: false,
+            configuration_up_to_date: true,
             dirty: BTreeSet::new(),
             new_hosts: BTreeSet::new(),
             obsolete_keys: BTreeSet::new(),
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Do all teams keep to their limits, whatever machines that are not accounted for may hold?
+    pub fn teams_within_limits(&self, now: u64) -> bool {
+        let mut used = sched::Index::new(&self.cluster, now).usage;
+        for (team, unseen) in self.cluster.unseen() {
+            used.entry(team).or_default().add(&unseen);
+        }
+        let none = sched::TeamRule::default();
+        used.iter().all(|(team, used)| used.fits(&self.policy.teams.get(team).unwrap_or(&none).limit))
+    }
+
     /// The lowest bin that waits for room.
     pub fn lowest_bin(&self, wall: u64) -> Option<u64> {
         let bin = |job_index: &JobIndex| {
--- a/src/partition/users.rs
+++ b/src/partition/users.rs
@@ -57,8 +57,11 @@
         if self.cluster.flavors.is_empty() {
             return Some(UserAnswer::RetryLater(RefusalReason::MachineTypesUnknown));
         }
-        if let Some(message) = sched::impossible(spec, &self.policy, &self.cluster.flavors) {
-            return Some(UserAnswer::Impossible(message));
+        if let Some(why) = sched::impossible(spec, &self.policy, &self.cluster.flavors) {
+            return Some(match why.is_for_now(self.configuration_up_to_date) {
+                true => UserAnswer::RetryLater(RefusalReason::ConfigurationBehind),
+                false => UserAnswer::Impossible(why.to_string()),
+            });
         }
         if let Some(message) = self.limits.refuses(spec) {
             return Some(UserAnswer::Malformed(message.into()));
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 //! a body, requests and replies matched by number.
 
 use crate::clock;
+use crate::configuration::{ConfigurationRequest, ConfigurationResponse};
 use crate::frame_format::{FrameFormat, PeerFormat};
 use crate::net::{Listener, Net};
 use crate::peer_health::{HealthLimits, SharedPeerHealth};
@@ -55,6 +56,8 @@
     },
     /// To the leader: what a partition needs, and could do without.
     CapacityReport(CapacityReport),
+    /// A request about the configuration that the regions of a fleet share.
+    Configuration(ConfigurationRequest),
     /// From the leader: give this machine, if it is free, to another partition.
     TransferHost {
         /// Partition that the machine belongs to.
@@ -119,6 +122,8 @@
         /// Kinds of machines that cannot be had now.
         refused: Vec<Machines>,
     },
+    /// The response about the shared configuration.
+    Configuration(ConfigurationResponse),
     /// The response for the user.
     User {
         /// The HTTP status code.
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -39,6 +39,8 @@
     StateServiceSilent,
     /// The partition's actor or the state service took too long over a submission.
     SubmissionSlow,
+    /// Another region may know the job's team, or a larger limit of it, already.
+    ConfigurationBehind,
     /// The new owner has not read the partition's records yet.
     TakeoverUnderWay,
     /// The budget for reads of job records is used up.
@@ -68,8 +70,8 @@
 
     /// Does the version before know it, too?
     pub fn is_known_to_all(self) -> bool {
-        use RefusalReason::{ControllerOutdated, PredecessorElsewhere, PredecessorUnclear};
-        !matches!(self, ControllerOutdated | PredecessorElsewhere | PredecessorUnclear)
+        use RefusalReason::{ConfigurationBehind, ControllerOutdated, PredecessorElsewhere, PredecessorUnclear};
+        !matches!(self, ConfigurationBehind | ControllerOutdated | PredecessorElsewhere | PredecessorUnclear)
     }
 
     /// The reason with this name, if this version knows it.
@@ -97,6 +99,7 @@
 impl fmt::Display for RefusalReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            RefusalReason::ConfigurationBehind => "another region may know the team or its limit already",
             RefusalReason::EndBeingRecorded => "the job's end is being recorded",
             RefusalReason::OwnerUnreachable => "the owner of the jobs can't be reached",
             RefusalReason::JobNotAccepted => "the job is not accepted yet",
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 //! controllers.
 
 use crate::clock;
+use crate::configuration::ConfigurationHandle;
 use crate::frame_format::FrameFormat;
 use crate::http::Response;
 use crate::membership::{self, Entitlement, Ownership, PromiseStatus};
@@ -64,6 +65,8 @@
     pub peers: Arc<Vec<Peer>>,
     /// Life of an owner's grant in milliseconds, from which the time limits derive.
     pub grant_ttl_ms: u64,
+    /// The shared configuration of a fleet, if the controller is told of one.
+    pub configuration: Option<ConfigurationHandle>,
     /// When the owner of each partition was last heard to be at work.
     pub heard_ms: Arc<Vec<AtomicU64>>,
 }
@@ -186,6 +189,10 @@
                     refusal: r.refusal,
                 }
             }
+            PeerRequest::Configuration(request) => match &self.configuration {
+                Some(configuration) => PeerResponse::Configuration(configuration.answer(request).await),
+                None => PeerResponse::No,
+            },
             PeerRequest::CapacityReport(capacity_report) => {
                 self.actor(0, |reply| owner::Message::CapacityReport { capacity_report, reply }).await
             }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -14,19 +14,60 @@
 pub use policy::{Policy, TeamRule};
 
 use crate::model::{Flavor, Host, Shape, Spec};
+use std::fmt;
+
+/// Why a submission can never run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Impossible {
+    /// There is no such team, or it takes no new jobs.
+    UnknownTeam(String),
+    /// A task fits no machine type that the job allows.
+    FitsNoMachineType,
+    /// The job needs more at a time than its team may use.
+    BeyondLimit {
+        /// The team.
+        team: String,
+        /// False if the limit is about to grow.
+        settled: bool,
+    },
+}
+
+impl Impossible {
+    /// Could a newer configuration say otherwise?
+    pub fn depends_on_configuration(&self) -> bool {
+        !matches!(self, Impossible::FitsNoMachineType)
+    }
+
+    /// Is the refusal to be told as one for now, where the configuration is or is not known to be
+    /// up to date?
+    pub fn is_for_now(&self, up_to_date: bool) -> bool {
+        let unsettled = matches!(self, Impossible::BeyondLimit { settled: false, .. });
+        unsettled || (self.depends_on_configuration() && !up_to_date)
+    }
+}
+
+impl fmt::Display for Impossible {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Impossible::UnknownTeam(team) => write!(f, "owner: no team {team}"),
+            Impossible::FitsNoMachineType => write!(f, "a task fits no allowed machine type"),
+            Impossible::BeyondLimit { team, .. } => write!(f, "the job needs more than the limit of {team}"),
+        }
+    }
+}
 
 /// Why a submission can never run, if so.
-pub fn impossible(spec: &Spec, policy: &Policy, flavors: &[Flavor]) -> Option<String> {
-    let Some(team) = policy.teams.get(&spec.team) else {
-        return Some(format!("owner: no team {}", spec.team));
+pub fn impossible(spec: &Spec, policy: &Policy, flavors: &[Flavor]) -> Option<Impossible> {
+    let Some(team) = policy.teams.get(&spec.team).filter(|team| !team.removed) else {
+        return Some(Impossible::UnknownTeam(spec.team.clone()));
     };
     let fits = flavors.iter().any(|f| spec.allows_flavor(f) && f.zones.iter().any(|z| spec.allows_zone(z)));
     if !fits {
-        return Some("a task fits no allowed machine type".into());
+        return Some(Impossible::FitsNoMachineType);
     }
     let together = if spec.shape == Shape::Batch { 1.0 } else { f64::from(spec.tasks) };
     if !spec.demand.times(together).fits(&team.limit) {
-        return Some(format!("the job needs more than the limit of {}", spec.team));
+        return Some(Impossible::BeyondLimit { team: spec.team.clone(), settled: team.settled });
     }
     None
 }
--- a/src/sched/policy.rs
+++ b/src/sched/policy.rs
@@ -48,6 +48,11 @@
     pub guarantee: Demand,
     /// Largest amounts in use at a time; infinite where there is no limit.
     pub limit: Demand,
+    /// The limit is all that the region is to have. It may be less for a while where another
+    /// region has not confirmed yet that it gave a part away.
+    pub settled: bool,
+    /// The team takes no new jobs; what it has goes on.
+    pub removed: bool,
 }
 
 impl TeamRule {
@@ -85,6 +90,8 @@
             let rule = TeamRule {
                 guarantee: Demand { cpus: t.cpus, gpus: t.gpus, mem: f64::INFINITY },
                 limit: Demand { cpus: limit(t.cpus_max), gpus: limit(t.gpus_max), mem: f64::INFINITY },
+                settled: true,
+                removed: false,
             };
             (t.name.clone(), rule)
         });
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -4,6 +4,8 @@
 mod answers;
 mod cancellations;
 mod faulty_machines;
+#[path = "../common/fixed_randomness.rs"]
+mod fixed_randomness;
 mod guests;
 mod leaders;
 mod limits;
--- /dev/null
+++ b/tests/fleet_configuration/main.rs
@@ -0,0 +1,11 @@
+//! The configuration that several regions share: whole controllers of three regions in simulated
+//! time, over a network in memory, with a state service for each region.
+
+#![expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
+
+mod changes;
+mod faults;
+#[path = "../common/fixed_randomness.rs"]
+mod fixed_randomness;
+mod fleet;
+mod random_faults;
