Scale run: changes of the shared configuration, regions cut off at relays, a warm-up

Need: time from a change to its being in force by region, also while a region is cut off and an owner replaced; waits without the start of the whole fleet.

--- a/crates/scale/src/addresses.rs
+++ b/crates/scale/src/addresses.rs
@@ -11,6 +11,8 @@
 const LOOPBACK: u8 = 127;
 /// Candidates for the second byte of the first region's network.
 const FIRST_NETWORKS: std::ops::Range<u8> = 16..200;
+/// Third byte of the addresses at which the first region reaches others.
+const FIRST_RELAYS: u8 = 10;
 /// Networks of a region: its services, and its machines.
 const NETWORKS_PER_REGION: u8 = 2;
 
@@ -60,6 +62,11 @@
         self.address(2, controller, SERVICE_PORT)
     }
 
+    /// Where controllers of another region reach one of this region's controllers.
+    pub fn relay(self, from_region: usize, controller: usize) -> SocketAddr {
+        self.address(FIRST_RELAYS + from_region as u8, controller, INTERNAL_PORT)
+    }
+
     /// First two bytes of the machines' addresses.
     pub fn machines(self) -> [u8; 2] {
         [LOOPBACK, self.services + 1]
--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -1,6 +1,6 @@
 //! The real controllers of a region: processes that are started, killed and held still by id.
 
-use crate::plan::RegionPlan;
+use crate::plan::{RegionPlan, region_name};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
@@ -30,9 +30,14 @@
         let base = self.plan.directory.join(format!("{}-n{number}", self.plan.name()));
         let settings = base.with_extension("toml");
         std::fs::write(&settings, settings_text(&self.plan, number))?;
+        let fleet = base.with_extension("fleet.hcl");
         let log = File::options().create(true).append(true).open(base.with_extension("log"))?;
         let mut command = Command::new(&self.plan.controller);
         command.arg("serve").arg("--config").arg(&settings).kill_on_drop(true);
+        if self.plan.scenario.configuration.is_some() {
+            std::fs::write(&fleet, fleet_text(&self.plan))?;
+            command.arg("--fleet").arg(&fleet);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).env("LOG_LEVEL", "error");
         self.processes[number] = Some(command.spawn()?);
         Ok(())
@@ -79,7 +84,7 @@
 
 /// The platform's settings for one controller.
 fn settings_text(plan: &RegionPlan, number: usize) -> String {
-    let (scenario, networks, zones) = (&plan.scenario, plan.networks, plan.zones());
+    let (scenario, networks, zones) = (&plan.scenario, plan.networks(), plan.zones());
     let mut text = format!(
         "node = \"{}\"\nsite = {:?}\nserve_on = \"{}\"\ninternal_addr = \"{}\"\n",
         controller_name(number),
@@ -125,6 +130,18 @@
     )
 }
 
+/// The operators' file that tells a controller of the other regions.
+fn fleet_text(plan: &RegionPlan) -> String {
+    let mut text = format!("region = {:?}\nregions {{\n", plan.name());
+    for (region, networks) in plan.all_networks.iter().enumerate() {
+        let controllers = 0..plan.scenario.controllers_per_region;
+        let addresses: Vec<String> =
+            controllers.map(|number| networks.relay(plan.region, number).to_string()).collect();
+        text += &format!("  {} {{\n    controllers = {addresses:?}\n  }}\n", region_name(region));
+    }
+    text + "}\n"
+}
+
 /// The name of a controller; the workers' stand-ins read its number from that.
 pub fn controller_name(number: usize) -> String {
     format!("n{number}")
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -2,6 +2,7 @@
 
 use crate::controllers::Controllers;
 use crate::plan::RegionPlan;
+use crate::relays::Cuts;
 use crate::scenario::{Fault, FaultKind};
 use badgerdrift_stand_ins::ground::SimulationContext;
 use badgerdrift_stand_ins::machines;
@@ -19,11 +20,14 @@
 pub struct FaultTargets {
     pub context: SimulationContext,
     pub controllers: Arc<Mutex<Controllers>>,
+    pub cuts: Cuts,
 }
 
 /// Starts the region's named faults and its failures of ordinary days.
 pub fn start(targets: &FaultTargets, plan: &RegionPlan) {
-    for fault in plan.scenario.fault.values().filter(|fault| fault.region == plan.region) {
+    // Regions are cut off at the relays of all regions.
+    let concerns = |fault: &&Fault| fault.region == plan.region || fault.kind == FaultKind::RegionCut;
+    for fault in plan.scenario.fault.values().filter(concerns) {
         let (targets, fault) = (targets.clone(), fault.clone());
         tokio::spawn(async move {
             sleep(secs(fault.at_s)).await;
@@ -64,6 +68,11 @@
                 sleep(secs(fault.for_s)).await;
                 self.context.state_down(false);
             }
+            FaultKind::RegionCut => {
+                self.cuts.set(fault.region, true);
+                sleep(secs(fault.for_s)).await;
+                self.cuts.set(fault.region, false);
+            }
             FaultKind::StateAnswersLost => {
                 self.context.w.lock().unwrap().lost_answers = 1.0;
                 sleep(secs(fault.for_s)).await;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -4,11 +4,13 @@
 
 mod addresses;
 mod child;
+mod configuration;
 mod controllers;
 mod counting;
 mod faults;
 mod plan;
 mod region;
+mod relays;
 mod report;
 mod results;
 mod run;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -12,7 +12,8 @@
     pub region: usize,
     pub seed: u64,
     pub scenario: Scenario,
-    pub networks: RegionNetworks,
+    /// Addresses of all regions, by number.
+    pub all_networks: Vec<RegionNetworks>,
     /// The controller program.
     pub controller: PathBuf,
     /// Where settings files and logs go.
@@ -22,7 +23,12 @@
 impl RegionPlan {
     /// The region's name.
     pub fn name(&self) -> String {
-        format!("region-{}", self.region)
+        region_name(self.region)
+    }
+
+    /// The region's addresses.
+    pub fn networks(&self) -> RegionNetworks {
+        self.all_networks[self.region]
     }
 
     /// Names of the region's zones.
@@ -36,6 +42,11 @@
     }
 }
 
+/// The name of a region.
+pub fn region_name(region: usize) -> String {
+    format!("region-{region}")
+}
+
 /// What the process of a region says, a line each on its standard output.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum RegionMessage {
--- a/crates/scale/src/region.rs
+++ b/crates/scale/src/region.rs
@@ -1,9 +1,11 @@
 //! The process of one region: its stand-ins, its workload, and its real controllers as children.
 
+use crate::configuration;
 use crate::controllers::{Controllers, LIST_LAG_S, team_name};
 use crate::counting::{Traffic, counting};
 use crate::faults::{self, FaultTargets};
 use crate::plan::{RegionMessage, RegionPlan};
+use crate::relays::{self, Cuts};
 use crate::results::{RegionResult, Role, ServiceTraffic};
 use crate::samples::Sampler;
 use crate::workload::{self, leak};
@@ -69,8 +71,13 @@
     let context = start_stand_ins(&plan, &traffic);
     let controllers = Controllers::start(&plan).map_err(|error| format!("a controller does not start: {error}"))?;
     let controllers = Arc::new(Mutex::new(controllers));
+    let cuts = Cuts::new(plan.scenario.regions);
+    relays::start(&plan, &cuts).await?;
     workload::start(&context, &plan);
-    faults::start(&FaultTargets { context: context.clone(), controllers: controllers.clone() }, &plan);
+    // The relays end once nobody can cut them any more.
+    let targets = FaultTargets { context: context.clone(), controllers: controllers.clone(), cuts };
+    faults::start(&targets, &plan);
+    let configuration = configuration::start(&context, &plan);
 
     let mut measurement = Measurement::new(&plan, context, controllers.clone());
     let mut ticks = interval(TICK);
@@ -84,7 +91,8 @@
             },
         }
     }
-    let result = measurement.finish(&traffic);
+    let mut result = measurement.finish(&traffic);
+    (result.changes, result.obeyed_at_ms) = configuration.take();
     controllers.lock().await.kill_all().await.map_err(|error| error.to_string())?;
     Ok(Some(result))
 }
@@ -111,19 +119,19 @@
         w: Arc::new(std::sync::Mutex::new(world)),
         fabric: Fabric::new(seed),
         user: Client::on(&user_network, USER_CONNECTIONS),
-        doors: (0..count).map(|number| plan.networks.controller(number)).collect(),
+        doors: (0..count).map(|number| plan.networks().controller(number)).collect(),
         real_network: Some(counting(traffic.workers.clone())),
     };
     let on =
         |traffic: &Arc<Traffic>| SimulationContext { real_network: Some(counting(traffic.clone())), ..workers.clone() };
     let (state, clouds) = (on(&traffic.state), on(&traffic.cloud));
     for number in 0..count {
-        state.serve(plan.networks.state_service(number), move |context, request| {
+        state.serve(plan.networks().state_service(number), move |context, request| {
             state_service::state(context, number, request)
         });
         // Machines that are rented use the workers' network.
         let workers = workers.clone();
-        clouds.serve(plan.networks.cloud(number), move |_, request| cloud::cloud(workers.clone(), request));
+        clouds.serve(plan.networks().cloud(number), move |_, request| cloud::cloud(workers.clone(), request));
     }
     workers
 }
@@ -154,7 +162,7 @@
         flavors: vec![Box::leak(Box::new(flavor))],
         capacity: plan.part(scenario.workers as f64 / scenario.zones_per_region as f64).round() as usize,
         fetch_s: worker.fetch_s,
-        machine_network: plan.networks.machines(),
+        machine_network: plan.networks().machines(),
         tick_every: TICK,
         state_requests_per_s: Some(scenario.state.rps),
     }
@@ -164,6 +172,7 @@
 struct Measurement {
     began: Instant,
     duration: Duration,
+    warm_up: Duration,
     context: SimulationContext,
     controllers: Arc<Mutex<Controllers>>,
     sampler: Sampler,
@@ -176,6 +185,7 @@
         Measurement {
             began: Instant::now(),
             duration: Duration::from_secs_f64(plan.scenario.duration_s),
+            warm_up: Duration::from_secs_f64(plan.scenario.warm_up_s),
             context,
             controllers,
             sampler: Sampler::new(),
@@ -209,7 +219,8 @@
             .collect();
         processes.push((Role::StandIns, std::process::id()));
         for (role, id) in processes {
-            if let Some(usage) = self.sampler.sample(id) {
+            let usage = self.sampler.sample(id);
+            if let Some(usage) = usage.filter(|_| self.began.elapsed() >= self.warm_up) {
                 self.result.usage.entry(role).or_default().add(usage);
             }
         }
@@ -221,14 +232,19 @@
         let starts_per_s = (world.starts - self.starts_before) as f64 / SAMPLE.as_secs_f64();
         self.starts_before = world.starts;
         let result = &mut self.result;
-        result.most_starts_per_s = result.most_starts_per_s.max(starts_per_s);
+        let counted_from = self.began + self.warm_up;
+        if now >= counted_from {
+            result.most_starts_per_s = result.most_starts_per_s.max(starts_per_s);
+            result.starts_after_warm_up += starts_per_s as u64;
+        }
         result.workers = world.machines.values().filter(|machine| machine.alive(now)).count();
         result.most_running_tasks = result.most_running_tasks.max(world.running_tasks());
         for (team, used) in world.usage_by_team() {
             let most = result.most_used.entry(team.into()).or_default();
             *most = (most.0.max(used.0), most.1.max(used.1));
         }
-        for wait in std::mem::take(&mut world.start_waits) {
+        let waits = std::mem::take(&mut world.start_waits);
+        for wait in waits.into_iter().filter(|wait| wait.submitted >= counted_from) {
             result.waits_ms.entry(wait.urgency.into()).or_default().push(wait.wait.as_millis() as u32);
         }
     }
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,6 +1,6 @@
 //! What a run found, over all regions together.
 
-use crate::results::{RegionResult, Role, RoleUsage, ServiceTraffic};
+use crate::results::{ChangeResult, RegionResult, Role, RoleUsage, ServiceTraffic};
 use crate::run::Prepared;
 use crate::scenario::Scenario;
 use comfy_table::Table;
@@ -20,6 +20,7 @@
     pub jobs_accepted: usize,
     pub jobs_done: usize,
     pub starts: u64,
+    /// After the warm-up.
     pub starts_per_s: f64,
     /// Sum of the most starts a second of each region.
     pub most_starts_per_s: f64,
@@ -28,6 +29,8 @@
     /// From submission to start, by urgency.
     pub waits: BTreeMap<String, WaitSummary>,
     pub usage: BTreeMap<Role, RoleUsage>,
+    /// From a change of the configuration to its being in force, by region.
+    pub configuration: ConfigurationSummary,
     /// Over all regions, a second.
     pub traffic_per_s: TrafficRates,
     pub controllers_ended: usize,
@@ -37,12 +40,22 @@
 /// A distribution of waits.
 #[derive(Debug, Serialize)]
 pub struct WaitSummary {
+    /// How many were measured.
     pub tasks: u64,
     pub p50_s: f64,
     pub p99_s: f64,
     pub max_s: f64,
 }
 
+/// Changes of the configuration.
+#[derive(Debug, Default, Serialize)]
+pub struct ConfigurationSummary {
+    pub asked: usize,
+    pub taken: usize,
+    /// From asking for a change until the region's owner obeys it.
+    pub in_force: BTreeMap<String, WaitSummary>,
+}
+
 /// Traffic of all regions a second, as payload of TCP.
 #[derive(Debug, Default, Serialize)]
 pub struct TrafficRates {
@@ -93,12 +106,14 @@
             jobs_accepted: sum(|region| region.jobs_accepted),
             jobs_done: sum(|region| region.jobs_done),
             starts,
-            starts_per_s: starts as f64 / elapsed_s,
+            starts_per_s: regions.iter().map(|region| region.starts_after_warm_up).sum::<u64>() as f64
+                / (elapsed_s - scenario.warm_up_s).max(1.0),
             most_starts_per_s: regions.iter().map(|region| region.most_starts_per_s).sum(),
             stopped_tasks: sum(|region| region.stopped_tasks),
             machine_failures: sum(|region| region.machine_failures),
             waits: waits(&regions),
             usage,
+            configuration: configuration(&regions),
             traffic_per_s: rates(&regions, elapsed_s, workers),
             controllers_ended: sum(|region| region.controllers_ended),
             broken_rules: broken_rules(scenario, &regions),
@@ -126,6 +141,15 @@
             let rest = format!("{:.0} MB, {:.0} files", usage.most_resident_mb, usage.most_open_files);
             row(&format!("{role:?}: processor mean / most, memory, open files"), format!("{cores}, {rest}"));
         }
+        let configuration = &self.configuration;
+        row(
+            "changes of the configuration taken / asked for",
+            format!("{} / {}", configuration.taken, configuration.asked),
+        );
+        for (region, wait) in &configuration.in_force {
+            let text = format!("{:.2} / {:.2} / {:.2} s of {}", wait.p50_s, wait.p99_s, wait.max_s, wait.tasks);
+            row(&format!("change to in force, {region}: p50 / p99 / max"), text);
+        }
         let traffic = &self.traffic_per_s;
         row("bytes a second for a worker", format!("{:.0}", traffic.bytes_per_worker));
         row(
@@ -141,22 +165,39 @@
 }
 
 fn waits(regions: &[RegionResult]) -> BTreeMap<String, WaitSummary> {
-    let mut histograms: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
-    for (urgency, waits_ms) in regions.iter().flat_map(|region| &region.waits_ms) {
-        let histogram = histograms
-            .entry(urgency.clone())
-            .or_insert_with(|| Histogram::new(HISTOGRAM_DIGITS).expect("the number of digits is allowed"));
-        for wait in waits_ms {
-            histogram.record(u64::from(*wait)).expect("a histogram without bound takes any value");
-        }
+    let mut waits_ms: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for (urgency, waits) in regions.iter().flat_map(|region| &region.waits_ms) {
+        waits_ms.entry(urgency.clone()).or_default().extend(waits.iter().map(|wait| u64::from(*wait)));
     }
-    let summary = |histogram: Histogram<u64>| WaitSummary {
+    waits_ms.into_iter().map(|(urgency, waits)| (urgency, summary(&waits))).collect()
+}
+
+fn summary(waits_ms: &[u64]) -> WaitSummary {
+    let mut histogram = Histogram::<u64>::new(HISTOGRAM_DIGITS).expect("the number of digits is allowed");
+    for wait in waits_ms {
+        histogram.record(*wait).expect("a histogram without bound takes any value");
+    }
+    WaitSummary {
         tasks: histogram.len(),
         p50_s: histogram.value_at_quantile(0.5) as f64 / MS_PER_S,
         p99_s: histogram.value_at_quantile(0.99) as f64 / MS_PER_S,
         max_s: histogram.max() as f64 / MS_PER_S,
+    }
+}
+
+/// How soon what was asked for in any region was in force in each. A change that was not in force
+/// in a region by the end is not among that region's.
+fn configuration(regions: &[RegionResult]) -> ConfigurationSummary {
+    let changes: Vec<&ChangeResult> = regions.iter().flat_map(|region| &region.changes).collect();
+    let in_force = |region: &RegionResult| {
+        let obeyed: BTreeMap<u64, u64> = region.obeyed_at_ms.iter().copied().collect();
+        let wait = |change: &&ChangeResult| Some(obeyed.get(&change.version?)?.saturating_sub(change.asked_at_ms));
+        let waits: Vec<u64> = changes.iter().filter_map(wait).collect();
+        (region.region.clone(), summary(&waits))
     };
-    histograms.into_iter().map(|(urgency, histogram)| (urgency, summary(histogram))).collect()
+    let taken = changes.iter().filter(|change| change.version.is_some()).count();
+    let in_force = if taken > 0 { regions.iter().map(in_force).collect() } else { BTreeMap::new() };
+    ConfigurationSummary { asked: changes.len(), taken, in_force }
 }
 
 fn rates(regions: &[RegionResult], elapsed_s: f64, workers: usize) -> TrafficRates {
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -66,6 +66,14 @@
     pub user_bytes: u64,
 }
 
+/// What became of a change of the configuration.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct ChangeResult {
+    pub asked_at_ms: u64,
+    /// The version in which it was taken; none if it was refused or its outcome stayed unclear.
+    pub version: Option<u64>,
+}
+
 /// What one region measured.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RegionResult {
@@ -80,6 +88,7 @@
     /// Tasks that started, first starts and later ones.
     pub starts: u64,
     pub most_starts_per_s: f64,
+    pub starts_after_warm_up: u64,
     /// Tasks that were stopped though their jobs were not cancelled.
     pub stopped_tasks: usize,
     pub machine_failures: usize,
@@ -89,6 +98,10 @@
     pub traffic: ServiceTraffic,
     /// The most cores and cards that each team used at a time.
     pub most_used: BTreeMap<String, (f64, f64)>,
+    /// Changes of the configuration that were asked for here.
+    pub changes: Vec<ChangeResult>,
+    /// When the region's owner first obeyed each version, in milliseconds of the time of day.
+    pub obeyed_at_ms: Vec<(u64, u64)>,
     /// Controllers that ended by themselves.
     pub controllers_ended: usize,
     pub broken_rule: Option<String>,
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -29,11 +29,11 @@
     let directory = Directory::create()?;
     let networks = RegionNetworks::find(prepared.scenario.regions)?;
     println!("seed {}, {} regions, {} workers", prepared.seed, prepared.scenario.regions, prepared.scenario.workers);
-    let plans = networks.into_iter().enumerate().map(|(region, networks)| RegionPlan {
+    let plans = (0..prepared.scenario.regions).map(|region| RegionPlan {
         region,
         seed: prepared.seed,
         scenario: prepared.scenario.clone(),
-        networks,
+        all_networks: networks.clone(),
         controller: controller.clone(),
         directory: directory.0.clone(),
     });
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -13,6 +13,9 @@
     pub controllers_per_region: usize,
     pub workers: usize,
     pub duration_s: f64,
+    /// What is submitted before is not counted in waits, and usage is not sampled.
+    #[serde(default)]
+    pub warm_up_s: f64,
     pub teams: Teams,
     pub machine: MachineType,
     pub worker: WorkerTimes,
@@ -20,6 +23,9 @@
     /// Failures of an ordinary day; none if absent.
     #[serde(default)]
     pub failures: Failures,
+    /// Changes of a configuration that the regions share; they share none if absent.
+    #[serde(default)]
+    pub configuration: Option<Configuration>,
     pub class: BTreeMap<String, JobClass>,
     /// Named faults, at set times.
     #[serde(default)]
@@ -80,6 +86,14 @@
     pub compression: f64,
 }
 
+/// Changes of the configuration that the regions share.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// Changes a second over the whole fleet, after the warm-up.
+    pub changes_per_s: f64,
+}
+
 /// A class of jobs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -176,6 +190,8 @@
     StateOutage,
     /// Writes are carried out, and their answers lost.
     StateAnswersLost,
+    /// The region and the others don't hear each other; all else goes on.
+    RegionCut,
 }
 
 /// Reads and checks a scenario; the error is one line naming field and reason.
@@ -208,6 +224,10 @@
         let least_workers = (self.regions * self.zones_per_region) as f64;
         in_range("workers", self.workers as f64, least_workers, (MOST_WORKERS_PER_REGION * self.regions) as f64)?;
         in_range("duration_s", self.duration_s, 1.0, 86_400.0)?;
+        in_range("warm_up_s", self.warm_up_s, 0.0, self.duration_s)?;
+        if let Some(configuration) = &self.configuration {
+            in_range("configuration.changes_per_s", configuration.changes_per_s, 0.0, 1000.0)?;
+        }
         in_range("teams.count", self.teams.count as f64, 1.0, 100_000.0)?;
         for (field, guaranteed, most) in [
             ("teams.guaranteed_cores", self.teams.guaranteed_cores, self.teams.most_cores),
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -84,6 +84,7 @@
 pub struct StartWait {
     pub urgency: &'static str,
     pub shape: &'static str,
+    pub submitted: Instant,
     pub wait: Duration,
 }
 
--- a/crates/stand-ins/src/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -207,7 +207,12 @@
         if started.started_tasks.insert(c.n)
             && let Some(submitted) = started.first_submitted
         {
-            self.start_waits.push(StartWait { urgency: job.urgency, shape: job.shape, wait: now - submitted });
+            self.start_waits.push(StartWait {
+                urgency: job.urgency,
+                shape: job.shape,
+                submitted,
+                wait: now - submitted,
+            });
         }
         started.began.get_or_insert(now);
         started.starts += 1;
--- a/deploy/scale/small.hcl
+++ b/deploy/scale/small.hcl
@@ -4,6 +4,7 @@
 controllers_per_region = 3
 workers                = 20
 duration_s             = 10
+warm_up_s              = 3
 
 teams {
   count            = 12
@@ -36,6 +37,10 @@
   txn_ops   = 12
 }
 
+configuration {
+  changes_per_s = 2
+}
+
 class "array" {
   shape        = "batch"
   urgency      = "best_effort"
--- a/deploy/scale/target.hcl
+++ b/deploy/scale/target.hcl
@@ -4,7 +4,8 @@
 zones_per_region       = 3
 controllers_per_region = 3
 workers                = 2400
-duration_s             = 120
+duration_s             = 150
+warm_up_s              = 30
 
 teams {
   count            = 510
@@ -44,6 +45,11 @@
   compression    = 360
 }
 
+# Ten times 1,500 changes a day.
+configuration {
+  changes_per_s = 0.174
+}
+
 # Some 1,200 starts a second, 36,000 tasks at a time.
 class "array" {
   shape        = "batch"
@@ -78,3 +84,18 @@
   jobs_per_s   = 3
   initial_jobs = 300
 }
+
+# A region loses the others, and a region its owner, while changes go on.
+fault "region_cut" {
+  kind   = "region_cut"
+  region = 4
+  at_s   = 60
+  for_s  = 30
+}
+
+fault "owner_killed" {
+  kind   = "controller_killed"
+  region = 1
+  at_s   = 100
+  for_s  = 5
+}
