Configuration: entries go to one region's proposer, records follow the log, one copy of the state

Change: entries go to the first region that is heard; a lost confirmation is asked for again; a record follows the log; the state is shared.

--- a/crates/fleet-config/src/region.rs
+++ b/crates/fleet-config/src/region.rs
@@ -5,6 +5,7 @@
 use crate::change::Batch;
 use crate::state::ConfigState;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// What a region stores.
 #[derive(Debug, Clone, PartialEq)]
@@ -12,7 +13,7 @@
     /// Its part in the agreement.
     pub acceptor: Acceptor,
     /// The configuration that it has applied.
-    pub state: ConfigState,
+    pub state: Arc<ConfigState>,
 }
 
 /// A request to a region.
@@ -64,7 +65,7 @@
 impl RegionRecord {
     /// A region that has stored nothing yet.
     pub fn new(state: ConfigState) -> RegionRecord {
-        RegionRecord { acceptor: Acceptor::default(), state }
+        RegionRecord { acceptor: Acceptor::default(), state: Arc::new(state) }
     }
 
     /// Answers a request. Where there is a new record the answer may be told only once that is
@@ -90,9 +91,9 @@
         if version > self.acceptor.applied + 1 {
             return (None, self.rejected(Rejection::Behind));
         }
-        let mut state = self.state.clone();
+        let mut state = ConfigState::clone(&self.state);
         state.apply(batch);
-        (Some(RegionRecord { acceptor: self.acceptor.advanced(), state }), Reply::Learned)
+        (Some(RegionRecord { acceptor: self.acceptor.advanced(), state: Arc::new(state) }), Reply::Learned)
     }
 
     fn with(&self, acceptor: Acceptor) -> RegionRecord {
@@ -116,6 +117,6 @@
     /// accepted; so the second one after `latest` is the last that it may have voted on.
     pub fn rejoin(state: ConfigState, latest: u64) -> RegionRecord {
         let acceptor = Acceptor { applied: state.version, votes_from: latest + 3, promised: None, accepted: None };
-        RegionRecord { acceptor, state }
+        RegionRecord { acceptor, state: Arc::new(state) }
     }
 }
--- a/crates/fleet-config/tests/agreement.rs
+++ b/crates/fleet-config/tests/agreement.rs
@@ -5,6 +5,10 @@
 
 mod fleet;
 
+use badgerdrift_fleet_config::{
+    Acceptor, Amount, Amounts, Ballot, Batch, Change, ChangeId, ConfigState, Document, DocumentName, Entry, ProposerId,
+    ReadVersion, Rejection, Share, TeamDocument,
+};
 use fleet::{Fleet, REGIONS, TEAMS, WriteFate};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -286,3 +290,44 @@
     assert_eq!(fleet.outcomes().taken, 200);
     fleet.settle();
 }
+
+// A vote on a later version would be forgotten as the version before it is applied.
+#[test]
+fn a_region_that_lacks_a_version_votes_on_none_after_it() {
+    let ballot = Ballot { round: 1, proposer: ProposerId { node: "a".into(), incarnation: 1 } };
+    let fresh = Acceptor::default();
+    assert_eq!(fresh.prepare(2, &ballot), Err(Rejection::Behind));
+    assert_eq!(fresh.accept(2, &ballot, &Batch::default()), Err(Rejection::Behind));
+    assert!(fresh.prepare(1, &ballot).is_ok());
+    assert_eq!(fresh.advanced().prepare(1, &ballot), Err(Rejection::Decided));
+}
+
+// What the fleet has no limit for is divided among nobody; a limit that is set binds at once.
+#[test]
+fn a_limit_that_is_set_where_there_was_none_binds_each_region_at_once() {
+    let names = ["a", "b"].map(String::from);
+    let team = |limit: Amount, share: Amount| {
+        let amounts = |cpus: Amount| Amounts { cpus, gpus: Amount::UNLIMITED };
+        let share = Share { guarantee: Amounts::default(), limit: amounts(share) };
+        Document::Team(TeamDocument {
+            name: "t".into(),
+            removed: false,
+            guarantee: Amounts::default(),
+            limit: amounts(limit),
+            shares: names.iter().map(|name| (name.clone(), share)).collect(),
+        })
+    };
+    let mut state = ConfigState::initial(names.to_vec(), vec![team(Amount::UNLIMITED, Amount::UNLIMITED)]);
+    assert_eq!(state.allowance("t", "a").unwrap().limit.cpus, Amount::UNLIMITED);
+    let change = Change {
+        id: ChangeId("1".into()),
+        author: String::new(),
+        reason: String::new(),
+        at_ms: 0,
+        reads: vec![ReadVersion { document: DocumentName::Team("t".into()), version: 0 }],
+        writes: vec![team(Amount(20), Amount(10))],
+    };
+    state.apply(&Batch { entries: vec![Entry::Change(change)] });
+    assert_eq!(state.allowance("t", "a").unwrap().limit.cpus, Amount(10));
+    assert!(state.waits_for("a"), "until it confirms it may use any amount");
+}
--- a/crates/fleet-config/tests/fleet/mod.rs
+++ b/crates/fleet-config/tests/fleet/mod.rs
@@ -233,7 +233,7 @@
             return;
         }
         let latest = heard.iter().max_by_key(|other| self.stores[**other].record.acceptor.applied).unwrap();
-        let state = self.stores[*latest].record.state.clone();
+        let state = ConfigState::clone(&self.stores[*latest].record.state);
         let version = state.version;
         self.stores[region].record = RegionRecord::rejoin(state, version);
         self.stores[region].stamp += 1;
@@ -359,7 +359,7 @@
         let record = &self.stores[region].record;
         assert_eq!(record.acceptor.applied, record.state.version);
         let agreed = &self.states[record.state.version as usize];
-        assert_eq!(*agreed, record.state, "region {region} has applied something else");
+        assert_eq!(*agreed, *record.state, "region {region} has applied something else");
     }
 
     /// What the owner of a region lets a team use now.
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -42,6 +42,7 @@
         let wait = &found["waits"][urgency];
         assert!(wait["p50_s"].as_f64().unwrap() > 0.0, "{urgency}: an image takes time: {wait}");
     }
+    assert!(found["configuration"]["taken"].as_u64().unwrap() > 0, "{:#}", found["configuration"]);
     assert!(found["traffic_per_s"]["bytes_per_worker"].as_f64().unwrap() > 0.0);
     assert_eq!(left_behind(id), Vec::<String>::new());
 }
--- a/src/configuration/actor.rs
+++ b/src/configuration/actor.rs
@@ -20,8 +20,8 @@
 use badgerdrift_fleet_config::{Acceptor, ConfigState, Confirmation, Entry, RegionName, RegionRecord, Request};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Messages to the actor that wait, at the most.
@@ -50,10 +50,13 @@
     heard: BTreeMap<RegionName, Heard>,
     heard_for_ms: u64,
     obeyed: Obeyed,
-    /// The last version that this node has asked to be confirmed.
-    confirming: u64,
+    /// What the owner on this node has recorded, if it is on this node.
+    recorded_here: Obeyed,
+    /// A confirmation is not asked for again before then.
+    confirm_after_ms: u64,
     writes: TokenBucket,
     proposals: mpsc::Sender<Proposed>,
+    regions: Regions,
     published: watch::Sender<Option<Published>>,
 }
 
@@ -90,9 +93,11 @@
         heard: BTreeMap::new(),
         heard_for_ms: HEARD_EXCHANGES * settings.react_ms(),
         obeyed: Obeyed::default(),
-        confirming: 0,
+        recorded_here: Obeyed::default(),
+        confirm_after_ms: 0,
         writes: TokenBucket::new(settings.write_limits().changes_per_s / WRITE_SHARE, WRITE_SHARE, now),
         proposals,
+        regions: ways.clone(),
         published: published_tx,
     };
     task::spawn(actor.run(rx));
@@ -126,7 +131,10 @@
                     let loaded = self.reload().await.is_ok();
                     let _ = reply.send(loaded);
                 }
-                Message::Heard(digest) => self.hear(digest).await,
+                Message::Heard(digest) => {
+                    self.hear(digest).await;
+                    self.confirm();
+                }
                 Message::AllCapable => self.all_capable = true,
                 Message::Obeyed(obeyed) => self.note_obeyed(obeyed),
             }
@@ -152,23 +160,51 @@
                 Err(_) => ConfigurationResponse::Unavailable(Unavailable::StateService),
             },
             ConfigurationRequest::Apply(change) => {
-                if !self.may_propose() {
-                    let why = ConfigurationResponse::Unavailable(Unavailable::NotStarted);
-                    return Some((why, reply));
-                }
-                let proposed = Proposed { entry: Entry::Change(change), reply: Some(reply) };
-                return match self.proposals.try_send(proposed) {
-                    Ok(()) => None,
-                    Err(mpsc::error::TrySendError::Full(proposed) | mpsc::error::TrySendError::Closed(proposed)) => {
-                        Some((ConfigurationResponse::Unavailable(Unavailable::Busy), proposed.reply?))
-                    }
-                };
+                self.bring_in(Proposed { entry: Entry::Change(change), reply: Some(reply) });
+                return None;
+            }
+            ConfigurationRequest::Propose(entry) => {
+                self.propose(Proposed { entry, reply: Some(reply) });
+                return None;
             }
             other => self.tell(&other),
         };
         Some((response, reply))
     }
 
+    /// Has an entry proposed: in the first region, by name, that is heard, so that proposers seldom
+    /// get in each other's way. Where that gives no answer it is proposed here: what is in the
+    /// log already is not taken twice.
+    fn bring_in(&self, proposed: Proposed) {
+        let now = clock::now_ms();
+        let is_heard = |region: &&RegionName| {
+            let heard = self.heard.get(*region);
+            **region == self.fleet.region || heard.is_some_and(|heard| now <= heard.at_ms + self.heard_for_ms)
+        };
+        match self.initial.regions.iter().find(is_heard) {
+            Some(region) if *region != self.fleet.region => {
+                let (regions, proposals, region) = (self.regions.clone(), self.proposals.clone(), region.clone());
+                task::spawn(async move {
+                    let request = ConfigurationRequest::Propose(proposed.entry.clone());
+                    match regions.ask_at_length(&region, &request).await {
+                        Some(response @ ConfigurationResponse::Outcome(_)) => tell(proposed.reply, response),
+                        _ => propose(&proposals, proposed),
+                    }
+                });
+            }
+            _ => self.propose(proposed),
+        }
+    }
+
+    /// Proposes an entry here.
+    fn propose(&self, proposed: Proposed) {
+        if self.may_propose() {
+            propose(&self.proposals, proposed);
+        } else {
+            tell(proposed.reply, ConfigurationResponse::Unavailable(Unavailable::NotStarted));
+        }
+    }
+
     /// Answers what only asks.
     fn tell(&self, request: &ConfigurationRequest) -> ConfigurationResponse {
         let Some(StoredRecord { record, .. }) = &self.stored else {
@@ -275,17 +311,17 @@
     /// Reads the region's record, if it is another than the one known.
     async fn reload(&mut self) -> Result<(), LoadError> {
         let version = self.state.get(REGION_KEY).await?.0.map_or(0, |item| item.version);
-        self.obeyed = records::load_obeyed(&self.state).await?;
         if self.stored.as_ref().map_or(0, |stored| stored.stamp) != version {
-            let before = self.stored.take();
-            match records::load(&self.state, &self.initial, self.genesis).await {
-                Ok(stored) => self.stored = stored,
-                Err(error) => {
-                    self.stored = before;
-                    return Err(error);
-                }
-            }
+            let followed = match &self.stored {
+                Some(stored) => records::follow(&self.state, stored, self.genesis).await?,
+                None => None,
+            };
+            self.stored = match followed {
+                Some(stored) => Some(stored),
+                None => records::load(&self.state, &self.initial, self.genesis).await?,
+            };
         }
+        self.obeyed = records::load_obeyed(&self.state).await?;
         Ok(())
     }
 
@@ -328,26 +364,34 @@
         stored.record.acceptor.applied > 0 || others_began
     }
 
-    /// This node's owner obeys a version: the others are told where they wait for it.
+    /// This node's owner has recorded that it obeys a version.
     fn note_obeyed(&mut self, obeyed: Obeyed) {
         self.obeyed = obeyed;
+        self.recorded_here = obeyed;
+        self.confirm_after_ms = 0;
+        self.confirm();
+    }
+
+    /// Has what this node's owner has recorded confirmed, where other regions wait for that; again
+    /// after a while if it did not come into the log.
+    fn confirm(&mut self) {
+        let now = clock::now_ms();
         let Some(StoredRecord { record, .. }) = &self.stored else { return };
         let confirmed = record.state.confirmations.get(&self.fleet.region).copied().unwrap_or(0);
-        let wanted = obeyed.kept > confirmed && record.state.waits_for(&self.fleet.region);
-        if wanted && obeyed.kept > self.confirming {
-            let confirmation = Confirmation { region: self.fleet.region.clone(), version: obeyed.kept };
-            let proposed = Proposed { entry: Entry::Confirmation(confirmation), reply: None };
-            if self.proposals.try_send(proposed).is_ok() {
-                self.confirming = obeyed.kept;
-            }
+        let (version, own) = (self.recorded_here.kept, self.recorded_here == self.obeyed);
+        if !own || version <= confirmed || now < self.confirm_after_ms || !record.state.waits_for(&self.fleet.region) {
+            return;
         }
+        self.confirm_after_ms = now + self.heard_for_ms;
+        let confirmation = Confirmation { region: self.fleet.region.clone(), version };
+        self.bring_in(Proposed { entry: Entry::Confirmation(confirmation), reply: None });
     }
 
     fn publish(&self) {
         let now = clock::now_ms();
         let heard = self.heard.values().filter(|heard| now <= heard.at_ms + self.heard_for_ms).count();
         let published = self.stored.as_ref().map(|stored| Published {
-            state: Arc::new(stored.record.state.clone()),
+            state: stored.record.state.clone(),
             may_start_tasks: stored.record.may_start_tasks(),
             latest: self.latest(stored.record.state.version),
             regions_heard: heard + 1,
@@ -357,6 +401,18 @@
     }
 }
 
+fn tell(reply: Option<oneshot::Sender<ConfigurationResponse>>, response: ConfigurationResponse) {
+    if let Some(reply) = reply {
+        let _ = reply.send(response);
+    }
+}
+
+fn propose(proposals: &mpsc::Sender<Proposed>, proposed: Proposed) {
+    if let Err(TrySendError::Full(proposed) | TrySendError::Closed(proposed)) = proposals.try_send(proposed) {
+        tell(proposed.reply, ConfigurationResponse::Unavailable(Unavailable::Busy));
+    }
+}
+
 fn region_status(region: &RegionName, version: u64, obeyed: u64, latest: u64) -> RegionStatus {
     let condition = if obeyed >= latest { RegionCondition::InForce } else { RegionCondition::Pending };
     RegionStatus { region: region.clone(), version, obeyed, condition }
--- a/src/configuration/messages.rs
+++ b/src/configuration/messages.rs
@@ -2,7 +2,7 @@
 
 use super::records::LogEntry;
 use badgerdrift_fleet_config::{
-    Change, ChangeId, ChangeOutcome, DocumentName, RecordedChange, RegionName, Reply, Request, VersionedDocument,
+    Change, ChangeId, ChangeOutcome, DocumentName, Entry, RecordedChange, RegionName, Reply, Request, VersionedDocument,
 };
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +24,8 @@
     Log(u64),
     /// Take a change.
     Apply(Change),
+    /// From a controller of any region: propose this here.
+    Propose(Entry),
     /// What became of a change?
     Outcome(ChangeId),
     /// One document.
--- a/src/configuration/proposals.rs
+++ b/src/configuration/proposals.rs
@@ -213,10 +213,13 @@
 
     /// Tells the outcomes, which this region knows once it has applied the version.
     async fn answer(&self, taken: Vec<Proposed>) {
-        for proposed in taken {
-            let (Entry::Change(change), Some(reply)) = (&proposed.entry, proposed.reply) else { continue };
-            let response = self.handle.answer(ConfigurationRequest::Outcome(change.id.clone())).await;
-            let response = match response {
+        for Proposed { entry, reply } in taken {
+            let Some(reply) = reply else { continue };
+            let Entry::Change(change) = entry else {
+                let _ = reply.send(ConfigurationResponse::Outcome(None));
+                continue;
+            };
+            let response = match self.handle.answer(ConfigurationRequest::Outcome(change.id)).await {
                 ConfigurationResponse::Outcome(None) => ConfigurationResponse::Unavailable(Unavailable::Unclear),
                 other => other,
             };
--- a/src/configuration/records.rs
+++ b/src/configuration/records.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::fmt::Write;
+use std::sync::Arc;
 
 /// Prefix of all keys of the configuration.
 pub(super) const PREFIX: &str = "config/";
@@ -111,12 +112,30 @@
         // Documents of another version may have been written meanwhile.
         let again = state.get(REGION_KEY).await?.0;
         if again.is_some_and(|again| again.version == item.version) {
-            let record = RegionRecord { acceptor: region.acceptor, state: config };
+            let record = RegionRecord { acceptor: region.acceptor, state: Arc::new(config) };
             return Ok(Some(StoredRecord { record, stamp: item.version }));
         }
     }
 }
 
+/// Brings a record up to what the state service has, by the log; `None` if that does not tell.
+pub(super) async fn follow(
+    state: &State,
+    known: &StoredRecord,
+    genesis: u64,
+) -> Result<Option<StoredRecord>, LoadError> {
+    let Some(item) = state.get(REGION_KEY).await?.0 else { return Ok(None) };
+    let region = region_value(&item, genesis)?;
+    let mut config = known.record.state.clone();
+    for version in config.version + 1..=region.acceptor.applied {
+        let Some(entry) = log_entry(state, version).await? else { return Ok(None) };
+        Arc::make_mut(&mut config).apply(&entry.batch);
+    }
+    let same = config.version == region.acceptor.applied && config.confirmations == region.confirmations;
+    let record = RegionRecord { acceptor: region.acceptor, state: config };
+    Ok(same.then_some(StoredRecord { record, stamp: item.version }))
+}
+
 fn region_value(item: &Item, genesis: u64) -> Result<RegionValue, LoadError> {
     let region: RegionValue = serde_json::from_value(item.value.clone()).map_err(|_| LoadError::Unreadable)?;
     if region.genesis == genesis { Ok(region) } else { Err(LoadError::Unreadable) }
--- a/src/configuration/regions.rs
+++ b/src/configuration/regions.rs
@@ -10,6 +10,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// What needs an agreement may take so many times as long as other requests.
+const LENGTHY: u32 = 4;
+
 /// The ways to the other regions; cheap to clone.
 #[derive(Clone)]
 pub(super) struct Regions {
@@ -42,12 +45,30 @@
 
     /// Asks a region: the controller that answered last, then the next ones.
     pub(super) async fn ask(&self, region: &str, request: &ConfigurationRequest) -> Option<ConfigurationResponse> {
+        self.ask_within(region, request, self.limit).await
+    }
+
+    /// The same for what takes a while to answer.
+    pub(super) async fn ask_at_length(
+        &self,
+        region: &str,
+        request: &ConfigurationRequest,
+    ) -> Option<ConfigurationResponse> {
+        self.ask_within(region, request, self.limit * LENGTHY).await
+    }
+
+    async fn ask_within(
+        &self,
+        region: &str,
+        request: &ConfigurationRequest,
+        limit: Duration,
+    ) -> Option<ConfigurationResponse> {
         let region = self.regions.get(region)?;
         let count = region.controllers.len();
         let first = region.at.load(Ordering::Relaxed);
         for turn in 0..count {
             let number = (first + turn) % count;
-            if let Some(response) = ask(&region.controllers[number], request, self.limit).await {
+            if let Some(response) = ask(&region.controllers[number], request, limit).await {
                 region.at.store(number, Ordering::Relaxed);
                 return Some(response);
             }
--- a/src/owner/configuration.rs
+++ b/src/owner/configuration.rs
@@ -58,7 +58,9 @@
         if settled || h.followed.recording || now < h.followed.next_record_ms {
             return;
         }
-        h.followed.next_record_ms = now + self.settings.react_ms() / 4;
+        let pause_ms =
+            if recorded.version == version { self.settings.react_ms() } else { self.settings.react_ms() / 8 };
+        h.followed.next_record_ms = now + pause_ms;
         let kept = if !h.followed.suspended && h.partition.teams_within_limits(now) {
             version
         } else if recorded.term == h.partition.term {
--- a/src/partition/tests/acceptance.rs
+++ b/src/partition/tests/acceptance.rs
@@ -1,6 +1,7 @@
 //! Tests of submissions: what is accepted, when that is said, what is refused.
 
 use super::*;
+use crate::refusal::RefusalReason;
 
 #[test]
 fn a_job_is_accepted_after_its_commit_and_known_ever_after() {
@@ -88,3 +89,41 @@
     let first = &p.next_commit(1000, 1).unwrap().apply[0];
     assert!(first.to_string().contains("run-000900"), "{first}");
 }
+
+// A team that another region knows already was refused for good by an owner that had not heard of it.
+#[test]
+fn what_a_newer_configuration_may_allow_is_refused_for_now_only() {
+    let of_team = |team: &str, shape: &str| -> Vec<u8> {
+        let mut job: serde_json::Value = serde_json::from_slice(&body("run-000001", shape, 5)).unwrap();
+        job["owner"] = json!(team);
+        job.to_string().into_bytes()
+    };
+    let answer = |p: &mut Partition, team: &str, shape: &str| submit(p, &of_team(team, shape), 1000).try_recv();
+    let for_now = Ok(UserAnswer::RetryLater(RefusalReason::ConfigurationBehind));
+    let mut p = partition();
+    assert!(matches!(answer(&mut p, "new", "batch"), Ok(UserAnswer::Impossible(_))));
+    p.configuration_up_to_date = false;
+    assert_eq!(answer(&mut p, "new", "batch"), for_now);
+    // The limit is about to grow: what does not fit now may soon.
+    p.configuration_up_to_date = true;
+    let red = p.policy.teams.get_mut("red").unwrap();
+    (red.limit.gpus, red.settled) = (4.0, false);
+    assert_eq!(answer(&mut p, "red", "group"), for_now);
+    p.policy.teams.get_mut("red").unwrap().settled = true;
+    assert!(matches!(answer(&mut p, "red", "group"), Ok(UserAnswer::Impossible(_))));
+    // A removed team takes no new jobs.
+    p.policy.teams.get_mut("red").unwrap().removed = true;
+    assert!(matches!(answer(&mut p, "red", "batch"), Ok(UserAnswer::Impossible(_))));
+}
+
+#[test]
+fn limits_are_kept_to_once_all_that_is_beyond_them_has_ended() {
+    let mut p = running("batch", 2);
+    assert!(p.teams_within_limits(1002));
+    p.policy.teams.get_mut("red").unwrap().limit.gpus = 1.0;
+    assert!(!p.teams_within_limits(1002), "two tasks with an accelerator each are on machines");
+    p.cluster.host_mut(0).unwrap().attempts.pop();
+    assert!(p.teams_within_limits(1002));
+    p.policy.teams.remove("red");
+    assert!(!p.teams_within_limits(1002), "a team that is not known may use nothing");
+}
