--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,6 @@
 //! Settings: the platform's TOML file (unknown fields ignored) and the
 //! operators' optional HCL file (unknown names refused).
 
-use crate::write_limits::WriteLimits;
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -345,11 +344,6 @@
 const MAX_STALL_MS: u64 = 2500;
 
 impl Settings {
-    /// What the state service takes.
-    pub fn write_limits(&self) -> WriteLimits {
-        WriteLimits::new(&self.params.state)
-    }
-
     /// The partition that each team belongs to: the teams with the largest guarantees
     /// first, each to the partition that has least so far.
     pub fn partitions_of_teams(&self, partitions: u32) -> HashMap<String, u32> {
--- a/src/write_limits.rs
+++ b/src/write_limits.rs
@@ -4,7 +4,7 @@
 //! therefore keep to the smaller of the present limits and those to come from the start;
 //! the rate stays the present one until the service refuses it.
 
-use crate::config::StateLimits;
+use crate::config::{Settings, StateLimits};
 use crate::model::{JobRecord, Spec};
 use serde::Serialize;
 
@@ -34,6 +34,13 @@
     spec_bytes: usize,
 }
 
+impl Settings {
+    /// What the state service takes.
+    pub fn write_limits(&self) -> WriteLimits {
+        WriteLimits::new(&self.params.state)
+    }
+}
+
 impl WriteLimits {
     /// The limits that the settings tell.
     pub fn new(settings: &StateLimits) -> WriteLimits {
