--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -4,6 +4,9 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+/// So many direct commands in a row without an answer are no chance.
+pub const UNREACHABLE_AFTER_MISSES: u32 = 2;
+
 /// A machine on which so many jobs failed is faulty.
 pub const FAULTY_AFTER_JOBS: usize = 3;
 
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -13,7 +13,7 @@
 
 pub use cluster::{ClusterState, HostKind, Reserve};
 pub use flavor::Flavor;
-pub use host::{CachedImage, Claim, Host, HostIndex};
+pub use host::{CachedImage, Claim, Host, HostIndex, UNREACHABLE_AFTER_MISSES};
 pub use job::{Job, JobEnd, JobIndex, JobPhase, UnsavedChange};
 pub use predecessors::Predecessors;
 pub use records::{HostRecord, JobRecord, ranges};
--- a/src/partition/direct.rs
+++ b/src/partition/direct.rs
@@ -1,9 +1,8 @@
 //! Commands that are sent straight to a worker.
 
 use super::reports::REPLY_ORDERS;
-use super::upkeep::UNREACHABLE_AFTER_MISSES;
 use super::{Direct, DirectResult, Partition, ReportSource};
-use crate::model::{HostIndex, TaskAttempt, TaskPhase};
+use crate::model::{HostIndex, TaskAttempt, TaskPhase, UNREACHABLE_AFTER_MISSES};
 use crate::wire::Order;
 
 /// After a command without an answer: the pause, as a partition of the reaction time.
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -27,7 +27,6 @@
     Commit, CommitResult, Direct, DirectResult, HostRouting, JobWrite, PendingWrite, ReportSource, Superseded,
     UserAnswer, Waiter,
 };
-pub use upkeep::UNREACHABLE_AFTER_MISSES;
 
 use crate::dependencies::DependencyGraph;
 use crate::metrics::Metrics;
--- a/src/partition/upkeep.rs
+++ b/src/partition/upkeep.rs
@@ -3,11 +3,9 @@
 use super::Partition;
 use super::keys::host_key;
 use crate::clock::DRIFT;
-use crate::model::{Host, HostIndex};
+use crate::model::{Host, HostIndex, UNREACHABLE_AFTER_MISSES};
 use std::collections::{HashMap, HashSet};
 
-/// So many direct commands in a row without an answer are no chance.
-pub const UNREACHABLE_AFTER_MISSES: u32 = 2;
 /// A zone is never taken for cut off for the silence of one machine in fewer than these.
 const LEAST_ZONE: usize = 3;
 /// Fewest machines by whose silence this node is taken for cut off.
--- a/src/partition/users.rs
+++ b/src/partition/users.rs
@@ -1,8 +1,7 @@
 //! What users ask of a partition: submissions, polls, cancellations.
 
-use super::upkeep::UNREACHABLE_AFTER_MISSES;
 use super::{Partition, UserAnswer, Waiter};
-use crate::model::{Host, Job, JobEnd, JobIndex, JobPhase, Spec, UnsavedChange, Urgency};
+use crate::model::{Host, Job, JobEnd, JobIndex, JobPhase, Spec, UNREACHABLE_AFTER_MISSES, UnsavedChange, Urgency};
 use crate::refusal::RefusalReason;
 use crate::{sched, wire};
 
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -13,7 +13,7 @@
 pub use plan::{ClassFlow, Drain, ExpectedWork, PendingMachine, Plan, Rental, Supply, SupplyOf, plan, reserves};
 pub use policy::{Policy, TeamRule};
 
-use crate::model::{Flavor, Host, Shape, Spec};
+use crate::model::{Flavor, Host, Shape, Spec, UNREACHABLE_AFTER_MISSES};
 use std::fmt;
 
 /// Why a submission can never run.
@@ -80,7 +80,7 @@
         && !h.notice
         && !h.releasing
         && h.transferring_to.is_none()
-        && h.missed < crate::partition::UNREACHABLE_AFTER_MISSES
+        && h.missed < UNREACHABLE_AFTER_MISSES
 }
 
 /// May tasks be placed on the machine now?
@@ -95,5 +95,5 @@
         && h.blocked_until_ms <= now
         && !h.faulty()
         && h.addr.is_some()
-        && h.missed < crate::partition::UNREACHABLE_AFTER_MISSES
+        && h.missed < UNREACHABLE_AFTER_MISSES
 }
