--- a/src/sched/pass/claims.rs
+++ b/src/sched/pass/claims.rs
@@ -5,6 +5,10 @@
 use crate::model::{Claim, HostIndex, JobIndex};
 use crate::sched::index::ZoneCounts;
 
+/// Room that is made for a task is held for so many times what an order takes
+/// to show: what is in the way may have to save.
+pub(super) const HOLD_REACTIONS: u64 = 10;
+
 impl Pass<'_> {
     /// Holds room on a machine.
     pub(super) fn claim(&mut self, host_index: HostIndex, claim: Claim) {
--- a/src/sched/pass/displacement.rs
+++ b/src/sched/pass/displacement.rs
@@ -2,10 +2,10 @@
 //! that costs.
 
 use super::candidates::Candidate;
+use super::claims::HOLD_REACTIONS;
 use super::cost::MOVE_COST;
 use super::preemption::PreemptionScope;
 use super::request::PlacementRequest;
-use super::room::MADE;
 use super::{Eviction, Pass};
 use crate::model::{Claim, Demand, Host, HostIndex, JobIndex, Shape, Spec, TaskAttempt};
 use std::cmp::Reverse;
@@ -180,7 +180,7 @@
 
     /// Carries out what `plan_displacements` found.
     pub(super) fn clear(&mut self, request: &PlacementRequest, host_index: HostIndex, departures: &[Departure]) {
-        let until_ms = self.now + MADE * self.policy.react_ms;
+        let until_ms = self.now + HOLD_REACTIONS * self.policy.react_ms;
         for Departure { attempt, destination } in departures {
             if let Some(to) = destination {
                 self.claim(*to, Claim { job: attempt.key.job, demand: attempt.demand, until_ms });
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -3,6 +3,7 @@
 
 use super::Pass;
 use super::candidates::Candidate;
+use super::claims::HOLD_REACTIONS;
 use super::displacement::Vacancy;
 use super::preemption::PreemptionScope;
 use super::queue::Turn;
@@ -10,10 +11,6 @@
 use crate::model::{Claim, HostIndex, Shape, Task, Urgency};
 use crate::sched::index::{TaskRequirements, ZoneCounts};
 
-/// Room that is made for a task is held for so many times what an order takes
-/// to show: what is in the way may have to save.
-pub(super) const MADE: u64 = 10;
-
 /// The weight of the cost of a place next to that of making room there.
 const PLACE_WEIGHT: f64 = 0.2;
 /// The same for a replica.
@@ -149,7 +146,7 @@
             left -= 1;
             counts.add(self.index.slots[host].zone);
             self.clear(request, host, &vacancy.departures);
-            let until_ms = self.now + MADE * self.policy.react_ms;
+            let until_ms = self.now + HOLD_REACTIONS * self.policy.react_ms;
             self.claim(host, Claim { job: request.job_index, demand: request.requirements.demand, until_ms });
             if let Some(Vacancy { cost, .. }) = self.room_at(request, scope, host) {
                 insert_by_cost(&mut costs, Candidate { cost, host });
