--- a/crates/stand-ins/src/world/job.rs
+++ b/crates/stand-ins/src/world/job.rs
@@ -38,7 +38,6 @@
     pub invalid: bool,
     pub submitted: bool,
     pub first_submitted: Option<Instant>,
-    pub(super) started_tasks: BTreeSet<u32>,
     pub accepted: Option<Instant>,
     /// Its first task had its image then.
     pub began: Option<Instant>,
@@ -79,7 +78,6 @@
             invalid: false,
             submitted: false,
             first_submitted: None,
-            started_tasks: BTreeSet::new(),
             accepted: None,
             began: None,
             starts: 0,
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -23,7 +23,7 @@
 use machine::Phase;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -38,6 +38,8 @@
     /// Requests that the state service took and refused under its limit.
     pub requests: u64,
     pub requests_refused: u64,
+    /// Tasks that were started, apart from their jobs, which are copied often.
+    started_tasks: HashSet<String>,
     /// Waits for first starts of tasks, since they were last taken.
     pub start_waits: Vec<StartWait>,
     pub rng: StdRng,
@@ -103,6 +105,7 @@
             requests_refilled: None,
             requests: 0,
             requests_refused: 0,
+            started_tasks: HashSet::new(),
             start_waits: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             start: Instant::now(),
--- a/crates/stand-ins/src/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -204,8 +204,9 @@
         self.log(format!("{id} starts {} try {}", key.0, key.1));
         self.starts += 1;
         let started = self.jobs.get_mut(&job.id).unwrap();
-        if started.started_tasks.insert(c.n)
-            && let Some(submitted) = started.first_submitted
+        let submitted = started.first_submitted;
+        if self.started_tasks.insert(key.0.clone())
+            && let Some(submitted) = submitted
         {
             self.start_waits.push(StartWait {
                 urgency: job.urgency,
--- a/src/owner/active_term.rs
+++ b/src/owner/active_term.rs
@@ -1,7 +1,6 @@
 //! What the actor keeps while it holds the partition.
 
-use super::configuration::FollowedConfiguration;
-use super::predecessors::KnownExternals;
+use super::followed::{FollowedConfiguration, KnownExternals};
 use crate::clients::TokenBucket;
 use crate::leader::Leader;
 use crate::partition::Partition;
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -2,7 +2,7 @@
 
 use super::active_term::ActiveTerm;
 use super::answers::handle_idle;
-use super::configuration::FollowedConfiguration;
+use super::followed::FollowedConfiguration;
 use super::load::Loaded;
 use super::messages::{HeartbeatReply, Message, SessionEvent, SessionSender};
 use crate::clients::{Cloud, State, TokenBucket, Worker};
--- a/src/owner/configuration.rs
+++ b/src/owner/configuration.rs
@@ -9,20 +9,6 @@
 use crate::partition::CommitResult;
 use crate::{task, wire};
 
-/// How far an owner follows the shared configuration.
-#[derive(Debug, Default)]
-pub(super) struct FollowedConfiguration {
-    /// The version that decisions are made by; `None` before there is one.
-    version: Option<u64>,
-    /// Decisions were made by it while the region may start no tasks.
-    suspended: bool,
-    /// What is recorded of it.
-    recorded: Obeyed,
-    /// The record is being written.
-    recording: bool,
-    next_record_ms: u64,
-}
-
 impl PartitionOwner {
     /// Decides by the last version from now on, and records that.
     pub(super) fn follow_configuration(&self, h: &mut ActiveTerm, now: u64) {
--- /dev/null
+++ b/src/owner/followed.rs
@@ -0,0 +1,25 @@
+//! What an owner knows of what it follows: jobs of other partitions, and the shared configuration.
+
+use crate::configuration::Obeyed;
+use std::collections::HashSet;
+
+/// Jobs of other partitions whose changes are known up to a revision.
+#[derive(Default, Clone)]
+pub(super) struct KnownExternals {
+    pub(super) revision: u64,
+    pub(super) ids: HashSet<String>,
+}
+
+/// How far an owner follows the shared configuration.
+#[derive(Debug, Default)]
+pub(super) struct FollowedConfiguration {
+    /// The version that decisions are made by; `None` before there is one.
+    pub(super) version: Option<u64>,
+    /// Decisions were made by it while the region may start no tasks.
+    pub(super) suspended: bool,
+    /// What is recorded of it.
+    pub(super) recorded: Obeyed,
+    /// The record is being written.
+    pub(super) recording: bool,
+    pub(super) next_record_ms: u64,
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod commits;
 mod configuration;
 mod dispatch;
+mod followed;
 mod load;
 mod messages;
 mod predecessors;
--- a/src/owner/predecessors.rs
+++ b/src/owner/predecessors.rs
@@ -3,6 +3,7 @@
 
 use super::active_term::ActiveTerm;
 use super::actor::PartitionOwner;
+use super::followed::KnownExternals;
 use super::messages::SessionEvent;
 use crate::clients::{RequestError, State};
 use crate::partition::{JOB_PREFIX, PredecessorLookup, job_key};
@@ -19,13 +20,6 @@
     pub(super) known: Option<KnownExternals>,
 }
 
-/// Jobs of other partitions whose changes are known up to a revision.
-#[derive(Default, Clone)]
-pub(super) struct KnownExternals {
-    revision: u64,
-    ids: HashSet<String>,
-}
-
 impl PartitionOwner {
     /// Makes the lookups that submissions wait for.
     pub(super) fn look_up_predecessors(&self, h: &mut ActiveTerm) {
--- a/src/partition/tests/mod.rs
+++ b/src/partition/tests/mod.rs
@@ -15,7 +15,9 @@
 
 use super::*;
 use crate::config::{Operator, tests::settings};
-use crate::model::{Demand, Flavor, Host, HostIndex, HostRecord, Job, JobPhase, JobRecord, Place, TaskAttempt};
+use crate::model::{
+    Demand, Flavor, Host, HostIndex, HostRecord, Job, JobPhase, JobRecord, Place, TaskAttempt, UNREACHABLE_AFTER_MISSES,
+};
 use crate::sched;
 use crate::wire::tests::reported;
 use crate::wire::{self, Item, Order, Report};
