--- a/src/config_command.rs
+++ b/src/config_command.rs
@@ -4,25 +4,19 @@
 use crate::configuration::{ConfigurationRequest, ConfigurationResponse, RegionCondition, RegionStatus, Unavailable};
 use crate::net::Net;
 use crate::peer::{Peer, PeerLimits, PeerRequest, PeerResponse};
-use badgerdrift_fleet_config::{
-    Amount, Amounts, Change, ChangeId, ChangeOutcome, Document, DocumentName, OperatorDocument, ReadVersion, Share,
-    TeamDocument, VersionedDocument,
-};
+use badgerdrift_fleet_config::{ChangeId, ChangeOutcome, DocumentName, VersionedDocument};
 use clap::Subcommand;
+use file::{document_text, read_changes};
 use rand::RngExt;
-use serde::Deserialize;
-use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// How long an answer is waited for: as long as a controller may try to reach an agreement.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
 /// Life of a grant from which the limits of the connection follow.
 const CONNECTION_GRANT_MS: u64 = 20_000;
-/// Thousandths in a whole.
-const MILLI: f64 = 1000.0;
 
 /// What is asked of a controller.
 #[derive(Subcommand, Debug, Clone)]
@@ -205,186 +199,6 @@
     format!("{:016x}", rand::rng().random::<u64>())
 }
 
-// ---- files ----
-
-/// A file with changes.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ChangesFile {
-    author: String,
-    reason: String,
-    #[serde(default)]
-    team: BTreeMap<String, TeamBlock>,
-    #[serde(default)]
-    operator: Option<OperatorBlock>,
-}
-
-/// A team's document, with the version that it was made from; 0 for a new team.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct TeamBlock {
-    version: u64,
-    #[serde(default)]
-    removed: bool,
-    #[serde(default)]
-    guarantee: AmountsBlock,
-    #[serde(default)]
-    limit: AmountsBlock,
-    #[serde(default)]
-    share: BTreeMap<String, ShareBlock>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct OperatorBlock {
-    version: u64,
-    bin_width_s: f64,
-    default_deadline_s: f64,
-    idle_keep: f64,
-    headroom: f64,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ShareBlock {
-    #[serde(default)]
-    guarantee: AmountsBlock,
-    #[serde(default)]
-    limit: AmountsBlock,
-}
-
-/// Amounts; one that is left out of a team's limit is unlimited, elsewhere it is 0.
-#[derive(Debug, Default, Clone, Copy, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct AmountsBlock {
-    cpus: Option<f64>,
-    gpus: Option<f64>,
-}
-
-impl AmountsBlock {
-    fn or(self, absent: Amount) -> Amounts {
-        let amount = |number: Option<f64>| number.map_or(absent, |number| Amount((number * MILLI).round() as u64));
-        Amounts { cpus: amount(self.cpus), gpus: amount(self.gpus) }
-    }
-
-    fn check(&self, document: &str, field: &str) -> Result<(), CommandError> {
-        let sound = |number: &f64| number.is_finite() && *number >= 0.0 && *number * MILLI < Amount::UNLIMITED.0 as f64;
-        match [self.cpus, self.gpus].iter().flatten().all(sound) {
-            true => Ok(()),
-            false => Err(CommandError::BadInput(format!("{document}.{field}: must be 0 or more"))),
-        }
-    }
-}
-
-fn read_changes(file: &Path) -> Result<ChangesFile, CommandError> {
-    let at = |error: String| CommandError::BadInput(format!("{}: {error}", file.display()));
-    let text = std::fs::read_to_string(file).map_err(|error| at(error.to_string()))?;
-    parse_changes(&text).map_err(|error| match error {
-        CommandError::BadInput(error) => at(error),
-        other => other,
-    })
-}
-
-fn parse_changes(text: &str) -> Result<ChangesFile, CommandError> {
-    let one_line = |error: hcl::Error| error.to_string().split_whitespace().collect::<Vec<_>>().join(" ");
-    let changes: ChangesFile = hcl::from_str(text).map_err(|error| CommandError::BadInput(one_line(error)))?;
-    if changes.team.is_empty() && changes.operator.is_none() {
-        return Err(CommandError::BadInput("team: no document is changed".into()));
-    }
-    for (name, team) in &changes.team {
-        let document = format!("team/{name}");
-        team.guarantee.check(&document, "guarantee")?;
-        team.limit.check(&document, "limit")?;
-        for share in team.share.values() {
-            share.guarantee.check(&document, "share.guarantee")?;
-            share.limit.check(&document, "share.limit")?;
-        }
-    }
-    for (document, _) in changes.documents() {
-        let regions: Vec<String> = changes.team.values().flat_map(|team| team.share.keys().cloned()).collect();
-        if let Err(error) = document.check(&regions) {
-            let name = document.name();
-            return Err(CommandError::BadInput(format!("{name}.{}: {}", error.field, error.reason)));
-        }
-    }
-    Ok(changes)
-}
-
-impl ChangesFile {
-    /// The documents with the versions that they were made from.
-    fn documents(&self) -> Vec<(Document, u64)> {
-        let teams = self.team.iter().map(|(name, block)| (team_document(name, block), block.version));
-        let operator = self.operator.iter().map(|block| {
-            let figures = OperatorDocument {
-                bin_width_s: block.bin_width_s,
-                default_deadline_s: block.default_deadline_s,
-                idle_keep: block.idle_keep,
-                headroom: block.headroom,
-            };
-            (Document::Operator(figures), block.version)
-        });
-        teams.chain(operator).collect()
-    }
-
-    fn into_change(self, id: &str) -> Change {
-        let documents = self.documents();
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Change {
-            id: ChangeId(id.into()),
-            author: self.author,
-            reason: self.reason,
-            at_ms: now.as_millis() as u64,
-            reads: documents
-                .iter()
-                .map(|(document, version)| ReadVersion { document: document.name(), version: *version })
-                .collect(),
-            writes: documents.into_iter().map(|(document, _)| document).collect(),
-        }
-    }
-}
-
-fn team_document(name: &str, block: &TeamBlock) -> Document {
-    let share =
-        |block: &ShareBlock| Share { guarantee: block.guarantee.or(Amount(0)), limit: block.limit.or(Amount(0)) };
-    Document::Team(TeamDocument {
-        name: name.into(),
-        removed: block.removed,
-        guarantee: block.guarantee.or(Amount(0)),
-        limit: block.limit.or(Amount::UNLIMITED),
-        shares: block.share.iter().map(|(region, block)| (region.clone(), share(block))).collect(),
-    })
-}
-
-/// A document as `apply` takes it, without author and reason.
-fn document_text(versioned: &VersionedDocument) -> String {
-    let version = versioned.version;
-    match &versioned.document {
-        Document::Operator(figures) => format!(
-            "operator {{\n  version = {version}\n  bin_width_s = {:?}\n  default_deadline_s = {:?}\n  idle_keep = {:?}\n  \
-             headroom = {:?}\n}}\n",
-            figures.bin_width_s, figures.default_deadline_s, figures.idle_keep, figures.headroom
-        ),
-        Document::Team(team) => {
-            let mut text = format!("team {:?} {{\n  version = {version}\n  removed = {}\n", team.name, team.removed);
-            let _ = writeln!(text, "  guarantee {{{}}}", amounts_text(team.guarantee));
-            let _ = writeln!(text, "  limit {{{}}}", amounts_text(team.limit));
-            for (region, share) in &team.shares {
-                let _ = writeln!(text, "  share {region:?} {{");
-                let _ = writeln!(text, "    guarantee {{{}}}", amounts_text(share.guarantee));
-                let _ = writeln!(text, "    limit {{{}}}\n  }}", amounts_text(share.limit));
-            }
-            text + "}\n"
-        }
-    }
-}
-
-/// Amounts in the lines of a block; what is unlimited is left out.
-fn amounts_text(amounts: Amounts) -> String {
-    let fields = [("cpus", amounts.cpus), ("gpus", amounts.gpus)];
-    let limited = fields.into_iter().filter(|(_, amount)| *amount < Amount::UNLIMITED);
-    let lines: String = limited.map(|(name, amount)| format!("\n    {name} = {:?}", amount.0 as f64 / MILLI)).collect();
-    if lines.is_empty() { lines } else { lines + "\n  " }
-}
-
+mod file;
 #[cfg(test)]
 mod tests;
--- a/src/config_command/tests.rs
+++ b/src/config_command/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the files that `apply` takes.
 
-use super::*;
+use super::CommandError;
+use super::file::{document_text, parse_changes};
+use badgerdrift_fleet_config::VersionedDocument;
 
 const CHANGES: &str = r#"
 author = "ops"
--- a/src/configuration/actor.rs
+++ b/src/configuration/actor.rs
@@ -7,17 +7,16 @@
     ConfigurationRequest, ConfigurationResponse, Digest, RegionCondition, RegionStatus, Unavailable,
 };
 use super::proposals::{Proposals, Proposed};
-use super::records::{self, LoadError, Obeyed, REGION_KEY, StoredRecord};
+use super::records::{self, Obeyed, StoredRecord};
 use super::regions::Regions;
 use super::settings::FleetSettings;
 use crate::clients::{State, TokenBucket};
 use crate::config::{Operator, Settings};
 use crate::metrics::SharedMetrics;
 use crate::net::Net;
-use crate::partition::CommitResult;
 use crate::peer::{Peer, PeerLimits};
-use crate::{clock, task, wire};
-use badgerdrift_fleet_config::{Acceptor, ConfigState, Confirmation, Entry, RegionName, RegionRecord, Request};
+use crate::{clock, task};
+use badgerdrift_fleet_config::{Acceptor, ConfigState, Confirmation, Entry, RegionName};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -30,31 +29,29 @@
 const WRITE_SHARE: f64 = 8.0;
 /// Another region counts as heard for so many exchanges.
 const HEARD_EXCHANGES: u64 = 5;
-/// Attempts to store a record that others change.
-const STORE_ATTEMPTS: usize = 3;
 
 /// What was last heard of another region.
-struct Heard {
-    digest: Digest,
+pub(super) struct Heard {
+    pub(super) digest: Digest,
     at_ms: u64,
 }
 
 /// The actor of a node's configuration.
 pub struct ConfigurationActor {
-    fleet: FleetSettings,
-    genesis: u64,
-    initial: ConfigState,
-    state: State,
-    stored: Option<StoredRecord>,
+    pub(super) fleet: FleetSettings,
+    pub(super) genesis: u64,
+    pub(super) initial: ConfigState,
+    pub(super) state: State,
+    pub(super) stored: Option<StoredRecord>,
     all_capable: bool,
-    heard: BTreeMap<RegionName, Heard>,
+    pub(super) heard: BTreeMap<RegionName, Heard>,
     heard_for_ms: u64,
-    obeyed: Obeyed,
+    pub(super) obeyed: Obeyed,
     /// What the owner on this node has recorded, if it is on this node.
     recorded_here: Obeyed,
     /// A confirmation is not asked for again before then.
     confirm_after_ms: u64,
-    writes: TokenBucket,
+    pub(super) writes: TokenBucket,
     proposals: mpsc::Sender<Proposed>,
     regions: Regions,
     published: watch::Sender<Option<Published>>,
@@ -257,74 +254,10 @@
     }
 
     /// The last version that any region is known to have applied.
-    fn latest(&self, own: u64) -> u64 {
+    pub(super) fn latest(&self, own: u64) -> u64 {
         self.heard.values().filter_map(|heard| heard.digest.version).fold(own, u64::max)
     }
 
-    /// Handles a request of a proposer. Its answer is told only once the new record is stored.
-    async fn agree(&mut self, request: &Request) -> ConfigurationResponse {
-        for _ in 0..STORE_ATTEMPTS {
-            let Some(stored) = &self.stored else {
-                return ConfigurationResponse::Unavailable(Unavailable::NotStarted);
-            };
-            let (next, reply) = stored.record.handle(request);
-            let Some(next) = next else { return ConfigurationResponse::Agreement(reply) };
-            let batch = match request {
-                Request::Learn { batch, .. } => Some(batch),
-                _ => None,
-            };
-            let changes = records::changes(Some(&stored.record), &next, batch, self.genesis);
-            match self.store(next, &changes).await {
-                Ok(true) => return ConfigurationResponse::Agreement(reply),
-                Ok(false) => {
-                    if self.reload().await.is_err() {
-                        break;
-                    }
-                }
-                Err(LoadError::Unanswered | LoadError::Unreadable) => {
-                    let _ = self.reload().await;
-                    break;
-                }
-            }
-        }
-        ConfigurationResponse::Unavailable(Unavailable::StateService)
-    }
-
-    /// Stores a record; false if the stored one is another meanwhile.
-    async fn store(&mut self, next: RegionRecord, changes: &[serde_json::Value]) -> Result<bool, LoadError> {
-        let now = clock::now_ms();
-        if self.writes.available_tokens(now) == 0 {
-            return Err(LoadError::Unanswered);
-        }
-        self.writes.spend(changes.len());
-        let guard = wire::guard(REGION_KEY, self.stored.as_ref().map_or(0, |stored| stored.stamp));
-        match self.state.commit(&[guard], changes).await {
-            CommitResult::Done { revision } => {
-                self.stored = Some(StoredRecord { record: next, stamp: revision });
-                Ok(true)
-            }
-            CommitResult::Conflict { .. } => Ok(false),
-            _ => Err(LoadError::Unanswered),
-        }
-    }
-
-    /// Reads the region's record, if it is another than the one known.
-    async fn reload(&mut self) -> Result<(), LoadError> {
-        let version = self.state.get(REGION_KEY).await?.0.map_or(0, |item| item.version);
-        if self.stored.as_ref().map_or(0, |stored| stored.stamp) != version {
-            let followed = match &self.stored {
-                Some(stored) => records::follow(&self.state, stored, self.genesis).await?,
-                None => None,
-            };
-            self.stored = match followed {
-                Some(stored) => Some(stored),
-                None => records::load(&self.state, &self.initial, self.genesis).await?,
-            };
-        }
-        self.obeyed = records::load_obeyed(&self.state).await?;
-        Ok(())
-    }
-
     /// Another region tells what it has applied.
     async fn hear(&mut self, digest: Digest) {
         if digest.genesis != self.genesis {
@@ -337,24 +270,6 @@
         }
     }
 
-    /// Creates the region's record: a first one if no region has taken part in any agreement, else
-    /// one that votes only where it can't have voted before.
-    async fn begin(&mut self) {
-        let others = self.initial.regions.len() - 1;
-        let untouched = self.heard.values().all(|heard| heard.digest.untouched);
-        let record = if self.heard.len() == others && untouched {
-            RegionRecord::new(self.initial.clone())
-        } else if !untouched && self.heard.len() > others / 2 {
-            RegionRecord::rejoin(self.initial.clone(), self.latest(0))
-        } else {
-            return;
-        };
-        let changes = records::changes(None, &record, None, self.genesis);
-        if self.store(record, &changes).await != Ok(true) {
-            let _ = self.reload().await;
-        }
-    }
-
     /// Before version 1 all regions must have begun: one that has not could not tell whether it
     /// has forgotten a vote.
     fn may_propose(&self) -> bool {
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -14,6 +14,7 @@
 mod records;
 mod regions;
 mod settings;
+mod stored;
 
 pub use actor::{ConfigurationActor, start};
 pub use effect::{policy_of, settings_documents};
