Bounds follow from the settings: none stands below 4,000 machines

Need: at 4,000 machines 0.4 of a core bounded best-effort arrays at 24,000 attempts, six a machine; a partition with thousands of idle machines, or with thousands on their way, made frames that were never sent, without a word; a connection beyond the bound was closed without an answer; a takeover looked at all machines for each one that reported.

Change: src/bounds.rs derives caches, queues, connections and attempts from memory, sockets and processor share. Attempts are bounded by how often they are listed, measured, and by memory (0.2 KB an attempt was measured in the partition, twice that is reckoned with). Lists in frames are cut or told by kind. A connection beyond the bound gets 503 with Retry-After. Machines that are not accounted for are counted once a round. The scale run's sockets are named by its scenario.

--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -126,7 +126,8 @@
         state.rps, state.write_rps, state.value_kb, state.txn_ops
     );
     text + &format!(
-        "[params.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n[params.limits]\nmax_sockets = {MOST_SOCKETS}\n"
+        "[params.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n[params.limits]\nmax_sockets = {}\n",
+        scenario.controller.max_sockets
     )
 }
 
@@ -156,5 +157,3 @@
 const CLOUD_RPS: f64 = 10.0;
 /// Seconds by which the cloud's list of machines lags.
 pub const LIST_LAG_S: f64 = 4.0;
-/// Sockets that a controller may have open.
-const MOST_SOCKETS: usize = 2677;
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -11,6 +11,7 @@
     pub regions: usize,
     pub zones_per_region: usize,
     pub controllers_per_region: usize,
+    pub controller: ControllerLimits,
     pub workers: usize,
     pub duration_s: f64,
     /// What is submitted before is not counted in waits, and usage is not sampled.
@@ -32,6 +33,14 @@
     pub fault: BTreeMap<String, Fault>,
 }
 
+/// Limits of each controller's process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerLimits {
+    /// Sockets that it may have open.
+    pub max_sockets: usize,
+}
+
 /// Teams, which are all alike: what each may use over the whole fleet.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -208,6 +217,8 @@
     Ok(scenario)
 }
 
+/// A controller refuses settings with fewer sockets.
+const LEAST_SOCKETS: f64 = 16.0;
 /// Most processes of a run, with room to spare below a hundred.
 const MOST_CONTROLLERS: usize = 60;
 /// Zones and machines of a region have one byte of an address each.
@@ -221,6 +232,8 @@
         let controllers = (self.regions * self.controllers_per_region) as f64;
         in_range("controllers_per_region", self.controllers_per_region as f64, 1.0, MOST_CONTROLLERS as f64)?;
         in_range("controllers_per_region: controllers of all regions", controllers, 1.0, MOST_CONTROLLERS as f64)?;
+        let sockets = self.controller.max_sockets as f64;
+        in_range("controller.max_sockets", sockets, LEAST_SOCKETS, f64::MAX)?;
         let least_workers = (self.regions * self.zones_per_region) as f64;
         in_range("workers", self.workers as f64, least_workers, (MOST_WORKERS_PER_REGION * self.regions) as f64)?;
         in_range("duration_s", self.duration_s, 1.0, 86_400.0)?;
--- a/deploy/scale/small.hcl
+++ b/deploy/scale/small.hcl
@@ -6,6 +6,10 @@
 duration_s             = 10
 warm_up_s              = 3
 
+controller {
+  max_sockets = 2677
+}
+
 teams {
   count            = 12
   guaranteed_cores = 40
--- a/deploy/scale/worst.hcl
+++ b/deploy/scale/worst.hcl
@@ -7,6 +7,10 @@
 duration_s             = 120
 warm_up_s              = 25
 
+controller {
+  max_sockets = 2677
+}
+
 teams {
   # Changes halve a region's part at the most: the largest gang still fits.
   count            = 510
--- a/src/api.rs
+++ b/src/api.rs
@@ -55,8 +55,9 @@
 }
 
 /// Which partition a job or machine was last found in: a hint, nothing more.
-#[derive(Default)]
 pub struct RouteHints {
+    /// Most hints of a kind.
+    most: usize,
     jobs: HashMap<String, u32>,
     hosts: HashMap<String, u32>,
     /// Workers whose leases this node keeps alive, with the token that they had first.
@@ -66,12 +67,24 @@
 /// Requests of an acceptance without the owner: the machine types, and the commit.
 const ACCEPTANCE_REQUESTS: usize = 2;
 
-/// Most hints that are kept of a kind.
-const MAX_HINTS: usize = 20_000;
+impl RouteHints {
+    /// No hints yet, and at most so many of a kind: when there are more they begin anew.
+    pub fn new(most: usize) -> RouteHints {
+        RouteHints { most, jobs: HashMap::new(), hosts: HashMap::new(), kept: HashMap::new() }
+    }
+
+    fn remember_job(&mut self, id: &str, partition: u32) {
+        remember(&mut self.jobs, self.most, id, partition);
+    }
+
+    fn remember_host(&mut self, id: &str, partition: u32) {
+        remember(&mut self.hosts, self.most, id, partition);
+    }
+}
 
-fn remember(hints: &mut HashMap<String, u32>, id: &str, partition: u32) {
+fn remember(hints: &mut HashMap<String, u32>, most: usize, id: &str, partition: u32) {
     if hints.get(id) != Some(&partition) {
-        if hints.len() >= MAX_HINTS {
+        if hints.len() >= most {
             hints.clear();
         }
         hints.insert(id.to_string(), partition);
@@ -174,7 +187,7 @@
             match rx.await {
                 Ok(HeartbeatReply::Orders { term, orders }) => {
                     if let Ok(mut p) = self.route_hints.lock() {
-                        remember(&mut p.hosts, &host, partition);
+                        p.remember_host(&host, partition);
                     }
                     return Response::json(200, &wire::orders(term, &orders));
                 }
@@ -261,7 +274,7 @@
             400 | 422 => return self.unless_known(&spec.id, answer).await,
             200 | 201 => {
                 if let Ok(mut p) = self.route_hints.lock() {
-                    remember(&mut p.jobs, &spec.id, partition);
+                    p.remember_job(&spec.id, partition);
                 }
             }
             _ => {}
@@ -344,7 +357,7 @@
                 Some(r) if r.status == 404 => {}
                 Some(r) if r.status == 200 => {
                     if let Ok(mut p) = self.route_hints.lock() {
-                        remember(&mut p.jobs, id, partition);
+                        p.remember_job(id, partition);
                     }
                     self.ended_jobs.insert_told(id, &r);
                     return r;
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -99,7 +99,7 @@
         job_reads: JobReads::new(state.clone(), request_budget.clone(), grant_ttl_ms),
         request_budget,
         state,
-        ended_jobs: EndedJobs::default(),
+        ended_jobs: EndedJobs::new(1000),
         metrics: UserMetrics::default(),
         node_metrics: Default::default(),
         router: Router {
@@ -112,7 +112,7 @@
         teams: Default::default(),
         policy: Arc::new(Policy::new(&settings, &Operator::default(), 0)),
         limits: settings.write_limits(),
-        route_hints: Default::default(),
+        route_hints: Arc::new(Mutex::new(RouteHints::new(1000))),
     }
 }
 
@@ -134,7 +134,7 @@
     let service = StateService::default();
     let api = api_at(&service).await;
     for end in [JobEnd::Done, JobEnd::Cancelled] {
-        let api = Api { ended_jobs: EndedJobs::default(), ..api.clone() };
+        let api = Api { ended_jobs: EndedJobs::new(1000), ..api.clone() };
         service.put(Some(end));
         let told = poll(&api).await;
         let reads = service.reads();
--- /dev/null
+++ b/src/bounds.rs
@@ -0,0 +1,124 @@
+//! Bounds on what a controller holds at a time, derived from the platform's settings.
+//!
+//! No bound follows from a number of machines: a larger fleet comes with larger limits of the
+//! process. `docs/CAPACITY.md` tells what each one is at 4,000 and at 6,000 machines, and what
+//! is seen when it is reached.
+
+use crate::config::{Limits, Settings};
+
+/// Bytes in a megabyte, as the settings count them.
+const BYTES_PER_MB: f64 = 1e6;
+/// Memory that is reckoned with where the settings name none.
+const ASSUMED_MEMORY_MB: f64 = 256.0;
+
+/// Share of the memory that remembered ends of jobs may take.
+const ENDED_JOBS_SHARE: f64 = 1.0 / 16.0;
+/// What a remembered end takes: its id, and an entry in a map and in a queue.
+const ENDED_JOB_BYTES: f64 = 160.0;
+
+/// Share of the memory that hints about jobs may take, and those about machines.
+const ROUTE_HINTS_SHARE: f64 = 1.0 / 32.0;
+/// What a hint takes: an id, and an entry in a map.
+const ROUTE_HINT_BYTES: f64 = 80.0;
+
+/// Share of the memory that attempts of tasks may take.
+const ATTEMPTS_SHARE: f64 = 0.5;
+/// What an attempt takes, with its task and its part of the report that is being read: twice the
+/// 0.2 KB that were measured with 40 attempts on each of 6,000 machines.
+const ATTEMPT_BYTES: f64 = 400.0;
+/// Entries of attempts in workers' reports that an owner with a whole core can follow in a
+/// second beside its other work.
+const ENTRIES_PER_CORE: f64 = 60_000.0;
+
+/// How often in a second an attempt is listed, before that was measured and at the most that is
+/// reckoned with: workers with short tasks report more often than they have to.
+pub const MOST_ENTRIES_PER_S: f64 = 1.0;
+
+/// Queues have room for so many messages in any case.
+const LEAST_QUEUED: usize = 256;
+/// The same for the queue of a partition's owner, in which reports wait, too.
+const LEAST_QUEUED_FOR_OWNER: usize = 1024;
+
+/// Part of the sockets that the server may use; the rest is for what this node opens itself.
+const SERVER_SHARE: (usize, usize) = (3, 4);
+/// Connections to workers that are kept open, as a part of the sockets. Of a thousand machines
+/// few are sent orders at a time: what stays open to the others would use up the sockets that
+/// their reports need.
+const WORKER_POOL_PART: usize = 16;
+/// Direct commands to workers under way at a time, as a part of the sockets.
+const DIRECT_COMMANDS_PART: usize = 8;
+
+/// What a controller holds at the most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Ends of jobs that are remembered; one that is forgotten is read from its record.
+    pub ended_jobs: usize,
+    /// Hints of a kind about where jobs and machines belong; without one all partitions are asked.
+    pub route_hints: usize,
+    /// Messages to another controller that wait to be sent; a user's request beyond is refused.
+    pub peer_queue: usize,
+    /// Messages that wait for the owner of a partition; a request or report beyond is refused.
+    pub owner_queue: usize,
+    /// Connections of users and workers; one that waits for its next request makes room.
+    pub server_connections: usize,
+    /// Open connections to workers that are kept for the next direct command.
+    pub worker_connections: usize,
+    /// Direct commands under way; further ones wait.
+    pub direct_commands: usize,
+    /// How many attempts an owner follows.
+    pub attempts: AttemptBounds,
+}
+
+impl Bounds {
+    /// The bounds under these settings.
+    pub fn new(settings: &Settings) -> Bounds {
+        let limits = &settings.params.limits;
+        let sockets = limits.max_sockets;
+        Bounds {
+            ended_jobs: entries(limits, ENDED_JOBS_SHARE, ENDED_JOB_BYTES),
+            route_hints: entries(limits, ROUTE_HINTS_SHARE, ROUTE_HINT_BYTES),
+            // Whoever waits in a queue of this node holds one of its sockets, or one of a peer's.
+            peer_queue: sockets.max(LEAST_QUEUED),
+            owner_queue: sockets.max(LEAST_QUEUED_FOR_OWNER),
+            server_connections: sockets * SERVER_SHARE.0 / SERVER_SHARE.1,
+            worker_connections: (sockets / WORKER_POOL_PART).max(1),
+            direct_commands: (sockets / DIRECT_COMMANDS_PART).max(1),
+            attempts: AttemptBounds::new(limits),
+        }
+    }
+}
+
+/// How many entries of so many bytes fit into a share of the process's memory.
+fn entries(limits: &Limits, share: f64, bytes: f64) -> usize {
+    let memory_mb = limits.memory_mb.unwrap_or(ASSUMED_MEMORY_MB);
+    (memory_mb * BYTES_PER_MB * share / bytes) as usize
+}
+
+/// How many attempts an owner can follow, by its memory and its processor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptBounds {
+    /// Attempts that fit into its memory.
+    by_memory: usize,
+    /// Entries of attempts in reports that it can follow in a second; none if that is not limited.
+    entries_per_s: Option<usize>,
+}
+
+impl AttemptBounds {
+    fn new(limits: &Limits) -> AttemptBounds {
+        AttemptBounds {
+            by_memory: entries(limits, ATTEMPTS_SHARE, ATTEMPT_BYTES),
+            entries_per_s: limits.core_share.map(|share| (share * ENTRIES_PER_CORE) as usize),
+        }
+    }
+
+    /// Most attempts while each one is listed so often a second.
+    pub fn most(&self, entries_per_attempt_s: f64) -> usize {
+        match self.entries_per_s {
+            Some(entries) => self.by_memory.min((entries as f64 / entries_per_attempt_s) as usize),
+            None => self.by_memory,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/bounds/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use crate::config::tests::settings;
+
+/// The limits of the users' largest deployments, which are the same at 4,000 machines.
+fn large_deployment() -> Settings {
+    let mut settings = settings();
+    settings.params.limits = Limits { max_sockets: 2677, memory_mb: Some(188.0), core_share: Some(0.4) };
+    settings
+}
+
+// A fixed count of attempts gave six to each of 4,000 machines, with most of the room idle.
+#[test]
+fn attempts_are_bounded_by_what_following_them_costs() {
+    let bounds = Bounds::new(&large_deployment()).attempts;
+    assert_eq!(bounds.most(MOST_ENTRIES_PER_S), 24_000);
+    // Long tasks are listed once in a report, every 4 s.
+    assert_eq!(bounds.most(0.25), 96_000);
+    assert!(bounds.most(0.25) >= 16 * 6000);
+    assert_eq!(bounds.most(1e-9), bounds.by_memory, "memory bounds them in any case");
+}
+
+#[test]
+fn larger_processes_hold_more() {
+    let (small, large) = (Bounds::new(&settings()), Bounds::new(&large_deployment()));
+    assert!(large.ended_jobs > 3 * small.ended_jobs && large.route_hints > 3 * small.route_hints);
+    assert!(large.attempts.by_memory > 3 * small.attempts.by_memory);
+    assert_eq!(large.server_connections, 2007);
+    assert_eq!((large.worker_connections, large.direct_commands), (167, 334));
+    assert!(large.peer_queue >= large.server_connections && large.owner_queue >= large.server_connections);
+}
+
+#[test]
+fn limits_that_the_settings_leave_out_bound_all_the_same() {
+    let mut settings = settings();
+    settings.params.limits = Limits { max_sockets: 16, memory_mb: None, core_share: None };
+    let bounds = Bounds::new(&settings);
+    assert!(bounds.ended_jobs > 0 && bounds.ended_jobs < 1_000_000);
+    assert_eq!(bounds.attempts.most(MOST_ENTRIES_PER_S), bounds.attempts.by_memory);
+    assert!(bounds.worker_connections >= 1 && bounds.direct_commands >= 1);
+}
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients of the state service, the cloud and the workers, with timeouts and
 //! rate budgets derived from the settings.
 
+use crate::bounds::Bounds;
 use crate::clock;
 use crate::config::Settings;
 use crate::http::{CallError, Client, SMALL_IDLE_POOL};
@@ -345,13 +346,11 @@
 
     /// A client over a given network.
     pub fn on(net: &Net, s: &Settings) -> Worker {
-        // Of a thousand machines few are sent orders at a time: what stays open
-        // to the others would use up the sockets that their reports need.
-        let share = s.params.limits.max_sockets / 16;
+        let bounds = Bounds::new(s);
         Worker {
-            http: Client::on(net, share.max(1)),
-            under_way: Arc::new(tokio::sync::Semaphore::new((2 * share).max(1))),
-            kept: share,
+            http: Client::on(net, bounds.worker_connections),
+            under_way: Arc::new(tokio::sync::Semaphore::new(bounds.direct_commands)),
+            kept: bounds.direct_commands / 2,
             // Two questions in vain make a machine lost: both fit into one `react_ms`.
             timeout: Duration::from_millis(s.react_ms() / 2),
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -174,6 +174,9 @@
 pub struct Limits {
     /// Most sockets that it may have open.
     pub max_sockets: usize,
+    /// Memory that it may use, in megabytes; none if that is not limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Share of a processor core that it may use; none if that is not limited.
     #[serde(default)]
     pub core_share: Option<f64>,
@@ -303,6 +306,9 @@
     if p.limits.max_sockets < 16 {
         return Err("params.limits.max_sockets: must be at least 16".into());
     }
+    if let Some(memory_mb) = p.limits.memory_mb {
+        positive("params.limits.memory_mb", memory_mb)?;
+    }
     if let Some(share) = p.limits.core_share {
         positive("params.limits.core_share", share)?;
     }
--- a/src/ended_jobs.rs
+++ b/src/ended_jobs.rs
@@ -9,9 +9,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 
-/// Most ends that are remembered; beyond them the one learned first is forgotten.
-pub const MAX_ENDED_JOBS: usize = 20_000;
-
 /// How a job ended, and how many of its tasks were done by then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndedJob {
@@ -29,8 +26,9 @@
 }
 
 /// Ends by job id, first in, first out; cheap to clone.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct EndedJobs {
+    most: usize,
     ends: Arc<Mutex<EndMap>>,
 }
 
@@ -41,6 +39,11 @@
 }
 
 impl EndedJobs {
+    /// Remembers so many ends at the most; beyond them the one learned first is forgotten.
+    pub fn new(most: usize) -> EndedJobs {
+        EndedJobs { most, ends: Arc::default() }
+    }
+
     /// The end of a job, if it is remembered.
     pub fn get(&self, id: &str) -> Option<EndedJob> {
         self.ends.lock().ok()?.by_id.get(id).copied()
@@ -52,7 +55,7 @@
         if ends.by_id.contains_key(id) {
             return;
         }
-        if ends.oldest_first.len() >= MAX_ENDED_JOBS
+        if ends.oldest_first.len() >= self.most
             && let Some(oldest) = ends.oldest_first.pop_front()
         {
             ends.by_id.remove(&oldest);
--- a/src/ended_jobs/tests.rs
+++ b/src/ended_jobs/tests.rs
@@ -1,6 +1,9 @@
 use super::*;
 use crate::model::JobPhase;
 
+/// Ends that are remembered in these tests.
+const MOST: usize = 100;
+
 const DONE: EndedJob = EndedJob { end: JobEnd::Done, done: 3 };
 
 fn answer(status: u16, phase: JobPhase) -> Response {
@@ -9,7 +12,7 @@
 
 #[test]
 fn only_ends_that_an_owner_told_are_remembered() {
-    let ended = EndedJobs::default();
+    let ended = EndedJobs::new(MOST);
     ended.insert_told("a", &answer(200, JobPhase::Pending));
     ended.insert_told("a", &answer(200, JobPhase::Running));
     ended.insert_told("a", &answer(503, JobPhase::Done));
@@ -23,7 +26,7 @@
 
 #[test]
 fn what_was_learned_first_of_a_job_stays() {
-    let ended = EndedJobs::default();
+    let ended = EndedJobs::new(MOST);
     ended.insert("a", DONE);
     ended.insert("a", EndedJob { done: 2, ..DONE });
     assert_eq!(ended.get("a"), Some(DONE));
@@ -31,12 +34,12 @@
 
 #[test]
 fn the_end_learned_first_is_forgotten_first() {
-    let ended = EndedJobs::default();
-    for n in 0..=MAX_ENDED_JOBS {
+    let ended = EndedJobs::new(MOST);
+    for n in 0..=MOST {
         ended.insert(&n.to_string(), DONE);
     }
-    assert_eq!(ended.ends.lock().unwrap().by_id.len(), MAX_ENDED_JOBS);
+    assert_eq!(ended.ends.lock().unwrap().by_id.len(), MOST);
     assert_eq!(ended.get("0"), None);
     assert_eq!(ended.get("1"), Some(DONE));
-    assert_eq!(ended.get(&MAX_ENDED_JOBS.to_string()), Some(DONE));
+    assert_eq!(ended.get(&MOST.to_string()), Some(DONE));
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,6 +17,11 @@
 /// An idle connection may wait this many times as long as a request may take to arrive.
 const IDLE_FACTOR: u32 = 30;
 
+/// Connections beyond the bound that are told so before they are closed, as a part of it.
+const REFUSED_PART: usize = 16;
+/// Seconds after which a request on such a connection may come again.
+const REFUSED_RETRY_S: u64 = 1;
+
 /// Serves `listener` for ever. `patience` bounds how long a request may take
 /// to arrive; idle connections may stay until there are too many, when the one
 /// that waited longest goes: workers that were cut off leave theirs behind.
@@ -27,6 +32,7 @@
 {
     let handler = Arc::new(handler);
     let open = Arc::new(AtomicUsize::new(0));
+    let refused = Arc::new(AtomicUsize::new(0));
     let idle = Arc::new(Mutex::new(Idle::default()));
     loop {
         let Ok(stream) = listener.accept().await else {
@@ -36,7 +42,7 @@
         };
         if open.load(Ordering::Relaxed) >= max_open {
             let Some((_, oldest)) = idle.lock().ok().and_then(|mut i| i.waiting.pop_first()) else {
-                drop(stream);
+                refuse(stream, patience, &refused, max_open.div_ceil(REFUSED_PART));
                 continue;
             };
             oldest.notify_one();
@@ -50,6 +56,28 @@
     }
 }
 
+/// Answers the first request of a connection for which there is no place, if there are not
+/// `most` such connections already. Others are closed at once, so that sockets stay free.
+fn refuse(mut stream: Box<dyn Stream>, patience: Duration, refused: &Arc<AtomicUsize>, most: usize) {
+    if refused.load(Ordering::Relaxed) >= most {
+        return;
+    }
+    refused.fetch_add(1, Ordering::Relaxed);
+    let refused = refused.clone();
+    task::spawn(async move {
+        let _ = timeout(patience, answer_no_place(&mut stream)).await;
+        refused.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+async fn answer_no_place(stream: &mut Box<dyn Stream>) {
+    if read_message(stream, &mut Vec::new(), parse_request).await.is_ok() {
+        let refusal = Response::error(503, "too many connections");
+        let refusal = Response { retry_after_s: Some(REFUSED_RETRY_S), ..refusal };
+        let _ = stream.write_all(&encode_reply(&refusal, true)).await;
+    }
+}
+
 async fn connection<H, F>(mut stream: Box<dyn Stream>, patience: Duration, handler: &H, idle: &Mutex<Idle>)
 where
     H: Fn(Request) -> F,
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -78,6 +78,19 @@
     assert!(kept[1..].iter().all(open));
 }
 
+// A user that meets a node with no free place must hear so, and when to come again.
+#[tokio::test]
+async fn a_connection_beyond_the_bound_is_told_when_to_come_again() {
+    let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = l.local_addr().unwrap();
+    tokio::spawn(serve(l, 1, Duration::from_secs(1), |_| std::future::pending::<Response>()));
+    let mut busy = TcpStream::connect(addr).await.unwrap();
+    busy.write_all(b"GET /x HTTP/1.1\r\n\r\n").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let answer = raw(addr, b"GET /y HTTP/1.1\r\n\r\n").await;
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: 1"), "{answer}");
+}
+
 #[tokio::test]
 async fn bad_and_slow_requests_are_bounded() {
     let addr = server(200).await;
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -2,6 +2,7 @@
 //! were refused, what to rent and return. Decisions come from `sched::plan`.
 
 mod boots;
+mod frame_sizes;
 mod rentals;
 #[cfg(test)]
 mod tests;
@@ -101,10 +102,8 @@
             Some(Machines { flavor: partition.cluster.flavors.get(flavor)?.name.clone(), zone, spot, count: 1 })
         };
         let refused = self.refused.iter().filter(|(_, r)| now < r.0);
-        (
-            pending_machines.into_iter().filter_map(|c| named(c.flavor, c.zone, c.spot)).collect(),
-            refused.filter_map(|(k, _)| named(k.0, k.1.clone(), k.2)).collect(),
-        )
+        let pending = pending_machines.into_iter().filter_map(|c| named(c.flavor, c.zone, c.spot)).collect();
+        (frame_sizes::machines_for_frame(pending), refused.filter_map(|(k, _)| named(k.0, k.1.clone(), k.2)).collect())
     }
 
     /// What the leader said can't be had now.
@@ -174,6 +173,7 @@
                 idle.push(h.id.clone());
             }
         }
+        capacity_report.spare = frame_sizes::names_for_frame(capacity_report.spare);
         ops.extend(self.release(idle));
         for d in &plan.drain {
             partition.drain(d, now);
--- a/src/leader/tests/mod.rs
+++ b/src/leader/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the leader's books, and a cloud for them.
 
+mod frame_sizes;
 mod late_boots;
 mod rental_requests;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod api;
 pub mod boot_times;
+pub mod bounds;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,11 @@
 //! Puts a controller together and runs it.
 
-use crate::api::Api;
+use crate::api::{Api, RouteHints};
+use crate::bounds::Bounds;
 use crate::clients::{Cloud, State, Worker};
 use crate::config::{Operator, Seed, Settings};
 use crate::configuration::{self, FleetSettings};
+use crate::ended_jobs::EndedJobs;
 use crate::job_reads::JobReads;
 use crate::membership::{Entitlement, Membership, Ownership, PromiseStatus, Succession};
 use crate::metrics::SharedMetrics;
@@ -14,8 +16,8 @@
 use crate::router::{PartitionHandle, Router};
 use crate::sched::Policy;
 use crate::{clock, http, task};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
@@ -39,7 +41,8 @@
     let grant_ttl_ms = settings.grant_ttl_ms();
     let state = State::on(&net, &settings);
     let cloud = Cloud::on(&net, &settings);
-    let limits = PeerLimits::of_grant(grant_ttl_ms);
+    let bounds = Bounds::new(&settings);
+    let limits = PeerLimits { queued: bounds.peer_queue, ..PeerLimits::of_grant(grant_ttl_ms) };
     let start = |s: &Seed| Peer::start_on(net.clone(), s.node.clone(), s.endpoint, limits);
     let peers: Vec<Peer> = settings.seeds.iter().map(start).collect();
 
@@ -59,7 +62,7 @@
         let (ownership_tx, ownership) = watch::channel(Ownership::default());
         let (ownership_changes_tx, ownership_changes) = mpsc::channel(8);
         let (members_tx, members_rx) = mpsc::channel(256);
-        let (owner_tx, owner_rx) = mpsc::channel(1024);
+        let (owner_tx, owner_rx) = mpsc::channel(bounds.owner_queue);
         let ours = partition as usize % nodes.len() == own;
         let membership = Membership {
             partition,
@@ -125,18 +128,16 @@
         state,
         job_reads,
         request_budget,
-        ended_jobs: Default::default(),
+        ended_jobs: EndedJobs::new(bounds.ended_jobs),
         metrics: Default::default(),
         node_metrics: metrics,
         router,
         teams,
         policy,
         limits,
-        route_hints: Default::default(),
+        route_hints: Arc::new(Mutex::new(RouteHints::new(bounds.route_hints))),
     };
-    // A quarter of the sockets is for what this node opens itself.
-    let max_open = settings.params.limits.max_sockets * 3 / 4;
     let patience = Duration::from_millis(settings.lease_ms() / 2);
-    http::serve(users, max_open, patience, move |req| api.clone().handle(req)).await;
+    http::serve(users, bounds.server_connections, patience, move |req| api.clone().handle(req)).await;
     Ok(())
 }
--- a/src/owner/answers.rs
+++ b/src/owner/answers.rs
@@ -54,10 +54,11 @@
         now: u64,
     ) {
         let cluster = &h.partition.cluster;
-        h.pending_machines = pending_machines
-            .into_iter()
-            .filter_map(|m| Some(PendingMachine { flavor: cluster.flavor(&m.flavor)?, zone: m.zone, spot: m.spot }))
-            .collect();
+        let pending = pending_machines.into_iter().filter_map(|m| {
+            let machine = PendingMachine { flavor: cluster.flavor(&m.flavor)?, zone: m.zone, spot: m.spot };
+            Some(std::iter::repeat_n(machine, m.count))
+        });
+        h.pending_machines = pending.flatten().collect();
         h.leader.set_refused(refused, &h.partition, now + self.patience());
     }
 
--- a/src/owner/rounds.rs
+++ b/src/owner/rounds.rs
@@ -18,6 +18,7 @@
         if now >= h.next_upkeep_ms {
             self.upkeep(h, now);
         }
+        h.partition.refresh_unaccounted();
         self.follow_configuration(h, now);
         self.look_up_predecessors(h);
         self.read_externals(h, now);
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -12,6 +12,7 @@
 mod passes;
 mod predecessors;
 mod records;
+mod report_load;
 mod reports;
 mod running_counts;
 mod takeover;
@@ -78,6 +79,8 @@
     /// or back, and undo that; it can't once the key has changed.
     open_host_write: Option<u64>,
     in_flight: Option<Vec<PendingWrite>>,
+    /// Machines of the last owner were accounted for since they were last counted.
+    recount_due: bool,
     /// Who waits for a job to be accepted, and for it to end.
     submitters: HashMap<JobIndex, Vec<Waiter>>,
     cancellers: HashMap<JobIndex, Vec<Waiter>>,
@@ -98,6 +101,8 @@
     /// Machines that passes have looked at so far.
     pub hosts_examined: u64,
     limits: WriteLimits,
+    /// How often attempts are listed in reports.
+    report_load: report_load::ReportLoad,
     /// Changes in a commit, fewer for a while after one that was not taken.
     largest_commit: usize,
     /// When the last commit was made.
@@ -108,6 +113,7 @@
 impl Partition {
     /// A partition whose records were not read yet.
     pub fn new(policy: Policy, id: u32, teams: HashMap<String, u32>, limits: WriteLimits) -> Partition {
+        let report_load = report_load::ReportLoad::new(policy.report_ms);
         Partition {
             cluster: ClusterState { all_accounted: true, ..ClusterState::default() },
             policy,
@@ -133,6 +139,7 @@
             released: HashSet::new(),
             open_host_write: None,
             in_flight: None,
+            recount_due: false,
             submitters: HashMap::new(),
             cancellers: HashMap::new(),
             cancelling: BTreeSet::new(),
@@ -144,6 +151,7 @@
             unplaced: Vec::new(),
             hosts_examined: 0,
             limits,
+            report_load,
             largest_commit: limits.commit_changes,
             last_commit_ms: 0,
             last_upkeep_ms: 0,
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -21,8 +21,10 @@
 
     fn pass_from(&mut self, least: Urgency, now: u64, wall: u64) {
         self.urgent_pass_due = false;
+        self.refresh_unaccounted();
         self.note_ready_times(wall);
         self.stop_attempts_of_done_tasks();
+        self.bound_attempts(now);
         let next = &mut self.next_attempt;
         let out = sched::pass(&mut self.cluster, &self.policy, now, wall, least, || {
             *next += 1;
@@ -45,6 +47,12 @@
         self.keep_unplaced(least, out);
     }
 
+    /// Bounds the attempts by what following those on the machines costs now.
+    fn bound_attempts(&mut self, now: u64) {
+        let attempts = self.cluster.each_host().map(|(_, h)| h.attempts.len()).sum();
+        self.policy.max_attempts = self.report_load.most_attempts(&self.policy.attempt_bounds, attempts, now);
+    }
+
     /// Measures and logs a start; its machine has an order to get.
     fn note_start(&mut self, start: &Assignment, wall: u64) {
         let job = &self.cluster.jobs[start.key.job];
--- a/src/partition/reports.rs
+++ b/src/partition/reports.rs
@@ -26,6 +26,7 @@
         if via == ReportSource::Heartbeat {
             h.answered_ms = now;
         }
+        self.report_load.listed(r.tasks.len());
         // Late copies of older reports change nothing.
         if (r.tenure, r.serial) <= (h.tenure, h.serial) {
             return Vec::new();
@@ -116,7 +117,7 @@
         }
         if !h.accounted {
             h.accounted = true;
-            self.recount();
+            self.recount_due |= h.registered;
         }
     }
 
--- a/src/partition/takeover.rs
+++ b/src/partition/takeover.rs
@@ -120,8 +120,18 @@
         self.pass_due = true;
     }
 
+    /// The same if one was accounted for since. Until then it counts as one that is not, which
+    /// holds back more and never less. After a takeover thousands are accounted for within a
+    /// second: a look at all machines for each of them would take longer than all else.
+    pub fn refresh_unaccounted(&mut self) {
+        if self.recount_due {
+            self.recount();
+        }
+    }
+
     /// Looks again which machines of the last owner are still unaccounted for.
     pub(super) fn recount(&mut self) {
+        self.recount_due = false;
         let mut open = Demand::default();
         let mut kinds = Vec::new();
         let mut all = true;
--- a/src/partition/tests/fleet.rs
+++ b/src/partition/tests/fleet.rs
@@ -73,6 +73,8 @@
     next_pass: u64,
     next_plan: u64,
     next_commit: u64,
+    /// Microseconds that a write takes.
+    write_us: usize,
     jobs: u64,
     stored: BTreeMap<String, Value>,
     writes: usize,
@@ -96,13 +98,16 @@
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Fleet {
+    /// Without machines yet; made for so many.
+    fn new(seed: u64, size: usize) -> Fleet {
         let mut s = settings();
+        s.params.limits.memory_mb = Some(188.0);
+        s.params.limits.core_share = Some(0.4);
         s.params.workers.report_s = 4.0;
         s.params.workers.lease_s = 22.0;
-        s.params.state.write_rps = 150.0;
+        s.params.state.write_rps = size as f64 / 10.0;
         for t in &mut s.params.teams {
-            (t.gpus, t.gpus_max) = (2000.0, 5000.0);
+            (t.gpus, t.gpus_max) = (size as f64 * 4.0 / 3.0, size as f64 * 10.0 / 3.0);
         }
         let guarantee = s.params.objectives[0].clone();
         s.params.objectives.push(Objective { kind: "guarantee".into(), class: None, within_s: Some(5.0), ..guarantee });
@@ -118,6 +123,7 @@
             next_pass: 0,
             next_plan: 0,
             next_commit: 0,
+            write_us: 10_500_000 / size,
             jobs: 0,
             stored: BTreeMap::new(),
             writes: 0,
@@ -190,7 +196,7 @@
         if now >= self.next_commit
             && let Some(c) = self.partition.next_commit(now, 32)
         {
-            self.next_commit = now + c.apply.len() as u64 * 7;
+            self.next_commit = now + (c.apply.len() * self.write_us) as u64 / 1000;
             self.writes += c.apply.len();
             self.largest_commit = self.largest_commit.max(wire::commit_body(&c.guards, &c.apply).len());
             for a in &c.apply {
@@ -247,17 +253,29 @@
 // The next size: decisions, records and rentals must not cost machines times jobs.
 #[test]
 fn fifteen_hundred_machines_start_take_a_burst_and_are_taken_over() {
-    let mut f = Fleet::new(7);
-    f.arrivals(600);
+    a_fleet_starts_takes_a_burst_and_is_taken_over(1500);
+}
+
+// No bound of ours may stand below 4,000 machines, with half as many again.
+#[test]
+fn six_thousand_machines_start_take_a_burst_and_are_taken_over() {
+    a_fleet_starts_takes_a_burst_and_is_taken_over(6000);
+}
+
+fn a_fleet_starts_takes_a_burst_and_is_taken_over(size: usize) {
+    let mut f = Fleet::new(7, size);
+    f.arrivals(size * 2 / 5);
     let mut most = 0;
     for tenth in 0..300 {
         if (20..70).contains(&tenth) {
-            (0..30).for_each(|i| f.boot(["c", "g4", "g8"][i % 3], ["a", "b"][i % 2]));
+            (0..size / 50).for_each(|i| f.boot(["c", "g4", "g8"][i % 3], ["a", "b"][i % 2]));
         }
         // More arrays than there is room for.
         if tenth > 150 {
-            f.submit("sweep", "batch", "standard", 60, (5.0, 1.0, 35.0));
-            f.submit("surge", "service", "urgent", 3, (5.0, 1.0, 35.0));
+            for _ in 0..size / 1500 {
+                f.submit("sweep", "batch", "standard", 60, (5.0, 1.0, 35.0));
+                f.submit("surge", "service", "urgent", 3, (5.0, 1.0, 35.0));
+            }
         }
         let before = f.partition.hosts_examined;
         f.step();
@@ -266,15 +284,16 @@
     f.check();
     let running: usize = f.partition.cluster.each_host().map(|(_, h)| h.attempts.len()).sum();
     assert!(
-        running > 5000 && f.partition.unplaced.len() > 50,
+        running > size * 10 / 3 && f.partition.unplaced.len() > 50,
         "{running} tasks, {} jobs wait",
         f.partition.unplaced.len()
     );
     // A pass looks at each machine once for a job that it places, not for each of its tasks.
-    assert!(most <= 150 * 1500, "{most} machines looked at in a pass");
-    assert!(f.writes <= 2 * f.jobs as usize + 1500, "{} writes for {} jobs", f.writes, f.jobs);
+    let scale = size / 1500;
+    assert!(most <= (150 * scale * size) as u64, "{most} machines looked at in a pass");
+    assert!(f.writes <= 2 * f.jobs as usize + size, "{} writes for {} jobs", f.writes, f.jobs);
     assert!(f.rentals <= 60, "{} rentals", f.rentals);
-    assert!(f.waiting.len() <= 150, "{} submissions without an answer", f.waiting.len());
+    assert!(f.waiting.len() <= 150 * scale, "{} submissions without an answer", f.waiting.len());
 
     let dead: Vec<String> = f.machines.keys().step_by(40).cloned().collect();
     for id in &dead {
--- a/src/partition/tests/limits.rs
+++ b/src/partition/tests/limits.rs
@@ -50,3 +50,61 @@
     assert_eq!(end.apply[0]["data"]["end"], "Done");
     assert!(end.apply[0]["data"].to_string().len() <= RECORD_BYTES);
 }
+
+/// A partition whose owner can follow 48 entries of attempts a second, with an array of 1,000
+/// tasks of the lowest urgency that waits.
+fn partition_with_a_large_array() -> Partition {
+    let mut s = settings();
+    s.params.limits.core_share = Some(0.0008);
+    s.params.workers.report_s = 4.0;
+    (s.params.teams[0].gpus, s.params.teams[0].gpus_max) = (0.0, 0.0);
+    let mut p = Partition::new(Policy::new(&s, &Operator::default(), 0), 0, s.partitions_of_teams(1), s.write_limits());
+    p.begin(1, 77, vec![], vec![], vec![flavor()], 1000);
+    let mut submission: serde_json::Value = serde_json::from_slice(&body("run-000001", "batch", 1000)).unwrap();
+    submission["urgency"] = json!("best_effort");
+    let _rx = submit(&mut p, submission.to_string().as_bytes(), 1000);
+    commit(&mut p, 1000, 100);
+    p
+}
+
+/// All machines report at this moment what they were ordered.
+fn all_report(p: &mut Partition, serial: u64, now: u64) {
+    for host in 0..40 {
+        let tasks = p.cluster.host_index.get(&format!("h{host}")).map(|&index| {
+            let attempts = p.cluster.host(index).unwrap().attempts.clone();
+            let listed =
+                attempts.iter().map(|a| reported(&format!("run-000001/{}", a.key.task), a.attempt, "running", None));
+            listed.collect()
+        });
+        let r = report(&format!("h{host}"), 1, serial, 1, tasks.unwrap_or_default());
+        p.report(&r, ReportSource::Heartbeat, now);
+    }
+}
+
+fn attempts_on_all(p: &Partition) -> usize {
+    p.cluster.each_host().map(|(_, h)| h.attempts.len()).sum()
+}
+
+// A fixed count of attempts left most of 4,000 machines idle: what an attempt costs depends on
+// how often it is listed.
+#[test]
+fn long_tasks_may_be_more_than_short_ones() {
+    let mut p = partition_with_a_large_array();
+    all_report(&mut p, 1, 1000);
+    commit(&mut p, 1000, 101);
+    commit(&mut p, 1000, 102);
+    p.pass(1001, 1001);
+    assert_eq!(attempts_on_all(&p), 48, "nothing is measured yet");
+    // Listed once in 4 s, four times as many are followed.
+    for round in 1..=6 {
+        all_report(&mut p, 1 + round, 1000 + 4000 * round);
+        p.pass(1001 + 4000 * round, 1001 + 4000 * round);
+    }
+    assert_eq!(attempts_on_all(&p), 4 * 48);
+    // Their tasks now end and begin all the time, and reports come every half second: no more.
+    for round in 1..=40 {
+        all_report(&mut p, 100 + round, 30_000 + 500 * round);
+        p.pass(30_001 + 500 * round, 30_001 + 500 * round);
+    }
+    assert_eq!(p.policy.max_attempts, 48);
+}
--- a/src/partition/upkeep.rs
+++ b/src/partition/upkeep.rs
@@ -130,8 +130,9 @@
                 tracing::info!(host = h.id, "lease surely outlived");
                 h.accounted = true;
             }
-            self.recount();
+            self.recount_due = true;
         }
+        self.refresh_unaccounted();
     }
 
     /// Marks silent machines for release, except in zones that are cut off; returns
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,8 +21,10 @@
 mod connections;
 mod frames;
 
-/// Messages to the actor of a peer that wait, at the most.
-const MAX_QUEUED: usize = 256;
+pub(crate) use frames::MAX_FRAME;
+
+/// Messages to the actor of a peer that wait, at the most, where nothing else is said.
+const DEFAULT_QUEUED: usize = 256;
 
 /// A request to another controller.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -209,12 +211,18 @@
     pub connect: Duration,
     /// When the peer counts as silent.
     pub health: HealthLimits,
+    /// Messages that wait to be sent, at the most.
+    pub queued: usize,
 }
 
 impl PeerLimits {
     /// The limits for a life of a grant.
     pub fn of_grant(grant_ttl_ms: u64) -> PeerLimits {
-        PeerLimits { connect: Duration::from_millis(grant_ttl_ms / 4), health: HealthLimits::of_grant(grant_ttl_ms) }
+        PeerLimits {
+            connect: Duration::from_millis(grant_ttl_ms / 4),
+            health: HealthLimits::of_grant(grant_ttl_ms),
+            queued: DEFAULT_QUEUED,
+        }
     }
 }
 
@@ -240,9 +248,9 @@
 
     /// The same over a given network.
     pub fn start_on(net: Net, name: String, addr: SocketAddr, limits: PeerLimits) -> Peer {
-        let (tx, rx) = mpsc::channel(MAX_QUEUED);
+        let (tx, rx) = mpsc::channel(limits.queued);
         let health = SharedPeerHealth::new(&name, limits.health);
-        let connector = Connector { net, addr, limit: limits.connect, events: tx.clone() };
+        let connector = Connector { net, addr, limit: limits.connect, queued: limits.queued, events: tx.clone() };
         let format = PeerFormat::new(&name);
         task::spawn(Connections::new(connector, health.clone(), format.clone()).run(rx));
         Peer { name, health, format, connect_limit: limits.connect, tx }
--- a/src/peer/frames.rs
+++ b/src/peer/frames.rs
@@ -1,14 +1,16 @@
 //! Frames between controllers: a length of four bytes and a numbered message in CBOR.
 
 use crate::frame_format::FrameFormat;
+use crate::http::MAX_BODY;
 use crate::net::{ReadHalf, WriteHalf};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 
-/// Most that a frame may hold: a request's body with what is around it.
-const MAX_FRAME: usize = 128 * 1024;
+/// Most that a frame may hold: a request's body with what is around it. What names machines is
+/// kept shorter by its sender.
+pub(crate) const MAX_FRAME: usize = 2 * MAX_BODY;
 
 /// A message with the number of its request, and the format that its sender speaks.
 #[derive(Serialize, Deserialize)]
@@ -37,6 +39,7 @@
     ciborium::into_writer(&Numbered { n, body, format: FrameFormat::CURRENT }, &mut out).ok()?;
     let len = out.len() - 4;
     if len > MAX_FRAME {
+        tracing::error!(bytes = len, most = MAX_FRAME, "message is too long for a frame");
         return None;
     }
     out[..4].copy_from_slice(&(len as u32).to_be_bytes());
--- a/src/sched/policy.rs
+++ b/src/sched/policy.rs
@@ -1,5 +1,6 @@
 //! What decisions depend on besides the world: settings, deadlines and bins.
 
+use crate::bounds::{AttemptBounds, Bounds, MOST_ENTRIES_PER_S};
 use crate::config::{Operator, Settings};
 use crate::model::{Demand, Job};
 use std::collections::HashMap;
@@ -34,6 +35,8 @@
     pub react_ms: u64,
     /// Records that can be written in a second.
     pub writes_per_s: f64,
+    /// How many attempts an owner can follow.
+    pub attempt_bounds: AttemptBounds,
     /// Attempts on machines beyond which no work of the lowest urgency is started: what the
     /// reports list costs the owner processor time and memory.
     pub max_attempts: usize,
@@ -65,15 +68,6 @@
     }
 }
 
-/// Attempts that an owner with a whole core can follow beside its other work. Each is listed
-/// in one or two reports a second, which takes some microseconds.
-const ATTEMPTS_PER_CORE: f64 = 60_000.0;
-
-/// Attempts that an owner with this share of a core can follow; no bound if none is known.
-fn max_attempts(core_share: Option<f64>) -> usize {
-    core_share.map_or(usize::MAX, |share| (share * ATTEMPTS_PER_CORE) as usize)
-}
-
 fn milliseconds(seconds: f64) -> u64 {
     (seconds * 1000.0) as u64
 }
@@ -95,6 +89,7 @@
             };
             (t.name.clone(), rule)
         });
+        let attempt_bounds = Bounds::new(s).attempts;
         let waits = s.params.objectives.iter().filter(|o| o.kind == "wait");
         Policy {
             bin_width_s: o.bin_width_s,
@@ -111,7 +106,8 @@
             report_ms: s.report_ms(),
             react_ms: s.react_ms(),
             writes_per_s: s.write_limits().changes_per_s,
-            max_attempts: max_attempts(s.params.limits.core_share),
+            attempt_bounds,
+            max_attempts: attempt_bounds.most(MOST_ENTRIES_PER_S),
             start_ms,
         }
     }
