Warm pools: pure core of targets, slots, claims and bills

Need: officers and coordinators arrive all at once, and a replica that must be loaded first keeps them waiting.

Not used by the controllers yet.

--- /dev/null
+++ b/crates/warm-pools/tests/calendar.rs
@@ -0,0 +1,146 @@
+//! Windows, exceptions, daylight saving, and clocks that step.
+
+mod common;
+
+use badgerdrift_warm_pools::{AcceptedTime, Schedule, Window};
+use common::{known_fleet, pool, settings};
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+/// Wall time of a moment in UTC.
+fn utc(text: &str) -> u64 {
+    text.parse::<jiff::Timestamp>().unwrap().as_millisecond() as u64
+}
+
+fn schedule(days: &str, from: &str, to: &str, zone: &str) -> Schedule {
+    let mut settings = settings();
+    let window = Window { days: vec![days.into()], from: from.into(), to: to.into(), zone: zone.into(), count: 6 };
+    pool(&mut settings).windows.insert("office".into(), window);
+    Schedule::new(pool(&mut settings)).unwrap()
+}
+
+#[test]
+fn a_window_counts_in_its_own_time_zone_and_on_its_days() {
+    let office = schedule("weekdays", "07:30", "17:00", "Pacific/Fiji");
+    // 07:30 on Wednesday in Fiji is 19:30 on Tuesday in UTC.
+    assert_eq!(office.wanted_at(utc("2026-12-01T19:29:59Z")), 2);
+    assert_eq!(office.wanted_at(utc("2026-12-01T19:30:00Z")), 6);
+    assert_eq!(office.wanted_at(utc("2026-12-02T04:59:59Z")), 6);
+    assert_eq!(office.wanted_at(utc("2026-12-02T05:00:00Z")), 2);
+    // Saturday in Fiji, Friday in UTC.
+    assert_eq!(office.wanted_at(utc("2026-12-04T20:00:00Z")), 2);
+}
+
+#[test]
+fn what_is_wanted_when_a_window_opens_is_wanted_as_long_before_as_warming_up_takes() {
+    let office = schedule("weekdays", "07:30", "17:00", "Pacific/Fiji");
+    let opens = utc("2026-12-01T19:30:00Z");
+    assert_eq!(office.wanted_within(opens - 11 * MINUTE_MS, 10 * MINUTE_MS), 2);
+    assert_eq!(office.wanted_within(opens - 10 * MINUTE_MS, 10 * MINUTE_MS), 6);
+}
+
+#[test]
+fn an_exception_takes_the_place_of_all_windows_on_its_date() {
+    let mut settings = settings();
+    let window = Window {
+        days: vec!["daily".into()],
+        from: "07:30".into(),
+        to: "17:00".into(),
+        zone: "Pacific/Fiji".into(),
+        count: 6,
+    };
+    pool(&mut settings).windows.insert("office".into(), window);
+    let exception = serde_json::from_str(r#"{"zone": "Pacific/Fiji", "count": 1}"#).unwrap();
+    pool(&mut settings).exceptions.insert("2026-12-25".into(), exception);
+    let schedule = Schedule::new(pool(&mut settings)).unwrap();
+    assert_eq!(schedule.wanted_at(utc("2026-12-24T20:00:00Z")), 1, "Christmas in Fiji");
+    assert_eq!(schedule.wanted_at(utc("2026-12-25T20:00:00Z")), 6);
+    // The pool's own count is wanted again from midnight on, and that is to be warm by then.
+    assert_eq!(schedule.wanted_within(utc("2026-12-25T11:55:00Z"), 10 * MINUTE_MS), 2);
+}
+
+// In Berlin 02:00 to 03:00 is missing on 2026-03-29, and comes twice on 2026-10-25.
+#[test]
+fn a_missing_or_doubled_hour_neither_loses_nor_repeats_a_window() {
+    let night = schedule("daily", "02:30", "04:00", "Europe/Berlin");
+    let open = |from: &str| {
+        let from = utc(from);
+        (0..24 * 60).filter(|minute| night.wanted_at(from + minute * MINUTE_MS) == 6).collect::<Vec<u64>>()
+    };
+    // It begins at 03:30 local time, as there is no 02:30, and ends at 04:00.
+    let missing = open("2026-03-28T23:00:00Z");
+    assert_eq!((missing.len(), missing[0]), (30, 150));
+    // It begins at the first 02:30 and holds until 04:00: an hour longer, and without a break.
+    let doubled = open("2026-10-24T22:00:00Z");
+    assert_eq!((doubled.len(), doubled[0], doubled[doubled.len() - 1]), (150, 150, 299));
+}
+
+#[test]
+fn a_step_of_the_clock_counts_only_once_it_has_lasted() {
+    let mut time = AcceptedTime::default();
+    let noon = utc("2026-12-02T12:00:00Z");
+    assert_eq!(time.at(1_000, noon), noon);
+    for step in [HOUR_MS as i64, -(HOUR_MS as i64)] {
+        let wall = |steady_ms: u64| (noon + steady_ms - 1_000).saturating_add_signed(step);
+        // Ten minutes in which the clock is an hour off.
+        for minute in 1..10 {
+            let steady_ms = 1_000 + minute * MINUTE_MS;
+            assert_eq!(time.at(steady_ms, wall(steady_ms)), noon + minute * MINUTE_MS);
+        }
+        let steady_ms = 1_000 + 10 * MINUTE_MS;
+        assert_eq!(time.at(steady_ms, noon + 10 * MINUTE_MS), noon + 10 * MINUTE_MS, "put right");
+    }
+    let late = 1_000 + 20 * MINUTE_MS;
+    time.at(late, noon + HOUR_MS);
+    let later = late + 15 * MINUTE_MS;
+    assert_eq!(time.at(later, noon + HOUR_MS + 15 * MINUTE_MS), noon + HOUR_MS + 15 * MINUTE_MS, "it has lasted");
+}
+
+#[test]
+fn bad_declarations_are_told_by_field_and_reason() {
+    type Change = fn(&mut badgerdrift_warm_pools::PoolSettings);
+    let window = |from: &str, to: &str, zone: &str, day: &str| Window {
+        days: vec![day.into()],
+        from: from.into(),
+        to: to.into(),
+        zone: zone.into(),
+        count: 1,
+    };
+    let with_window = |window: Window| {
+        let mut settings = settings();
+        pool(&mut settings).windows.insert("w".into(), window);
+        settings.check(&known_fleet()).unwrap_err().to_string()
+    };
+    for (window, field) in [
+        (window("09:00", "08:00", "Pacific/Fiji", "daily"), "pool.counter.window.w.to: "),
+        (window("9 am", "10:00", "Pacific/Fiji", "daily"), "pool.counter.window.w.from: "),
+        (window("09:00", "10:00", "Pacific/Nowhere", "daily"), "pool.counter.window.w.zone: "),
+        (window("09:00", "10:00", "Pacific/Fiji", "someday"), "pool.counter.window.w.days: "),
+    ] {
+        let told = with_window(window);
+        assert!(told.starts_with(field), "{told}");
+    }
+    let cases: [(Change, &str); 9] = [
+        (|s| pool(s).payer = "nobody".into(), "pool.counter.payer: "),
+        (|s| pool(s).claimants = vec!["nobody".into()], "pool.counter.claimants: "),
+        (|s| pool(s).zones = vec!["z".into()], "pool.counter.zones: "),
+        (|s| pool(s).machines = vec!["g9".into()], "pool.counter.machines: "),
+        (|s| pool(s).model = "other".into(), "pool.counter.model: "),
+        (|s| pool(s).count = 17, "pool.counter.count: "),
+        (|s| pool(s).cores = -1.0, "pool.counter.cores: "),
+        (|s| pool(s).idle_cost_per_hour = Some(f64::NAN), "pool.counter.idle_cost_per_hour: "),
+        (|s| pool(s).loads_at_a_time = 0, "pool.counter.loads_at_a_time: "),
+    ];
+    settings().check(&known_fleet()).unwrap();
+    for (change, field) in cases {
+        let mut settings = settings();
+        change(&mut settings);
+        let told = settings.check(&known_fleet()).unwrap_err().to_string();
+        assert!(told.starts_with(field) && !told.contains('\n'), "{told}");
+    }
+    assert!(
+        serde_json::from_str::<Window>(r#"{"days": ["daily"], "from": "1", "to": "2", "zone": "UTC", "count": -1}"#)
+            .is_err()
+    );
+}
--- /dev/null
+++ b/crates/warm-pools/tests/common/mod.rs
@@ -0,0 +1,99 @@
+//! Settings and a store of records for the tests.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use badgerdrift_warm_pools::{
+    KnownFleet, Moment, Pool, PoolEvent, PoolSettings, RecordChanges, RecordKey, SlotId, SlotPlace, StoredRecord,
+    WarmPools,
+};
+use std::collections::BTreeMap;
+
+/// A Wednesday, 2026-12-02 at 00:00 UTC.
+pub const MIDNIGHT_MS: u64 = 1_796_169_600_000;
+
+pub fn known_fleet() -> KnownFleet {
+    KnownFleet {
+        zones: ["a", "b"].map(String::from).into(),
+        machines: Some(["g8"].map(String::from).into()),
+        team_limits: [("red", (64.0, 16.0)), ("blue", (64.0, 16.0))]
+            .map(|(team, limit)| (team.to_string(), limit))
+            .into(),
+    }
+}
+
+/// A pool of two replicas of model `notes`, paid by team red.
+pub fn settings() -> PoolSettings {
+    serde_json::from_str(
+        r#"{
+        "bill_every_s": 300, "estimate_at_most_s": 900,
+        "model": {"notes": {"version": 3, "image": "notes-3", "size_gb": 40, "names": ["notes"]}},
+        "pool": {"counter": {"model": "notes", "payer": "red", "keep": "loaded", "count": 2,
+                             "cores": 4, "cards": 1, "mem_gb": 16, "loads_at_a_time": 2}}}"#,
+    )
+    .unwrap()
+}
+
+pub fn pool(settings: &mut PoolSettings) -> &mut Pool {
+    settings.pools.get_mut("counter").unwrap()
+}
+
+/// So many milliseconds after midnight, by both clocks.
+pub fn at(ms: u64) -> Moment {
+    Moment { steady_ms: 1000 + ms, wall_ms: MIDNIGHT_MS + ms }
+}
+
+pub fn place(host: &str) -> SlotPlace {
+    SlotPlace { host: host.into(), tenure: 1, price_per_hour: 3_600_000, warm: false }
+}
+
+/// Records as a state service holds them.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    pub records: BTreeMap<RecordKey, (StoredRecord, u64)>,
+    pub revision: u64,
+}
+
+impl Store {
+    /// Makes the changes if all versions are as expected; the revision, or none.
+    pub fn commit(&mut self, changes: &RecordChanges) -> Option<u64> {
+        let version = |key: &RecordKey| self.records.get(key).map_or(0, |item| item.1);
+        if changes.writes.iter().any(|write| version(&write.key) != write.version) {
+            return None;
+        }
+        self.revision += 1;
+        for write in &changes.writes {
+            match &write.value {
+                Some(value) => _ = self.records.insert(write.key.clone(), (value.clone(), self.revision)),
+                None => _ = self.records.remove(&write.key),
+            }
+        }
+        Some(self.revision)
+    }
+
+    pub fn read(&self, keys: &[RecordKey]) -> Vec<(RecordKey, Option<(StoredRecord, u64)>)> {
+        keys.iter().map(|key| (key.clone(), self.records.get(key).cloned())).collect()
+    }
+
+    pub fn all(&self) -> Vec<(RecordKey, StoredRecord, u64)> {
+        self.records.iter().map(|(key, (record, version))| (key.clone(), record.clone(), *version)).collect()
+    }
+}
+
+/// Records all that is due.
+pub fn record_all(pools: &mut WarmPools, store: &mut Store, write: &mut u64) -> Vec<PoolEvent> {
+    let mut events = Vec::new();
+    loop {
+        *write += 1;
+        let Some(changes) = pools.next_changes(*write, 12) else { return events };
+        let revision = store.commit(&changes).expect("nobody else writes");
+        events.extend(pools.written(revision));
+    }
+}
+
+/// A recorded slot that is warm.
+pub fn warm_slot(pools: &mut WarmPools, store: &mut Store, write: &mut u64, id: SlotId, now: Moment) {
+    pools.begin(id, "counter", place(&format!("h{id}")), now);
+    record_all(pools, store, write);
+    pools.seen(id, true, now);
+    record_all(pools, store, write);
+}
--- /dev/null
+++ b/crates/warm-pools/tests/slots.rs
@@ -0,0 +1,347 @@
+//! Slots, claims, bills and names, one at a time.
+
+mod common;
+
+use badgerdrift_warm_pools::{
+    Claim, ClaimError, EndCause, HoldKind, Model, Moment, PoolEvent, RecordKey, SlotId, SlotState, StoredRecord,
+    WarmPools,
+};
+use common::{MIDNIGHT_MS, Store, at, place, pool, record_all, settings, warm_slot};
+
+const HOUR_MS: u64 = 3_600_000;
+const BOOT_MS: u64 = 30_000;
+
+fn claim(team: &str, attempt: u64) -> Claim {
+    Claim { job: format!("run-{attempt:06}"), task: 0, attempt, team: team.into() }
+}
+
+/// Pools with so many warm slots, from 1 on.
+fn warm(count: u64) -> (WarmPools, Store, u64) {
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings(), at(0)), Store::default(), 0);
+    pools.look(BOOT_MS, at(0));
+    (1..=count).for_each(|id| warm_slot(&mut pools, &mut store, &mut write, id, at(0)));
+    (pools, store, write)
+}
+
+fn state(pools: &WarmPools, id: SlotId) -> SlotState {
+    pools.slot(id).map_or(SlotState::Ended(EndCause::NotReported), |slot| slot.state.clone())
+}
+
+/// Milliseconds charged in the store, by team: idle, claimed, and the estimated part of both.
+fn charged(store: &Store, team: &str) -> (u64, u64, u64) {
+    let bills = store.records.iter().filter_map(|(key, (record, _))| match (key, record) {
+        (RecordKey::Bill(_, payer), StoredRecord::Bill(bill)) if payer == team => Some(bill),
+        _ => None,
+    });
+    bills
+        .flat_map(|bill| bill.pools.values())
+        .fold((0, 0, 0), |sum, total| (sum.0 + total.idle_ms, sum.1 + total.claimed_ms, sum.2 + total.estimated_ms))
+}
+
+#[test]
+fn a_slot_has_one_claimant_and_its_task_waits_for_the_record() {
+    let (mut pools, mut store, mut write) = warm(1);
+    assert_eq!(pools.claim(1, "notes", claim("blue", 7), at(1000)), Ok(()));
+    assert_eq!(pools.claim(1, "notes", claim("red", 8), at(1000)), Err(ClaimError::NotFree));
+    assert!(matches!(state(&pools, 1), SlotState::Claiming(_)), "not recorded yet");
+    let events = record_all(&mut pools, &mut store, &mut write);
+    assert_eq!(events, [PoolEvent::ClaimRecorded(1, claim("blue", 7))]);
+    assert_eq!(pools.claim(1, "notes", claim("red", 8), at(1000)), Err(ClaimError::NotFree));
+}
+
+#[test]
+fn a_slot_that_is_not_recorded_is_not_claimed() {
+    let mut pools = WarmPools::new(settings(), at(0));
+    pools.look(BOOT_MS, at(0));
+    pools.begin(1, "counter", place("h1"), at(0));
+    pools.seen(1, true, at(0));
+    assert_eq!(pools.claim(1, "notes", claim("red", 7), at(0)), Err(ClaimError::NotFree));
+}
+
+// The write may be carried out at once, late, or never: the slot is given away once.
+#[test]
+fn a_claim_whose_commit_has_no_answer_is_found_or_written_again() {
+    for (made_at_once, made_late) in [(true, false), (false, false), (false, true)] {
+        let (mut pools, mut store, mut write) = warm(1);
+        pools.claim(1, "notes", claim("blue", 7), at(1000)).unwrap();
+        let changes = pools.next_changes(50, 12).unwrap();
+        if made_at_once {
+            store.commit(&changes).unwrap();
+        }
+        pools.unclear();
+        assert_eq!(pools.next_changes(51, 12), None, "first the records are read");
+        let mut events = pools.reread(store.read(&pools.keys_to_read()));
+        if made_late {
+            store.commit(&changes).unwrap();
+            let again = pools.next_changes(52, 12).unwrap();
+            assert_eq!(store.commit(&again), None, "the late one came first");
+            pools.unclear();
+            events.extend(pools.reread(store.read(&pools.keys_to_read())));
+        }
+        write = write.max(60);
+        events.extend(record_all(&mut pools, &mut store, &mut write));
+        let recorded: Vec<_> = events.iter().filter(|e| matches!(e, PoolEvent::ClaimRecorded(..))).collect();
+        assert_eq!(recorded, [&PoolEvent::ClaimRecorded(1, claim("blue", 7))]);
+        assert_eq!(store.commit(&changes), None, "an even later one fails");
+        assert_eq!(charged(&store, "red"), (1000, 0, 0));
+    }
+}
+
+#[test]
+fn a_claim_that_is_given_up_frees_the_slot_only_once_that_is_recorded() {
+    let (mut pools, mut store, mut write) = warm(1);
+    pools.claim(1, "notes", claim("blue", 7), at(1000)).unwrap();
+    let late = pools.next_changes(50, 12).unwrap();
+    pools.unclear();
+    pools.abandon_claim(1);
+    assert_eq!(pools.claim(1, "notes", claim("red", 8), at(1100)), Err(ClaimError::NotFree));
+    // The claim is recorded after all, and then the slot's being free is.
+    store.commit(&late).unwrap();
+    assert_eq!(pools.reread(store.read(&pools.keys_to_read())), []);
+    assert_eq!(pools.claim(1, "notes", claim("red", 8), at(1200)), Err(ClaimError::NotFree));
+    write = write.max(60);
+    assert_eq!(record_all(&mut pools, &mut store, &mut write), [PoolEvent::SlotFree(1)]);
+    assert_eq!(pools.claim(1, "notes", claim("red", 8), at(2000)), Ok(()));
+    record_all(&mut pools, &mut store, &mut write);
+    assert_eq!(charged(&store, "red"), (2000, 0, 0), "nobody had it before");
+}
+
+#[test]
+fn idle_time_is_the_payers_and_claimed_time_the_claimants() {
+    let (mut pools, mut store, mut write) = warm(1);
+    pools.claim(1, "notes", claim("blue", 7), at(10_000)).unwrap();
+    record_all(&mut pools, &mut store, &mut write);
+    pools.claim_ended(1, at(25_000));
+    record_all(&mut pools, &mut store, &mut write);
+    assert_eq!((charged(&store, "red"), charged(&store, "blue")), ((10_000, 0, 0), (0, 15_000, 0)));
+    assert!(!store.records.contains_key(&RecordKey::Slot(1)) && pools.slots().next().is_none());
+}
+
+#[test]
+fn a_bill_is_divided_at_midnight_and_by_price() {
+    let now = |ms: u64| Moment { steady_ms: ms, wall_ms: MIDNIGHT_MS + 24 * HOUR_MS - 60_000 + ms };
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings(), now(0)), Store::default(), 0);
+    pools.look(BOOT_MS, now(0));
+    warm_slot(&mut pools, &mut store, &mut write, 1, now(0));
+    pools.set_price(1, 7_200_000, now(30_000));
+    pools.look(BOOT_MS, now(360_000));
+    record_all(&mut pools, &mut store, &mut write);
+    let (today, tomorrow) = ("2026-12-02".parse().unwrap(), "2026-12-03".parse().unwrap());
+    let total = |day| pools.bill(day, "red").unwrap().pools["counter"];
+    // 30 s at 3.6 an hour, 30 s at 7.2, and five minutes at 7.2 on the next day.
+    assert_eq!((total(today).idle_ms, total(today).idle_amount), (60_000, 90_000));
+    assert_eq!((total(tomorrow).idle_ms, total(tomorrow).idle_amount), (300_000, 600_000));
+}
+
+#[test]
+fn a_successor_goes_on_with_claims_and_bills() {
+    let (mut pools, mut store, mut write) = warm(2);
+    pools.claim(1, "notes", claim("blue", 7), at(10_000)).unwrap();
+    record_all(&mut pools, &mut store, &mut write);
+    // The next owner's clock is an hour ahead, or an hour behind.
+    for (wall_step, gap_ms) in [(0i64, 20_000), (HOUR_MS as i64, 900_000), (-(HOUR_MS as i64), 0)] {
+        let mut store = store.clone();
+        let begin = Moment { steady_ms: 5, wall_ms: (MIDNIGHT_MS + 30_000).saturating_add_signed(wall_step) };
+        let mut next = WarmPools::new(settings(), begin);
+        next.restore(store.all(), begin);
+        assert_eq!(next.claim(1, "notes", claim("red", 9), begin), Err(ClaimError::NotFree));
+        assert_eq!(state(&next, 1), SlotState::Claimed(claim("blue", 7)));
+        let later = Moment { steady_ms: begin.steady_ms + 5000, wall_ms: begin.wall_ms + 5000 };
+        next.seen(1, true, begin);
+        next.claim_ended(1, later);
+        let mut write = 100;
+        record_all(&mut next, &mut store, &mut write);
+        // What nobody observed is marked, and is not more than the operator allows.
+        assert_eq!(charged(&store, "blue"), (0, gap_ms + 5000, gap_ms), "step {wall_step}");
+    }
+}
+
+#[test]
+fn a_step_of_the_clock_changes_no_bill_of_an_owner() {
+    let (mut pools, mut store, mut write) = warm(1);
+    for (minute, step) in [(0, 0), (10, HOUR_MS as i64), (20, -(HOUR_MS as i64)), (30, 0)] {
+        let now = at(minute * 60_000);
+        pools.look(BOOT_MS, Moment { wall_ms: now.wall_ms.saturating_add_signed(step), ..now });
+        record_all(&mut pools, &mut store, &mut write);
+    }
+    assert_eq!(charged(&store, "red"), (30 * 60_000, 0, 0));
+    assert_eq!(state(&pools, 1), SlotState::Idle);
+}
+
+// A clock an hour off for ten minutes, in the middle of a window.
+#[test]
+fn a_step_of_the_clock_empties_no_pool() {
+    let mut settings = settings();
+    pool(&mut settings).count = 0;
+    let window =
+        serde_json::from_str(r#"{"days": ["daily"], "from": "00:00", "to": "00:40", "zone": "UTC", "count": 1}"#);
+    pool(&mut settings).windows.insert("night".into(), window.unwrap());
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings, at(0)), Store::default(), 0);
+    pools.look(BOOT_MS, at(0));
+    warm_slot(&mut pools, &mut store, &mut write, 1, at(0));
+    for minute in 1..10 {
+        let now = at(minute * 60_000);
+        pools.look(BOOT_MS, Moment { wall_ms: now.wall_ms + HOUR_MS, ..now });
+        assert_eq!(state(&pools, 1), SlotState::Idle, "minute {minute}");
+    }
+    // The window's end is seen all the same.
+    pools.look(BOOT_MS, at(41 * 60_000));
+    pools.look(BOOT_MS, at(43 * 60_000));
+    assert_eq!(state(&pools, 1), SlotState::Draining(EndCause::FewerWanted));
+}
+
+/// The same pools under settings that were changed.
+fn with_settings(store: &Store, now: Moment, change: impl Fn(&mut badgerdrift_warm_pools::PoolSettings)) -> WarmPools {
+    let mut settings = settings();
+    change(&mut settings);
+    let mut pools = WarmPools::new(settings, now);
+    pools.restore(store.all(), now);
+    pools.look(BOOT_MS, now);
+    pools
+}
+
+#[test]
+fn a_new_version_under_an_old_name_never_yields_the_weights_of_the_old_one() {
+    let (_, mut store, _) = warm(2);
+    let version =
+        |version: u64| Model { version, image: format!("notes-{version}"), size_gb: 40.0, names: vec!["notes".into()] };
+    let mut pools = with_settings(&store, at(1000), |s| _ = s.models.insert("notes".into(), version(4)));
+    for image in ["notes", "notes-3", "notes-4"] {
+        assert_eq!(pools.claim(1, image, claim("red", 9), at(1000)), Err(ClaimError::AnotherModel), "{image}");
+    }
+    // Old ones go as new ones are warm, one for one.
+    assert_eq!(pools.missing("counter"), 2);
+    let mut write = 100;
+    for id in [11, 12] {
+        let idle = |pools: &WarmPools| pools.slots().filter(|slot| slot.state == SlotState::Idle).count();
+        assert!(idle(&pools) >= 2, "never below the pool's size");
+        warm_slot(&mut pools, &mut store, &mut write, id, at(2000));
+        pools.look(BOOT_MS, at(2000));
+    }
+    assert_eq!([state(&pools, 1), state(&pools, 2)], [const { SlotState::Draining(EndCause::Replaced) }; 2]);
+    assert_eq!(pools.claim(11, "notes", claim("red", 10), at(3000)), Ok(()));
+}
+
+#[test]
+fn names_that_are_swapped_or_renamed_follow_the_model_and_not_the_slot() {
+    let (_, store, _) = warm(2);
+    let model =
+        |image: &str, name: &str| Model { version: 3, image: image.into(), size_gb: 40.0, names: vec![name.into()] };
+    let mut swapped = with_settings(&store, at(1000), |s| {
+        s.models.insert("notes".into(), model("notes-3", "letters"));
+        s.models.insert("letters".into(), model("letters-3", "notes"));
+    });
+    assert_eq!(swapped.claim(1, "notes", claim("red", 9), at(1000)), Err(ClaimError::AnotherModel));
+    assert_eq!(swapped.claim(1, "letters", claim("red", 9), at(1000)), Ok(()));
+    let mut renamed = with_settings(&store, at(1000), |s| {
+        s.models.insert("notes".into(), model("notes-3", "parcels"));
+    });
+    assert_eq!(renamed.claim(1, "notes", claim("red", 9), at(1000)), Err(ClaimError::AnotherModel));
+    assert_eq!(renamed.claim(1, "parcels", claim("red", 9), at(1000)), Ok(()));
+}
+
+// An ordinary worker fetches an image under the name that the job gives.
+#[test]
+fn room_beside_an_image_is_claimed_under_the_name_of_the_image_alone() {
+    let mut settings = settings();
+    pool(&mut settings).keep = HoldKind::Image;
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings, at(0)), Store::default(), 0);
+    pools.look(BOOT_MS, at(0));
+    pools.begin(1, "counter", place("h1"), at(0));
+    record_all(&mut pools, &mut store, &mut write);
+    assert_eq!(pools.claim(1, "notes", claim("red", 9), at(0)), Err(ClaimError::AnotherModel));
+    assert_eq!(pools.claim(1, "notes-3", claim("red", 9), at(0)), Ok(()));
+}
+
+#[test]
+fn a_team_that_may_not_claim_does_not() {
+    let mut settings = settings();
+    pool(&mut settings).claimants = vec!["red".into()];
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings, at(0)), Store::default(), 0);
+    pools.look(BOOT_MS, at(0));
+    warm_slot(&mut pools, &mut store, &mut write, 1, at(0));
+    assert_eq!(pools.claim(1, "notes", claim("blue", 9), at(0)), Err(ClaimError::NotAllowed));
+}
+
+#[test]
+fn ceiling_and_budget_drain_idle_slots_and_never_claimed_ones() {
+    let (_, store, _) = warm(2);
+    // Each costs 3.6 an hour.
+    let capped = with_settings(&store, at(1000), |s| pool(s).idle_cost_per_hour = Some(4.0));
+    assert_eq!([state(&capped, 1), state(&capped, 2)], [SlotState::Idle, SlotState::Draining(EndCause::CostLimit)]);
+    assert_eq!(capped.may_begin("counter", 3_600_000, at(1000)), 0);
+    let mut spent = with_settings(&store, at(1000), |s| pool(s).idle_budget_per_day = Some(0.05));
+    spent.claim(1, "notes", claim("blue", 9), at(1000)).unwrap();
+    let (mut store, mut write) = (store, 100);
+    record_all(&mut spent, &mut store, &mut write);
+    spent.look(BOOT_MS, at(301_000));
+    spent.look(BOOT_MS, at(302_000));
+    assert!(matches!(state(&spent, 1), SlotState::Claimed(_)));
+    assert_eq!(state(&spent, 2), SlotState::Draining(EndCause::CostLimit));
+    assert_eq!(spent.may_begin("counter", 3_600_000, at(302_000)), 0);
+    // Another day has another budget.
+    assert_eq!(spent.may_begin("counter", 3_600_000, at(24 * HOUR_MS)), 2);
+}
+
+#[test]
+fn what_is_lost_or_not_wanted_ends_and_is_missing_again() {
+    for cause in [EndCause::MachineLost, EndCause::SessionLost] {
+        let (mut pools, mut store, mut write) = warm(2);
+        pools.claim(1, "notes", claim("blue", 7), at(0)).unwrap();
+        record_all(&mut pools, &mut store, &mut write);
+        pools.host_lost("h1", cause, at(5000));
+        pools.host_lost("h2", cause, at(5000));
+        assert_eq!(pools.missing("counter"), 2);
+        record_all(&mut pools, &mut store, &mut write);
+        assert_eq!((charged(&store, "red").0, charged(&store, "blue").1), (5000, 5000));
+        assert!(pools.slots().next().is_none());
+    }
+}
+
+#[test]
+fn loads_under_way_are_bounded_and_a_claimed_place_is_refilled() {
+    let mut settings = settings();
+    pool(&mut settings).count = 5;
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings, at(0)), Store::default(), 0);
+    pools.look(BOOT_MS, at(0));
+    assert_eq!((pools.missing("counter"), pools.may_begin("counter", 1, at(0))), (5, 2));
+    pools.begin(1, "counter", place("h1"), at(0));
+    assert_eq!(pools.may_begin("counter", 1, at(0)), 1);
+    pools.seen(1, true, at(0));
+    record_all(&mut pools, &mut store, &mut write);
+    pools.claim(1, "notes", claim("blue", 7), at(0)).unwrap();
+    assert_eq!(pools.missing("counter"), 5);
+}
+
+// A limit of the state service must not divide a slot from its bill.
+#[test]
+fn a_commit_is_no_larger_than_allowed_and_whole() {
+    let (mut pools, mut store, _) = warm(4);
+    (1..=4).for_each(|id| pools.host_lost(&format!("h{id}"), EndCause::MachineLost, at(1000)));
+    assert_eq!(pools.next_changes(50, 1), None, "a slot and its bill are two writes");
+    let mut sizes = Vec::new();
+    for write in 51.. {
+        let Some(changes) = pools.next_changes(write, 3) else { break };
+        sizes.push(changes.writes.len());
+        let revision = store.commit(&changes).unwrap();
+        pools.written(revision);
+    }
+    assert_eq!(sizes, [3, 3]);
+    assert_eq!(charged(&store, "red").0, 4000);
+}
+
+// The record of a slot comes late, after the slot has ended: it would stay for ever.
+#[test]
+fn a_slot_that_ends_while_its_first_record_is_open_leaves_none() {
+    let (mut pools, mut store, mut write) = (WarmPools::new(settings(), at(0)), Store::default(), 60);
+    pools.look(BOOT_MS, at(0));
+    pools.begin(1, "counter", place("h1"), at(0));
+    let late = pools.next_changes(50, 12).unwrap();
+    pools.unclear();
+    pools.host_lost("h1", EndCause::MachineLost, at(1000));
+    pools.reread(store.read(&pools.keys_to_read()));
+    record_all(&mut pools, &mut store, &mut write);
+    assert_eq!(store.commit(&late), None);
+    assert!(!store.records.contains_key(&RecordKey::Slot(1)));
+    assert_eq!(charged(&store, "red").0, 1000);
+}
