--- /dev/null
+++ b/crates/scale/src/burst.rs
@@ -0,0 +1,180 @@
+//! A burst of requests to one model: users ask for replicas, requests come at once, and each is
+//! answered by the first replica that can. And what the pool's bill says, beside what the workers
+//! saw.
+
+use crate::controllers::team_name;
+use crate::plan::RegionPlan;
+use crate::scenario::Burst;
+use crate::workload::leak;
+use badgerdrift::net::Net;
+use badgerdrift::peer::{Peer, PeerLimits, PeerRequest, PeerResponse};
+use badgerdrift::warm_pools::{BillRow, PoolsRequest, PoolsResponse};
+use badgerdrift_stand_ins::ground::SimulationContext;
+use badgerdrift_stand_ins::machines::MODEL_PATH;
+use badgerdrift_stand_ins::users;
+use badgerdrift_stand_ins::world::{Job, secs};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// The image that the burst asks for, as jobs name it; no other job does.
+pub const BURST_IMAGE: &str = "img-900";
+/// Its number among the stand-ins' images.
+const BURST_IMAGE_NUMBER: u32 = 900;
+/// Numbers of the burst's jobs begin here: no other job's are as high.
+const FIRST_JOB: usize = 900_000;
+/// Pause before a request that no replica answered is sent again.
+const RETRY: Duration = Duration::from_millis(20);
+/// Longest that one attempt may take.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(2);
+/// How long the bill is waited for.
+const BILL_LIMIT: Duration = Duration::from_secs(3);
+/// All days.
+const ALL_DAYS: [&str; 2] = ["0001-01-01", "9999-12-31"];
+const MS_PER_S: f64 = 1000.0;
+
+/// What came of a region's burst.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct BurstResult {
+    /// Milliseconds from each request to its answer.
+    pub answered_ms: Vec<u32>,
+    /// Requests without an answer at the end.
+    pub unanswered: usize,
+    /// Models that were ready as the burst began.
+    pub ready_before: usize,
+    /// Models that were loaded, and tasks that took one over.
+    pub loaded: usize,
+    pub attached: usize,
+    /// Seconds of idle and claimed replicas by team, as recorded in the bills.
+    pub billed: BTreeMap<String, SlotSeconds>,
+    /// The same as the workers saw it.
+    pub seen: BTreeMap<String, SlotSeconds>,
+}
+
+/// Seconds of replicas.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct SlotSeconds {
+    pub idle_s: f64,
+    pub claimed_s: f64,
+}
+
+/// A burst under way.
+pub struct BurstRun {
+    context: SimulationContext,
+    has_pool: bool,
+    requests: usize,
+    answered_ms: Arc<Mutex<Vec<u32>>>,
+    ready_before: Arc<Mutex<usize>>,
+}
+
+/// Starts the burst of a region, if the scenario has one.
+pub fn start(context: &SimulationContext, plan: &RegionPlan) -> BurstRun {
+    let run = BurstRun {
+        context: context.clone(),
+        has_pool: plan.scenario.warm_pool.is_some(),
+        requests: plan.scenario.burst.as_ref().map_or(0, |burst| burst.requests),
+        answered_ms: Arc::default(),
+        ready_before: Arc::default(),
+    };
+    if let Some(burst) = plan.scenario.burst.clone() {
+        let (context, answered, ready) = (context.clone(), run.answered_ms.clone(), run.ready_before.clone());
+        let (seed, teams) = (plan.seed, plan.scenario.teams.count);
+        tokio::spawn(async move {
+            sleep(secs(burst.at_s)).await;
+            *ready.lock().unwrap() = context.w.lock().unwrap().ready_slots();
+            submit_replicas(&context, &burst, teams, seed);
+            send_requests(&context, &burst, &answered);
+        });
+    }
+    run
+}
+
+/// Users of all teams in turn ask for a replica each.
+fn submit_replicas(context: &SimulationContext, burst: &Burst, teams: usize, seed: u64) {
+    for number in 0..burst.replicas {
+        let mut job = Job::new(&format!("run-{:06}", FIRST_JOB + number), "service", 1);
+        job.team = leak(team_name(number % teams));
+        job.urgency = "urgent";
+        (job.cores, job.cards, job.mem_gb) = (burst.cores, burst.cards, burst.mem_gb);
+        job.bundle = BURST_IMAGE_NUMBER;
+        let id = job.id.clone();
+        context.w.lock().unwrap().jobs.insert(id.clone(), job);
+        tokio::spawn(users::user(context.clone(), id, seed.wrapping_add(number as u64)));
+    }
+}
+
+/// Requests come one after the other at even intervals, each on its own.
+fn send_requests(context: &SimulationContext, burst: &Burst, answered: &Arc<Mutex<Vec<u32>>>) {
+    let begin = Instant::now();
+    for number in 0..burst.requests {
+        let at = begin + secs(burst.over_s * number as f64 / burst.requests as f64);
+        let (context, answered) = (context.clone(), answered.clone());
+        tokio::spawn(async move {
+            sleep_until(at).await;
+            until_answered(&context, number).await;
+            answered.lock().unwrap().push(at.elapsed().as_millis() as u32);
+        });
+    }
+}
+
+/// Asks replicas that should answer, in turn, until one does.
+async fn until_answered(context: &SimulationContext, number: usize) {
+    let path = format!("{MODEL_PATH}{BURST_IMAGE_NUMBER}");
+    loop {
+        let replicas = context.w.lock().unwrap().answering(BURST_IMAGE_NUMBER);
+        if let Some(replica) = replicas.get(number % replicas.len().max(1)) {
+            let answer = context.user.call(*replica, "POST", &path, Some(b"{}"), ATTEMPT_LIMIT).await;
+            if matches!(answer, Ok((200, _))) {
+                return;
+            }
+        }
+        sleep(RETRY).await;
+    }
+}
+
+impl BurstRun {
+    /// What came of it until now; the bill is read from a controller that answers.
+    pub async fn finish(self, plan: &RegionPlan) -> BurstResult {
+        let (account, answered_ms) = {
+            let world = self.context.w.lock().unwrap();
+            (world.slot_account(), self.answered_ms.lock().unwrap().clone())
+        };
+        let mut result = BurstResult {
+            unanswered: self.requests - answered_ms.len(),
+            answered_ms,
+            ready_before: *self.ready_before.lock().unwrap(),
+            loaded: account.loaded,
+            attached: account.attached,
+            ..BurstResult::default()
+        };
+        if !self.has_pool {
+            return result;
+        }
+        result.seen.entry(team_name(0)).or_default().idle_s = account.idle_s;
+        for (team, claimed_s) in account.claimed_s {
+            result.seen.entry(team.into()).or_default().claimed_s = claimed_s;
+        }
+        for row in read_bill(plan).await {
+            let billed = result.billed.entry(row.team).or_default();
+            billed.idle_s += row.total.idle_ms as f64 / MS_PER_S;
+            billed.claimed_s += row.total.claimed_ms as f64 / MS_PER_S;
+        }
+        result
+    }
+}
+
+async fn read_bill(plan: &RegionPlan) -> Vec<BillRow> {
+    let [from, to] = ALL_DAYS.map(String::from);
+    let request = PeerRequest::Pools(PoolsRequest::Bill { from, to, team: None });
+    for number in 0..plan.scenario.controllers_per_region {
+        let limits = PeerLimits::of_grant(BILL_LIMIT.as_millis() as u64);
+        let address = plan.networks().controller_internal(number);
+        let peer = Peer::start_on(Net::default(), address.to_string(), address, limits);
+        if let Some(PeerResponse::Pools(PoolsResponse::Bill(rows))) = peer.request(request.clone(), BILL_LIMIT).await {
+            return rows;
+        }
+    }
+    Vec::new()
+}
--- /dev/null
+++ b/crates/scale/src/burst_report.rs
@@ -0,0 +1,158 @@
+//! The same burst with a pool and without one, over several seeds, side by side.
+
+use crate::burst::BurstResult;
+use crate::report::{BrokenRule, Report};
+use crate::run::{self, Prepared};
+use crate::scenario::{Fault, FaultKind};
+use comfy_table::Table;
+use serde::Serialize;
+
+/// An owner that is killed in mid-burst is back after so many seconds.
+const RESTART_S: f64 = 3.0;
+/// It is killed so many seconds after the burst began.
+const KILLED_AFTER_S: f64 = 0.05;
+const MS_PER_S: f64 = 1000.0;
+
+/// How a burst is run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Variant {
+    /// With the pool.
+    Warm,
+    /// Without it.
+    Cold,
+    /// With the pool, and the owner killed in mid-burst.
+    WarmOwnerKilled,
+}
+
+/// One run of a burst.
+#[derive(Debug, Serialize)]
+pub struct BurstRow {
+    pub variant: Variant,
+    pub seed: u64,
+    /// Requests that were answered, and seconds until then.
+    pub answered: usize,
+    pub unanswered: usize,
+    pub p50_s: f64,
+    pub p99_s: f64,
+    pub max_s: f64,
+    /// The largest difference between the bill and what the workers saw, of any team, for each
+    /// replica that was loaded, in seconds.
+    pub bill_differs_s: f64,
+    pub result: BurstResult,
+    pub broken_rules: Vec<BrokenRule>,
+    pub owner_mean_cores: f64,
+}
+
+/// All runs of a burst.
+#[derive(Debug, Serialize)]
+pub struct BurstReport {
+    pub version: &'static str,
+    pub rows: Vec<BurstRow>,
+}
+
+/// Runs the scenario's burst in each variant with each seed from the first one on.
+pub async fn compare(prepared: &Prepared, seeds: u64) -> Result<BurstReport, String> {
+    if prepared.scenario.burst.is_none() || prepared.scenario.warm_pool.is_none() {
+        return Err("burst, warm_pool: the scenario must have both".into());
+    }
+    let mut rows = Vec::new();
+    for seed in prepared.seed..prepared.seed + seeds {
+        for variant in [Variant::Warm, Variant::Cold, Variant::WarmOwnerKilled] {
+            let report = run::run(&prepared_for(prepared, variant, seed)).await?;
+            rows.push(BurstRow::new(variant, seed, report));
+        }
+    }
+    Ok(BurstReport { version: env!("CARGO_PKG_VERSION"), rows })
+}
+
+fn prepared_for(prepared: &Prepared, variant: Variant, seed: u64) -> Prepared {
+    let mut prepared = Prepared { seed, ..prepared.clone() };
+    let scenario = &mut prepared.scenario;
+    match variant {
+        Variant::Warm => {}
+        Variant::Cold => scenario.warm_pool = None,
+        Variant::WarmOwnerKilled => {
+            let at_s = scenario.burst.as_ref().map_or(0.0, |burst| burst.at_s) + KILLED_AFTER_S;
+            let kind = FaultKind::ControllerKilled;
+            let killed = Fault { kind, at_s, region: 0, for_s: RESTART_S, count: 0 };
+            scenario.fault.insert("owner killed in mid-burst".into(), killed);
+        }
+    }
+    prepared
+}
+
+impl BurstRow {
+    fn new(variant: Variant, seed: u64, report: Report) -> BurstRow {
+        let result = report.burst.unwrap_or_default();
+        let mut answered = result.answered_ms.clone();
+        answered.sort_unstable();
+        let at = |part: f64| {
+            let last = answered.len().saturating_sub(1);
+            answered.get((last as f64 * part).round() as usize).map_or(f64::NAN, |ms| f64::from(*ms) / MS_PER_S)
+        };
+        BurstRow {
+            variant,
+            seed,
+            answered: answered.len(),
+            unanswered: result.unanswered,
+            p50_s: at(0.5),
+            p99_s: at(0.99),
+            max_s: at(1.0),
+            bill_differs_s: bill_difference(&result),
+            broken_rules: report.broken_rules,
+            owner_mean_cores: report.usage.get(&crate::results::Role::Owner).map_or(0.0, |usage| usage.mean_cores),
+            result,
+        }
+    }
+}
+
+/// The largest difference of any team between its bill and what the workers saw, a loaded replica.
+fn bill_difference(result: &BurstResult) -> f64 {
+    let teams = result.billed.keys().chain(result.seen.keys());
+    let difference = |team: &String| {
+        let (billed, seen) = (result.billed.get(team), result.seen.get(team));
+        let (billed, seen) = (billed.copied().unwrap_or_default(), seen.copied().unwrap_or_default());
+        (billed.idle_s - seen.idle_s).abs().max((billed.claimed_s - seen.claimed_s).abs())
+    };
+    teams.map(difference).fold(0.0, f64::max) / result.loaded.max(1) as f64
+}
+
+impl BurstReport {
+    /// Was every rule kept?
+    pub fn rules_hold(&self) -> bool {
+        self.rows.iter().all(|row| row.broken_rules.is_empty())
+    }
+
+    /// The runs as a table.
+    pub fn table(&self) -> Table {
+        let mut table = Table::new();
+        table.set_header([
+            "run",
+            "seed",
+            "ready",
+            "attached",
+            "answered",
+            "p50 s",
+            "p99 s",
+            "max s",
+            "bill off, s a replica",
+            "rules",
+        ]);
+        for row in &self.rows {
+            table.add_row([
+                format!("{:?}", row.variant),
+                row.seed.to_string(),
+                row.result.ready_before.to_string(),
+                row.result.attached.to_string(),
+                format!("{} of {}", row.answered, row.answered + row.unanswered),
+                format!("{:.2}", row.p50_s),
+                format!("{:.2}", row.p99_s),
+                format!("{:.2}", row.max_s),
+                format!("{:.2}", row.bill_differs_s),
+                if row.broken_rules.is_empty() { "kept" } else { "BROKEN" }.to_string(),
+            ]);
+        }
+        table
+    }
+}
--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -1,6 +1,8 @@
 //! The real controllers of a region: processes that are started, killed and held still by id.
 
+use crate::burst::BURST_IMAGE;
 use crate::plan::{RegionPlan, region_name};
+use crate::scenario::WarmPool;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
@@ -38,6 +40,11 @@
             std::fs::write(&fleet, fleet_text(&self.plan))?;
             command.arg("--fleet").arg(&fleet);
         }
+        if let Some(pool) = &self.plan.scenario.warm_pool {
+            let pools = base.with_extension("pools.hcl");
+            std::fs::write(&pools, pools_text(pool))?;
+            command.arg("--warm-pools").arg(&pools);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).env("LOG_LEVEL", "error");
         self.processes[number] = Some(command.spawn()?);
         Ok(())
@@ -143,6 +150,18 @@
     text + "}\n"
 }
 
+/// The operators' file that declares the pool.
+fn pools_text(pool: &WarmPool) -> String {
+    let WarmPool { replicas, cores, cards, mem_gb, bill_every_s } = pool;
+    format!(
+        "bill_every_s = {bill_every_s:?}\n\
+         model \"burst\" {{\n  version = 1\n  image = \"{BURST_IMAGE}\"\n  size_gb = 1\n}}\n\
+         pool \"burst\" {{\n  model = \"burst\"\n  payer = \"{}\"\n  keep = \"loaded\"\n  count = {replicas}\n  \
+         cores = {cores:?}\n  cards = {cards:?}\n  mem_gb = {mem_gb:?}\n  loads_at_a_time = {replicas}\n}}\n",
+        team_name(0)
+    )
+}
+
 /// The name of a controller; the workers' stand-ins read its number from that.
 pub fn controller_name(number: usize) -> String {
     format!("n{number}")
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,6 +3,8 @@
 #![expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
 
 mod addresses;
+mod burst;
+mod burst_report;
 mod child;
 mod configuration;
 mod controllers;
@@ -38,6 +40,14 @@
 enum Command {
     /// Runs a scenario once.
     Run(RunArguments),
+    /// Runs a scenario's burst with its warm pool, without it, and with its owner killed.
+    Burst {
+        #[command(flatten)]
+        run: RunArguments,
+        /// How many seeds are run.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+    },
     /// Runs a scenario at several sizes and fits a line to each cost.
     Sweep {
         #[command(flatten)]
@@ -84,6 +94,10 @@
             Ok(prepared) => outcome(runtime.block_on(run::run(&prepared)), &arguments),
             Err(error) => refuse(&error),
         },
+        Command::Burst { run, seeds } => match prepare(&run) {
+            Ok(prepared) => burst_outcome(runtime.block_on(burst_report::compare(&prepared, seeds)), &run),
+            Err(error) => refuse(&error),
+        },
         Command::Sweep { run, sizes } => {
             match prepare(&run).and_then(|prepared| sweep::check(&sizes).map(|()| prepared)) {
                 Ok(prepared) => sweep_outcome(runtime.block_on(sweep::sweep(&prepared, &sizes)), &run),
@@ -115,6 +129,19 @@
     if report.broken_rules.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+fn burst_outcome(result: Result<burst_report::BurstReport, String>, arguments: &RunArguments) -> ExitCode {
+    let report = match result {
+        Ok(report) => report,
+        Err(error) => return fail(&error),
+    };
+    println!("{}", report.table());
+    match write(&arguments.report, &report) {
+        Ok(()) if report.rules_hold() => ExitCode::SUCCESS,
+        Ok(()) => ExitCode::FAILURE,
+        Err(error) => fail(&error),
+    }
+}
+
 fn sweep_outcome(result: Result<sweep::Sweep, String>, arguments: &RunArguments) -> ExitCode {
     let sweep = match result {
         Ok(sweep) => sweep,
--- a/crates/scale/src/region.rs
+++ b/crates/scale/src/region.rs
@@ -1,5 +1,6 @@
 //! The process of one region: its stand-ins, its workload, and its real controllers as children.
 
+use crate::burst;
 use crate::configuration;
 use crate::controllers::{Controllers, LIST_LAG_S, team_name};
 use crate::counting::{Traffic, counting};
@@ -78,6 +79,7 @@
     let targets = FaultTargets { context: context.clone(), controllers: controllers.clone(), cuts };
     faults::start(&targets, &plan);
     let configuration = configuration::start(&context, &plan);
+    let burst = burst::start(&context, &plan);
 
     let mut measurement = Measurement::new(&plan, context, controllers.clone());
     let mut ticks = interval(TICK);
@@ -93,6 +95,7 @@
     }
     let mut result = measurement.finish(&traffic);
     (result.changes, result.obeyed_at_ms) = configuration.take();
+    result.burst = burst.finish(&plan).await;
     controllers.lock().await.kill_all().await.map_err(|error| error.to_string())?;
     Ok(Some(result))
 }
@@ -162,6 +165,8 @@
         flavors: vec![Box::leak(Box::new(flavor))],
         capacity: plan.part(scenario.workers as f64 / scenario.zones_per_region as f64).round() as usize,
         fetch_s: worker.fetch_s,
+        load_s: worker.load_s,
+        loads_models: scenario.warm_pool.is_some(),
         machine_network: plan.networks().machines(),
         tick_every: TICK,
         state_requests_per_s: Some(scenario.state.rps),
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,5 +1,6 @@
 //! What a run found, over all regions together.
 
+use crate::burst::BurstResult;
 use crate::results::{ChangeResult, RegionResult, Role, RoleUsage, ServiceTraffic};
 use crate::run::Prepared;
 use crate::scenario::Scenario;
@@ -33,6 +34,9 @@
     pub configuration: ConfigurationSummary,
     /// Over all regions, a second.
     pub traffic_per_s: TrafficRates,
+    /// What came of the burst in the first region that has one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub burst: Option<BurstResult>,
     pub controllers_ended: usize,
     pub broken_rules: Vec<BrokenRule>,
 }
@@ -116,6 +120,7 @@
             configuration: configuration(&regions),
             traffic_per_s: rates(&regions, elapsed_s, workers),
             controllers_ended: sum(|region| region.controllers_ended),
+            burst: scenario.burst.is_some().then(|| regions.first().map(|region| region.burst.clone())).flatten(),
             broken_rules: broken_rules(scenario, &regions),
         }
     }
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -1,5 +1,6 @@
 //! What one region measured.
 
+use crate::burst::BurstResult;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -78,6 +79,9 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RegionResult {
     pub region: String,
+    /// What came of the burst; all empty without one.
+    #[serde(default)]
+    pub burst: BurstResult,
     pub elapsed_s: f64,
     /// Machines that were up at the end.
     pub workers: usize,
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -24,6 +24,12 @@
     /// Failures of an ordinary day; none if absent.
     #[serde(default)]
     pub failures: Failures,
+    /// A pool of warm replicas in each region; none if absent.
+    #[serde(default)]
+    pub warm_pool: Option<WarmPool>,
+    /// A burst of requests to one model in each region; none if absent.
+    #[serde(default)]
+    pub burst: Option<Burst>,
     /// Changes of a configuration that the regions share; they share none if absent.
     #[serde(default)]
     pub configuration: Option<Configuration>,
@@ -73,6 +79,39 @@
     pub cancel_s: f64,
     /// Least and most time of an image fetch.
     pub fetch_s: (f64, f64),
+    /// Least and most time of loading a model beside that.
+    #[serde(default)]
+    pub load_s: (f64, f64),
+}
+
+/// A pool of loaded replicas of the model that a burst asks for. The first team pays.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmPool {
+    /// Replicas in a region.
+    pub replicas: usize,
+    /// What each one takes.
+    pub cores: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    /// A slot's charges are recorded at least this often.
+    pub bill_every_s: f64,
+}
+
+/// Users of all teams in turn ask for replicas of one model, and requests to it come at once.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    pub at_s: f64,
+    /// Replicas that are asked for, each by a job of its own.
+    pub replicas: usize,
+    /// Requests, and over how long they come.
+    pub requests: usize,
+    pub over_s: f64,
+    /// What each replica takes.
+    pub cores: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
 }
 
 /// Limits of a region's state service.
@@ -251,12 +290,30 @@
         in_range("worker.lease_s", self.worker.lease_s, 2.0 * self.worker.report_s, f64::MAX)?;
         in_range("worker.report_s", self.worker.report_s, 0.01, f64::MAX)?;
         ordered("worker.fetch_s", self.worker.fetch_s.0, self.worker.fetch_s.1)?;
+        self.check_burst()?;
         in_range("state.rps", self.state.rps, 1.0, f64::MAX)?;
         in_range("state.write_rps", self.state.write_rps, 1.0, f64::MAX)?;
         self.class.iter().try_for_each(|(name, class)| class.check(name, &self.machine))?;
         self.fault.iter().try_for_each(|(name, fault)| fault.check(name, self))
     }
 
+    fn check_burst(&self) -> Result<(), String> {
+        if self.worker.load_s != (0.0, 0.0) {
+            ordered("worker.load_s", self.worker.load_s.0, self.worker.load_s.1)?;
+        }
+        if let Some(burst) = &self.burst {
+            in_range("burst.at_s", burst.at_s, 0.0, self.duration_s)?;
+            in_range("burst.requests", burst.requests as f64, 1.0, 100_000.0)?;
+            in_range("burst.over_s", burst.over_s, 0.0, self.duration_s)?;
+            in_range("burst.cores", burst.cores, 0.01, self.machine.cores)?;
+        }
+        if let Some(pool) = &self.warm_pool {
+            in_range("warm_pool.bill_every_s", pool.bill_every_s, 0.01, f64::MAX)?;
+            in_range("warm_pool.cores", pool.cores, 0.01, self.machine.cores)?;
+        }
+        Ok(())
+    }
+
     /// The scenario with this part of its workers and arrivals.
     pub fn scaled(mut self, size: f64) -> Result<Scenario, String> {
         in_range("--size", size, 0.001, 100.0)?;
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -78,3 +78,25 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8(output.stderr).unwrap().contains("--sizes: at least 4 are needed"));
 }
+
+// Its function, not its speed: jobs take loaded models over, all requests are answered, and the
+// bill is what the workers saw.
+#[test]
+fn a_small_burst_is_answered_by_warm_replicas_and_billed() {
+    let report = std::env::temp_dir().join(format!("badgerdrift-small-burst-{}.json", std::process::id()));
+    let small = scenario("small-burst.hcl");
+    let output = run(&["burst", small.to_str().unwrap(), "--seed", "5", "--report", report.to_str().unwrap()]);
+    let found: Value = serde_json::from_slice(&std::fs::read(&report).unwrap()).unwrap();
+    std::fs::remove_file(&report).unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    for row in found["rows"].as_array().unwrap() {
+        assert_eq!((&row["answered"], &row["broken_rules"]), (&Value::from(100), &Value::Array(Vec::new())), "{row:#}");
+        let (attached, billed) = (row["result"]["attached"].as_u64().unwrap(), &row["result"]["billed"]);
+        if row["variant"] == "cold" {
+            assert_eq!((attached, billed.as_object().unwrap().len()), (0, 0));
+        } else {
+            assert!(attached > 0 && billed["team-000"]["idle_s"].as_f64().unwrap() > 0.0, "{row:#}");
+            assert!(row["bill_differs_s"].as_f64().unwrap() < 5.0, "{row:#}");
+        }
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -27,6 +27,7 @@
 use crate::store::Limits;
 use badgerdrift::config::Operator;
 use badgerdrift::http::{Client, Request};
+use badgerdrift::node::Subsystems;
 use badgerdrift::{clock, node, task};
 use deployment::PORT;
 use net::{Cut, Fabric};
@@ -46,11 +47,15 @@
 /// What may differ from day to day before it begins.
 pub struct Setup {
     pub operator: Operator,
+    /// What is switched on beside that.
+    pub subsystems: Subsystems,
     /// The time of day stands still, as it did when the first seeds were hunted: their days
     /// stay what they were.
     pub time_of_day_stands: bool,
     /// The controllers are of the version in production until they are upgraded.
     pub production: bool,
+    /// Workers keep models loaded.
+    pub loads_models: bool,
 }
 
 impl Setup {
@@ -66,8 +71,10 @@
     fn default() -> Setup {
         Setup {
             operator: Operator { idle_keep: 3.0, ..Operator::default() },
+            subsystems: Subsystems::default(),
             time_of_day_stands: false,
             production: false,
+            loads_models: false,
         }
     }
 }
@@ -78,6 +85,7 @@
     lives: [Option<u64>; NODES],
     pauses: [Arc<Pause>; NODES],
     operator: Operator,
+    subsystems: Subsystems,
     rng: StdRng,
     next_job: u32,
 }
@@ -90,6 +98,7 @@
         let user = Client::on(&fabric.process(deployment::users()).0, 16);
         w.lock().unwrap().store.limits = Some(PRESENT_LIMITS);
         w.lock().unwrap().production = vec![setup.production; NODES];
+        w.lock().unwrap().parameters.loads_models = setup.loads_models;
         let g = SimulationContext { seed, w, fabric, user, doors: doors(), real_network: None };
         for i in 0..NODES {
             g.serve(SocketAddr::new(state_of(i), PORT), move |g, req| state_service::state(g, i, req));
@@ -107,6 +116,7 @@
             lives: [None; NODES],
             pauses: Default::default(),
             operator: setup.operator,
+            subsystems: setup.subsystems,
             rng: StdRng::seed_from_u64(seed ^ 0xda7),
             next_job: 0,
         };
@@ -135,7 +145,8 @@
             }
             self.g.log(format!("n{node} starts, of the version in production: {production}"));
             self.pauses[node] = Arc::default();
-            let controller = node::run_on(net, deployment::settings(node), self.operator.clone(), None);
+            let controller =
+                node::run_on(net, deployment::settings(node), self.operator.clone(), self.subsystems.clone());
             tokio::spawn(task::behind(self.pauses[node].clone(), controller));
         }
     }
--- a/crates/stand-ins/src/machines.rs
+++ b/crates/stand-ins/src/machines.rs
@@ -10,6 +10,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// Requests to models come under this path.
+pub const MODEL_PATH: &str = "/model/";
+/// How long a model works on a request.
+const REQUEST_TIME: Duration = Duration::from_millis(50);
+
 /// Starts the worker of a machine that was rented.
 pub fn boot(g: &SimulationContext, id: String) {
     let (net, life, addr, up) = {
@@ -77,6 +82,9 @@
         sleep(PATIENCE).await;
         return Response::error(503, "lost");
     }
+    if let Some(image) = req.path.strip_prefix(MODEL_PATH) {
+        return answer_request(&g, &id, image).await;
+    }
     let mut w = g.w.lock().unwrap();
     if req.path == "/inspect" {
         return Response::json(200, &w.report(&id));
@@ -89,6 +97,20 @@
     Response::json(if done { 200 } else { 409 }, &w.report(&id))
 }
 
+/// A request to a model, by its image's number: answered by a replica that is ready, or refused.
+async fn answer_request(g: &SimulationContext, id: &str, image: &str) -> Response {
+    let answers = {
+        let w = g.w.lock().unwrap();
+        let addr = w.machines[id].addr;
+        image.parse().is_ok_and(|image| w.answering(image).contains(&addr))
+    };
+    if !answers {
+        return Response::error(503, "no replica");
+    }
+    sleep(REQUEST_TIME).await;
+    Response::json(200, &serde_json::json!({ "answered": true }))
+}
+
 async fn reports(g: SimulationContext, id: String, client: Client) {
     let mut at = {
         let mut w = g.w.lock().unwrap();
--- a/crates/stand-ins/src/world/machine.rs
+++ b/crates/stand-ins/src/world/machine.rs
@@ -1,6 +1,7 @@
 //! A machine with the tasks that are on it.
 
 use super::parameters::Flavor;
+use super::slots::LoadedSlot;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -43,6 +44,10 @@
     /// Its next step by itself is due then.
     pub(super) due: Instant,
     pub(super) since: Instant,
+    /// It answers requests from then on; none before it has its image.
+    pub(super) answers_from: Option<Instant>,
+    /// It took a loaded model over.
+    pub(super) attached: bool,
 }
 
 pub struct Machine {
@@ -62,6 +67,8 @@
     pub fence: u64,
     pub(super) lease_from: Instant,
     pub copies: BTreeMap<(String, u64), TaskAttempt>,
+    /// Loaded models, by the number of their slot.
+    pub slots: BTreeMap<u64, LoadedSlot>,
     pub deaf: Instant,
     pub mute: Instant,
     pub hang: Instant,
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -7,6 +7,7 @@
 mod parameters;
 mod rental;
 mod rules;
+mod slots;
 mod terms;
 mod worker;
 
@@ -17,6 +18,7 @@
     TeamLimit, ZONES, secs,
 };
 pub use rental::BootFaults;
+pub use slots::SlotAccount;
 
 use crate::store::Store;
 use gang::Gang;
@@ -74,6 +76,7 @@
     pub jobs: BTreeMap<String, Job>,
     gangs: BTreeMap<(String, u64), Gang>,
     pub starts: u64,
+    slot_account: SlotAccount,
     /// Tasks of batches and gangs that were stopped, or waited for their mates in vain,
     /// though their jobs were not cancelled.
     pub stopped: Vec<String>,
@@ -129,6 +132,7 @@
             jobs: BTreeMap::new(),
             gangs: BTreeMap::new(),
             starts: 0,
+            slot_account: SlotAccount::default(),
             stopped: Vec::new(),
             history: VecDeque::new(),
             broken: None,
--- a/crates/stand-ins/src/world/parameters.rs
+++ b/crates/stand-ins/src/world/parameters.rs
@@ -59,6 +59,10 @@
     pub capacity: usize,
     /// Seconds that the fetch of an image takes, from least to most.
     pub fetch_s: (f64, f64),
+    /// Seconds that loading a model takes beside that.
+    pub load_s: (f64, f64),
+    /// Workers keep models loaded.
+    pub loads_models: bool,
     /// The first address of machines; the last two bytes count them.
     pub machine_network: [u8; 2],
     /// What happens by itself is looked at this often at the most.
@@ -82,6 +86,8 @@
             flavors: FLAVORS.iter().collect(),
             capacity: CAPACITY,
             fetch_s: (0.1, 1.5),
+            load_s: (0.0, 0.0),
+            loads_models: false,
             machine_network: [10, 1],
             tick_every: Duration::ZERO,
             state_requests_per_s: None,
--- a/crates/stand-ins/src/world/rental.rs
+++ b/crates/stand-ins/src/world/rental.rs
@@ -75,6 +75,7 @@
                 fence: 0,
                 lease_from: up,
                 copies: BTreeMap::new(),
+                slots: BTreeMap::new(),
                 deaf: now,
                 mute: now,
                 hang: now,
@@ -95,7 +96,11 @@
     /// The machine and all that is on it are gone.
     pub fn remove(&mut self, id: &str, why: &str) {
         let now = Instant::now();
-        let Some(m) = self.machines.get_mut(id).filter(|m| m.gone.is_none()) else { return };
+        if self.machines.get(id).is_none_or(|m| m.gone.is_some()) {
+            return;
+        }
+        self.lose_all_models(id);
+        let m = self.machines.get_mut(id).unwrap();
         m.gone = Some(now);
         let on: Vec<_> = std::mem::take(&mut m.copies).into_iter().filter(|c| c.1.phase != Phase::Ended).collect();
         let on: Vec<String> = on.into_iter().map(|(k, c)| format!("{} try {} {}", k.0, k.1, c.phase.name())).collect();
@@ -104,7 +109,11 @@
 
     pub fn die(&mut self, id: &str) {
         let now = Instant::now();
-        let Some(m) = self.machines.get_mut(id).filter(|m| m.alive(now)) else { return };
+        if self.machines.get(id).is_none_or(|m| !m.alive(now)) {
+            return;
+        }
+        self.lose_all_models(id);
+        let m = self.machines.get_mut(id).unwrap();
         m.died = Some(now);
         let on: Vec<_> = std::mem::take(&mut m.copies).into_keys().collect();
         self.log(format!("{id} dies with {on:?}"));
--- a/crates/warm-pools/src/bill.rs
+++ b/crates/warm-pools/src/bill.rs
@@ -102,6 +102,17 @@
     (day, end_ms.unwrap_or(u64::MAX))
 }
 
+/// Is it a day, as `2026-12-02`?
+pub fn is_day(text: &str) -> bool {
+    text.parse::<Date>().is_ok_and(|day| day.to_string() == text)
+}
+
+/// The day before a wall time, its own and the next one: bills of these may be written soon.
+pub fn days_around(wall_ms: u64) -> Vec<Date> {
+    let (day, _) = day_of(wall_ms);
+    [day.yesterday().ok(), Some(day), day.tomorrow().ok()].into_iter().flatten().collect()
+}
+
 /// The charges of an interval, one for each day.
 pub(crate) fn charges(
     team: &TeamName,
--- a/crates/warm-pools/src/check.rs
+++ b/crates/warm-pools/src/check.rs
@@ -69,10 +69,10 @@
         let Some(limit) = known.team_limits.get(&pool.payer) else {
             return Err(error(&within("payer"), &format!("there is no team {}", pool.payer)));
         };
-        for team in pool.claimants.iter().filter(|team| !known.team_limits.contains_key(*team)) {
+        if let Some(team) = pool.claimants.iter().find(|team| !known.team_limits.contains_key(*team)) {
             return Err(error(&within("claimants"), &format!("there is no team {team}")));
         }
-        for zone in pool.zones.iter().filter(|zone| !known.zones.contains(*zone)) {
+        if let Some(zone) = pool.zones.iter().find(|zone| !known.zones.contains(*zone)) {
             return Err(error(&within("zones"), &format!("there is no zone {zone}")));
         }
         let unknown = |machine: &&String| known.machines.as_ref().is_some_and(|types| !types.contains(*machine));
--- a/crates/warm-pools/src/lib.rs
+++ b/crates/warm-pools/src/lib.rs
@@ -20,7 +20,7 @@
 mod targets;
 mod wall_clock;
 
-pub use bill::{BillRecord, Charge, DayTotal, Payment};
+pub use bill::{BillRecord, Charge, DayTotal, Payment, days_around, is_day};
 pub use calendar::{CalendarError, Schedule};
 pub use check::{FieldError, KnownFleet};
 pub use money::{MicroUnits, price_of};
--- a/crates/warm-pools/src/pools/restore.rs
+++ b/crates/warm-pools/src/pools/restore.rs
@@ -14,7 +14,7 @@
         for (key, record, version) in records {
             match (key, record) {
                 (RecordKey::Slot(id), StoredRecord::Slot(record)) => {
-                    self.slots.insert(id, restored(id, record, version, now));
+                    self.slots.insert(id, restored(id, *record, version, now));
                 }
                 (RecordKey::Bill(day, team), StoredRecord::Bill(record)) => {
                     self.bills.insert((day, team), BillVersion { record, version });
--- a/crates/warm-pools/src/pools/writes.rs
+++ b/crates/warm-pools/src/pools/writes.rs
@@ -107,7 +107,7 @@
             writes.push(RecordWrite {
                 key: RecordKey::Slot(slot_id),
                 version: slot.version,
-                value: record.map(StoredRecord::Slot),
+                value: record.map(|record| StoredRecord::Slot(Box::new(record))),
             });
             slot.changed = false;
         }
--- a/crates/warm-pools/src/records.rs
+++ b/crates/warm-pools/src/records.rs
@@ -110,7 +110,7 @@
 #[serde(untagged)]
 pub enum StoredRecord {
     /// Of a slot.
-    Slot(SlotRecord),
+    Slot(Box<SlotRecord>),
     /// Of a bill.
     Bill(BillRecord),
 }
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -103,6 +103,7 @@
         metrics: UserMetrics::default(),
         node_metrics: Default::default(),
         router: Router {
+            bills: None,
             configuration: None,
             partitions: Default::default(),
             peers: Default::default(),
--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -34,10 +34,10 @@
 /// reckoned with: workers with short tasks report more often than they have to.
 pub const MOST_ENTRIES_PER_S: f64 = 1.0;
 
-/// Queues have room for so many messages in any case.
-const LEAST_QUEUED: usize = 256;
-/// The same for the queue of a partition's owner, in which reports wait, too.
-const LEAST_QUEUED_FOR_OWNER: usize = 1024;
+/// Messages that wait for the owner of a partition. It does not grow with the fleet: a report that
+/// waits longer than its worker does is answered in vain, and an owner that is late answers none
+/// in time. What does not fit is refused at once.
+pub const QUEUED_FOR_OWNER: usize = 1024;
 
 /// Part of the sockets that the server may use; the rest is for what this node opens itself.
 const SERVER_SHARE: (usize, usize) = (3, 4);
@@ -55,10 +55,6 @@
     pub ended_jobs: usize,
     /// Hints of a kind about where jobs and machines belong; without one all partitions are asked.
     pub route_hints: usize,
-    /// Messages to another controller that wait to be sent; a user's request beyond is refused.
-    pub peer_queue: usize,
-    /// Messages that wait for the owner of a partition; a request or report beyond is refused.
-    pub owner_queue: usize,
     /// Connections of users and workers; one that waits for its next request makes room.
     pub server_connections: usize,
     /// Open connections to workers that are kept for the next direct command.
@@ -77,9 +73,6 @@
         Bounds {
             ended_jobs: entries(limits, ENDED_JOBS_SHARE, ENDED_JOB_BYTES),
             route_hints: entries(limits, ROUTE_HINTS_SHARE, ROUTE_HINT_BYTES),
-            // Whoever waits in a queue of this node holds one of its sockets, or one of a peer's.
-            peer_queue: sockets.max(LEAST_QUEUED),
-            owner_queue: sockets.max(LEAST_QUEUED_FOR_OWNER),
             server_connections: sockets * SERVER_SHARE.0 / SERVER_SHARE.1,
             worker_connections: (sockets / WORKER_POOL_PART).max(1),
             direct_commands: (sockets / DIRECT_COMMANDS_PART).max(1),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -147,9 +147,15 @@
             return (capacity_report, ops);
         }
         let upcoming = partition.upcoming(longest_boot_ms(cluster), now);
+        let pool_replicas = partition.pool_replicas_without_machine(now);
         let plan = {
             let supply = self.supply(partition, now);
-            let work = ExpectedWork { unplaced: &partition.unplaced, upcoming: &upcoming, flows: &flows };
+            let work = ExpectedWork {
+                unplaced: &partition.unplaced,
+                pool_replicas: &pool_replicas,
+                upcoming: &upcoming,
+                flows: &flows,
+            };
             sched::plan(cluster, &partition.policy, now, &work, pending_machines, &supply)
         };
         let machines = |r: Rental| {
@@ -267,7 +273,8 @@
     }
 }
 
-fn longest_boot_ms(cluster: &ClusterState) -> u64 {
+/// The longest boot time of all machine types.
+pub fn longest_boot_ms(cluster: &ClusterState) -> u64 {
     (cluster.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max) * 1000.0) as u64
 }
 
--- a/src/leader/tests/mod.rs
+++ b/src/leader/tests/mod.rs
@@ -138,6 +138,9 @@
                 match order {
                     Order::Run { task, attempt } => drop(machine.tasks.insert(task, attempt)),
                     Order::Stop { task, .. } | Order::Reap { task, .. } => drop(machine.tasks.remove(&task)),
+                    Order::Load { .. } | Order::Unload { .. } | Order::Attach { .. } => {
+                        unreachable!("no worker here loads models")
+                    }
                 }
             }
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,10 @@
 //! The program: command line, logging, runtime.
 
 use badgerdrift::config_command::{self, CommandError, ConfigCommand};
-use badgerdrift::configuration::{self, FleetSettings};
-use badgerdrift::{config, node};
+use badgerdrift::configuration;
+use badgerdrift::node::{self, Subsystems};
+use badgerdrift::pools_command::{self, PoolsCommand};
+use badgerdrift::{config, warm_pools};
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -31,6 +33,14 @@
         #[command(subcommand)]
         command: ConfigCommand,
     },
+    /// Shows pools of warm replicas and what they cost.
+    Pools {
+        /// Internal address of any controller.
+        #[arg(long, value_name = "ADDRESS")]
+        controller: SocketAddr,
+        #[command(subcommand)]
+        command: PoolsCommand,
+    },
 }
 
 #[derive(clap::Args)]
@@ -44,13 +54,16 @@
     /// The regions of the fleet (HCL); without it the controller knows no other regions.
     #[arg(long, value_name = "FILE")]
     fleet: Option<PathBuf>,
+    /// Pools of warm replicas (HCL); without it none are kept.
+    #[arg(long, value_name = "FILE")]
+    warm_pools: Option<PathBuf>,
 }
 
 /// What the files tell.
 struct Loaded {
     settings: config::Settings,
     operator: config::Operator,
-    fleet: Option<FleetSettings>,
+    subsystems: Subsystems,
 }
 
 impl Files {
@@ -62,7 +75,11 @@
         if fleet.is_some() && operator.partitions > 1 {
             return Err("partitions: must be 1 with a fleet of several regions".into());
         }
-        Ok(Loaded { settings, operator, fleet })
+        let warm_pools = self.warm_pools.as_deref().map(|p| warm_pools::load_pools(p, &settings)).transpose()?;
+        if warm_pools.is_some() && operator.partitions > 1 {
+            return Err("partitions: must be 1 with warm pools".into());
+        }
+        Ok(Loaded { settings, operator, subsystems: Subsystems { fleet, warm_pools } })
     }
 }
 
@@ -84,9 +101,8 @@
             println!("{}: the settings are sound", loaded.settings.node);
             ExitCode::SUCCESS
         }),
-        Command::Config { controller, command } => {
-            configure(runtime.block_on(config_command::run(controller, &command)))
-        }
+        Command::Config { controller, command } => told(runtime.block_on(config_command::run(controller, &command))),
+        Command::Pools { controller, command } => told(runtime.block_on(pools_command::run(controller, &command))),
     }
 }
 
@@ -100,7 +116,8 @@
     }
 }
 
-fn configure(result: Result<String, CommandError>) -> ExitCode {
+/// Prints what a command has to tell.
+fn told(result: Result<String, CommandError>) -> ExitCode {
     let (error, status) = match result {
         Ok(text) => {
             print!("{text}");
@@ -120,7 +137,7 @@
         _ => LevelFilter::INFO,
     };
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
-    match runtime.block_on(node::run(loaded.settings, loaded.operator, loaded.fleet)) {
+    match runtime.block_on(node::run(loaded.settings, loaded.operator, loaded.subsystems)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("badgerdrift: a port can't be opened: {e}");
--- a/src/model/cluster.rs
+++ b/src/model/cluster.rs
@@ -1,6 +1,6 @@
 //! The state of a partition: its jobs, machines and machine types.
 
-use super::{Demand, Flavor, Host, HostIndex, Job, JobIndex};
+use super::{Demand, Flavor, HeldRoom, Host, HostIndex, Job, JobIndex};
 use std::collections::HashMap;
 
 /// Room that a class is expected to need.
@@ -57,6 +57,8 @@
     pub flavors: Vec<Flavor>,
     /// Jobs that are not over and wait for no others.
     pub live: Vec<JobIndex>,
+    /// Room that is held for warm pools; none without them.
+    pub held_rooms: Vec<HeldRoom>,
     /// Room that classes are expected to need.
     pub reserves: Vec<Reserve>,
     /// Machine types of which the cloud has none left.
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -75,6 +75,8 @@
     pub notice: bool,
     /// Its return to the cloud was decided: nothing is placed on it any more.
     pub releasing: bool,
+    /// Its worker keeps models loaded, by the extension for that.
+    pub loads_models: bool,
     /// Being emptied, to be returned.
     pub draining: bool,
     /// Direct commands in a row that had no answer.
@@ -122,6 +124,7 @@
             has_unknown_tasks: false,
             notice: false,
             releasing: false,
+            loads_models: false,
             draining: false,
             missed: 0,
             do_in_flight: false,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod flavor;
+mod held_room;
 mod host;
 mod job;
 mod predecessors;
@@ -13,6 +14,7 @@
 
 pub use cluster::{ClusterState, HostKind, Reserve};
 pub use flavor::Flavor;
+pub use held_room::{HeldRoom, RoomClaim, RoomOffer};
 pub use host::{CachedImage, Claim, Host, HostIndex, UNREACHABLE_AFTER_MISSES};
 pub use job::{Job, JobEnd, JobIndex, JobPhase, UnsavedChange};
 pub use predecessors::Predecessors;
--- a/src/model/task.rs
+++ b/src/model/task.rs
@@ -98,6 +98,11 @@
     pub in_flight: bool,
     /// Serial of the last report of its machine that listed it; 0 if none did.
     pub listed_serial: u64,
+    /// The claim of a warm pool's slot that it begins with is not recorded yet: it must not be
+    /// ordered.
+    pub awaits_record: bool,
+    /// The slot whose loaded model it takes over, if it takes one over.
+    pub slot: Option<u64>,
 }
 
 impl TaskAttempt {
@@ -114,6 +119,8 @@
             risk: None,
             in_flight: false,
             listed_serial: 0,
+            awaits_record: false,
+            slot: None,
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! Puts a controller together and runs it.
 
 use crate::api::{Api, RouteHints};
-use crate::bounds::Bounds;
+use crate::bounds::{Bounds, QUEUED_FOR_OWNER};
 use crate::clients::{Cloud, State, Worker};
 use crate::config::{Operator, Seed, Settings};
 use crate::configuration::{self, FleetSettings};
@@ -16,23 +16,28 @@
 use crate::router::{PartitionHandle, Router};
 use crate::sched::Policy;
 use crate::{clock, http, task};
+use badgerdrift_warm_pools::PoolSettings;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
+/// Parts of a controller that operators switch on with a file each.
+#[derive(Debug, Clone, Default)]
+pub struct Subsystems {
+    /// The configuration that the regions of a fleet share.
+    pub fleet: Option<FleetSettings>,
+    /// Pools of warm replicas.
+    pub warm_pools: Option<PoolSettings>,
+}
+
 /// Serves for ever; an error means that a port can't be opened.
-pub async fn run(settings: Settings, operator: Operator, fleet: Option<FleetSettings>) -> std::io::Result<()> {
-    run_on(Net::default(), settings, operator, fleet).await
+pub async fn run(settings: Settings, operator: Operator, subsystems: Subsystems) -> std::io::Result<()> {
+    run_on(Net::default(), settings, operator, subsystems).await
 }
 
 /// The same over a given network.
-pub async fn run_on(
-    net: Net,
-    settings: Settings,
-    operator: Operator,
-    fleet: Option<FleetSettings>,
-) -> std::io::Result<()> {
+pub async fn run_on(net: Net, settings: Settings, operator: Operator, subsystems: Subsystems) -> std::io::Result<()> {
     clock::now_ms();
     let users = net.bind(settings.serve_on).await?;
     let internal = net.bind(settings.internal_addr).await?;
@@ -42,7 +47,7 @@
     let state = State::on(&net, &settings);
     let cloud = Cloud::on(&net, &settings);
     let bounds = Bounds::new(&settings);
-    let limits = PeerLimits { queued: bounds.peer_queue, ..PeerLimits::of_grant(grant_ttl_ms) };
+    let limits = PeerLimits::of_grant(grant_ttl_ms);
     let start = |s: &Seed| Peer::start_on(net.clone(), s.node.clone(), s.endpoint, limits);
     let peers: Vec<Peer> = settings.seeds.iter().map(start).collect();
 
@@ -62,7 +67,7 @@
         let (ownership_tx, ownership) = watch::channel(Ownership::default());
         let (ownership_changes_tx, ownership_changes) = mpsc::channel(8);
         let (members_tx, members_rx) = mpsc::channel(256);
-        let (owner_tx, owner_rx) = mpsc::channel(bounds.owner_queue);
+        let (owner_tx, owner_rx) = mpsc::channel(QUEUED_FOR_OWNER);
         let ours = partition as usize % nodes.len() == own;
         let membership = Membership {
             partition,
@@ -85,10 +90,13 @@
         handles.push(PartitionHandle { ownership, entitled, promise_status, owner: owner_tx, members: members_tx });
     }
     let heard_ms = Arc::new((0..operator.partitions).map(|_| AtomicU64::new(0)).collect());
-    let configuration = fleet
+    let pools = subsystems.warm_pools.map(Arc::new);
+    let bills = pools.is_some().then(|| state.clone());
+    let configuration = subsystems
+        .fleet
         .map(|fleet| configuration::start(&net, &settings, &operator, fleet, state.clone(), &peers, metrics.clone()));
     let router =
-        Router { partitions: Arc::new(handles), peers: Arc::new(peers), grant_ttl_ms, configuration, heard_ms };
+        Router { partitions: Arc::new(handles), peers: Arc::new(peers), grant_ttl_ms, configuration, bills, heard_ms };
     for (membership, tx, rx) in members {
         task::spawn(membership.run(tx, rx));
     }
@@ -98,6 +106,7 @@
             id,
             settings: settings.clone(),
             operator: operator.clone(),
+            pools: pools.clone(),
             state: state.clone(),
             cloud: cloud.clone(),
             worker: Worker::on(&net, &settings),
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -16,6 +16,8 @@
 use crate::refusal::RefusalReason;
 use crate::router::Router;
 use crate::sched::Policy;
+use crate::warm_pools::PoolsResponse;
+use badgerdrift_warm_pools::PoolSettings;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -24,6 +26,8 @@
 
 /// Messages that are taken into a round beside the first one, at the most.
 const MORE_PER_ROUND: usize = 64;
+/// The answer about pools of an owner that has not read its records.
+pub(super) const RETRY_POOLS: PoolsResponse = PoolsResponse::RetryLater(1);
 /// Writes may come in bursts of so many seconds' worth.
 pub(super) const WRITE_BURST_S: f64 = 0.8;
 
@@ -35,6 +39,8 @@
     pub settings: Settings,
     /// What the operator chooses.
     pub operator: Operator,
+    /// Pools of warm replicas; none are kept if absent.
+    pub pools: Option<Arc<PoolSettings>>,
     /// The state service.
     pub state: State,
     /// The cloud.
@@ -122,6 +128,9 @@
         let teams = self.settings.partitions_of_teams(self.operator.partitions);
         let mut partition = Partition::new(policy, self.id, teams, limits);
         partition.set_term(term, version);
+        if let Some(pools) = &self.pools {
+            partition.enable_pools(pools.as_ref().clone(), now, clock::wall_ms());
+        }
         self.load(n);
         ActiveTerm {
             partition,
@@ -143,6 +152,7 @@
             externals_under_way: false,
             next_externals_ms: 0,
             followed: FollowedConfiguration::default(),
+            reading_pools: false,
             pending_machines: Vec::new(),
         }
     }
@@ -177,6 +187,10 @@
             Message::User { reply, .. } => {
                 let _ = reply.send(UserAnswer::RetryLater(RefusalReason::TakeoverUnderWay));
             }
+            Message::Pools(reply) => {
+                let answer = if entitled && h.loaded { self.pool_status(h) } else { RETRY_POOLS };
+                let _ = reply.send(answer);
+            }
             Message::Metrics(reply) => {
                 let label = self.id.to_string();
                 let waiting = h.partition.waiting_jobs();
@@ -212,6 +226,7 @@
                 h.partition.looked_up(submission, found, now, clock::wall_ms());
             }
             SessionEvent::ExternalsRead(read) => self.externals_read(h, read, now),
+            SessionEvent::PoolKeysRead(found) => self.pool_keys_read(h, found),
             SessionEvent::Raised(raised) => self.raised(h, raised, now),
             SessionEvent::ConfigurationRecorded(obeyed) => self.configuration_recorded(h, obeyed),
             SessionEvent::Superseded => self.superseded(h),
@@ -238,6 +253,7 @@
         }
         let (term, version) = (h.partition.term, h.version);
         h.partition.begin(term, version, l.jobs, l.hosts, l.flavors, now);
+        h.partition.begin_pools(l.pool_records, now);
         h.loaded = true;
         tracing::info!(
             term,
--- a/src/owner/answers.rs
+++ b/src/owner/answers.rs
@@ -1,7 +1,7 @@
 //! Answers to workers, users and other partitions.
 
 use super::active_term::ActiveTerm;
-use super::actor::PartitionOwner;
+use super::actor::{PartitionOwner, RETRY_POOLS};
 use super::messages::{HeartbeatReply, Message};
 use crate::clock;
 use crate::partition::{HostRouting, ReportSource, UserAnswer, Waiter};
@@ -91,6 +91,9 @@
         Message::User { reply, .. } => {
             let _ = reply.send(UserAnswer::RetryLater(RefusalReason::NotOwner));
         }
+        Message::Pools(reply) => {
+            let _ = reply.send(RETRY_POOLS);
+        }
         Message::Metrics(reply) => {
             let _ = reply.send(String::new());
         }
--- a/src/owner/load.rs
+++ b/src/owner/load.rs
@@ -2,7 +2,9 @@
 
 use super::actor::PartitionOwner;
 use super::messages::SessionEvent;
+use super::pools::read_pool_records;
 use crate::clients::State;
+use crate::clock;
 use crate::configuration::ConfigurationHandle;
 use crate::model::Flavor;
 use crate::partition;
@@ -51,11 +53,13 @@
     pub(super) jobs: Vec<Item>,
     pub(super) hosts: Vec<Item>,
     pub(super) flavors: Vec<Flavor>,
+    /// Records of warm pools; none are read without pools.
+    pub(super) pool_records: Vec<Item>,
 }
 
 impl Loaded {
     /// Reads the records, and the configuration that the last owner obeyed or a later one.
-    async fn read(state: &State, configuration: Option<&ConfigurationHandle>) -> Option<Loaded> {
+    async fn read(state: &State, configuration: Option<&ConfigurationHandle>, has_pools: bool) -> Option<Loaded> {
         if let Some(configuration) = configuration
             && !configuration.refresh().await
         {
@@ -64,7 +68,8 @@
         let jobs = state.list("job/").await.ok()?;
         let hosts = state.list("host/").await.ok()?;
         let flavors = kept_flavors(state).await?;
-        Some(Loaded { jobs, hosts, flavors })
+        let pool_records = if has_pools { read_pool_records(state, clock::wall_ms()).await? } else { Vec::new() };
+        Some(Loaded { jobs, hosts, flavors, pool_records })
     }
 }
 
@@ -73,9 +78,10 @@
     pub(super) fn load(&self, session: u64) {
         let (state, sender) = (self.state.clone(), self.sender(session));
         let configuration = self.router.configuration.clone();
+        let has_pools = self.pools.is_some();
         task::spawn(async move {
             while sender.is_current() {
-                if let Some(loaded) = Loaded::read(&state, configuration.as_ref()).await {
+                if let Some(loaded) = Loaded::read(&state, configuration.as_ref(), has_pools).await {
                     sender.send(SessionEvent::Loaded(loaded)).await;
                     return;
                 }
--- a/src/owner/messages.rs
+++ b/src/owner/messages.rs
@@ -8,6 +8,7 @@
 use crate::model::{Flavor, HostRecord};
 use crate::partition::{CommitResult, Direct, DirectResult, Waiter};
 use crate::peer::{CapacityReport, Machines, PeerResponse, UserCall};
+use crate::warm_pools::PoolsResponse;
 use crate::wire::{Item, Listed, Order, Report};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,6 +46,8 @@
         /// Takes the confirmation.
         reply: oneshot::Sender<PeerResponse>,
     },
+    /// An operator asks how the warm pools are.
+    Pools(oneshot::Sender<PoolsResponse>),
     /// The figures of the partition are asked for.
     Metrics(oneshot::Sender<String>),
     /// What a background task reports; dropped if its session is over.
@@ -96,6 +99,8 @@
     },
     /// Records of jobs of other partitions that are waited for.
     ExternalsRead(ExternalRecords),
+    /// Records of warm pools that were unclear, by key; `None` where there is none.
+    PoolKeysRead(Vec<(String, Option<Item>)>),
     /// The term was raised; none if that failed.
     Raised(Option<RaisedTerm>),
     /// It was recorded that this owner obeys a version of the configuration; `None` if that failed.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod followed;
 mod load;
 mod messages;
+mod pools;
 mod predecessors;
 mod rounds;
 
--- a/src/owner/rounds.rs
+++ b/src/owner/rounds.rs
@@ -22,6 +22,7 @@
         self.follow_configuration(h, now);
         self.look_up_predecessors(h);
         self.read_externals(h, now);
+        self.read_unclear_pool_records(h);
         run_pass(h, now);
         self.send_orders(h, now);
         self.commit(h, now);
@@ -52,6 +53,7 @@
     /// Plans machines; what is needed goes to the leader.
     fn plan(&self, h: &mut ActiveTerm, now: u64) {
         let wall = clock::wall_ms();
+        self.maintain_pools(h, now);
         if self.id == 0 {
             h.pending_machines = h.leader.pending_machines(0, &h.partition, now, self.patience());
         }
--- a/src/partition/direct.rs
+++ b/src/partition/direct.rs
@@ -19,6 +19,8 @@
     /// The direct command that a machine is due, if any.
     pub fn direct(&mut self, host_index: HostIndex, now: u64, probe: bool) -> Option<Direct> {
         let term = self.term;
+        // Before the tasks: one may need the room of a slot that is unloaded.
+        let slot_orders = self.slot_orders(host_index);
         let h = self.cluster.hosts.get_mut(host_index)?.as_mut()?;
         let addr = h.addr?;
         if h.do_in_flight || now < h.do_after_ms {
@@ -28,13 +30,14 @@
         // read from the answer. Its tenure may not be known yet: then the answer
         // tells it.
         let probe = probe || !h.token_confirmed();
-        let mut orders = Vec::new();
+        let mut orders = slot_orders;
         for c in h.attempts.iter_mut().filter(|_| h.accounted) {
             let id = &self.cluster.jobs[c.key.job].spec.id;
             match (c.phase, c.stop) {
                 (TaskPhase::Ended(_), _) => {}
                 (TaskPhase::Saving, Some(grace)) if grace > 0.0 => {}
                 (_, Some(grace)) => orders.push(Order::stop(id, c, grace)),
+                (TaskPhase::Sent, None) if c.awaits_record => {}
                 (TaskPhase::Sent, None) => {
                     orders.push(Order::run(id, c));
                     c.in_flight = true;
--- a/src/partition/mod.rs
+++ b/src/partition/mod.rs
@@ -21,6 +21,7 @@
 mod types;
 mod upkeep;
 mod users;
+mod warm_pools;
 
 pub use keys::{JOB_PREFIX, host_key, inbox_key, job_key};
 pub use predecessors::PredecessorLookup;
@@ -100,6 +101,10 @@
     pub unplaced: Vec<JobIndex>,
     /// Machines that passes have looked at so far.
     pub hosts_examined: u64,
+    /// Pools of warm replicas, if there are any.
+    pools: Option<warm_pools::PartitionPools>,
+    /// The state service answers, so that claims of warm replicas can be recorded.
+    pub claims_recordable: bool,
     limits: WriteLimits,
     /// How often attempts are listed in reports.
     report_load: report_load::ReportLoad,
@@ -150,6 +155,8 @@
             urgent_pass_due: false,
             unplaced: Vec::new(),
             hosts_examined: 0,
+            pools: None,
+            claims_recordable: true,
             limits,
             report_load,
             largest_commit: limits.commit_changes,
--- a/src/partition/next_commit.rs
+++ b/src/partition/next_commit.rs
@@ -1,6 +1,7 @@
 //! The next commit: which records are due, and what of them goes into it.
 
 use super::keys::{host_key, job_key};
+use super::warm_pools::PartitionPools;
 use super::{Commit, JobWrite, Partition, PendingWrite};
 use crate::model::{HostRecord, JobIndex, JobRecord, UnsavedChange, Urgency};
 use crate::wire;
@@ -72,6 +73,7 @@
         let guard = wire::guard(&self.partition_key, self.partition_version);
         let mut builder = CommitBuilder::new(guard, ops.min(self.largest_commit));
         self.add_job_records(urgent, &mut builder);
+        self.add_pool_records(&mut builder);
         self.add_host_records(&mut builder);
         self.add_job_records(rest, &mut builder);
         self.add_deletions(&mut builder);
@@ -142,6 +144,21 @@
         }
     }
 
+    /// Adds the records of warm pools that are due, as far as there is room.
+    fn add_pool_records(&mut self, builder: &mut CommitBuilder) {
+        let left = builder.max_ops.saturating_sub(builder.commit.apply.len());
+        if builder.bytes > COMMIT_BYTES / 2 {
+            return;
+        }
+        let Some(changes) = self.next_pool_changes(left) else { return };
+        for (guard, change) in PartitionPools::encode(&changes) {
+            builder.bytes += change.to_string().len() + CHANGE_BYTES;
+            builder.commit.guards.push(guard);
+            builder.commit.apply.push(change);
+        }
+        builder.saved.push(PendingWrite::Pools);
+    }
+
     /// Adds the records of machines that are new, or given to another partition.
     fn add_host_records(&mut self, builder: &mut CommitBuilder) {
         for host_index in self.new_hosts.clone() {
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -25,6 +25,7 @@
         self.note_ready_times(wall);
         self.stop_attempts_of_done_tasks();
         self.bound_attempts(now);
+        self.hold_rooms();
         let next = &mut self.next_attempt;
         let out = sched::pass(&mut self.cluster, &self.policy, now, wall, least, || {
             *next += 1;
@@ -36,6 +37,7 @@
         for stop in &out.stops {
             self.note_stop(stop);
         }
+        self.rooms_decided(&out, now);
         tracing::debug!(
             least = ?least,
             hosts_examined = out.hosts_examined,
--- a/src/partition/records.rs
+++ b/src/partition/records.rs
@@ -21,6 +21,8 @@
     /// whose records must be read again, or `Err` if the partition is lost.
     pub fn committed(&mut self, result: CommitResult) -> Result<Vec<String>, Superseded> {
         let saved = self.in_flight.take().unwrap_or_default();
+        // After a conflict the pools' records are read again, as after a commit without an answer.
+        let conflict = matches!(result, CommitResult::Conflict { .. });
         let unclear = matches!(result, CommitResult::Unclear);
         let failed = match result {
             CommitResult::Done { revision } => {
@@ -35,7 +37,10 @@
             }
             CommitResult::Refused | CommitResult::Throttled | CommitResult::Unclear => Vec::new(),
         };
-        saved.into_iter().for_each(|s| self.not_written(s, unclear));
+        for write in saved {
+            let unclear = unclear || (conflict && write == PendingWrite::Pools);
+            self.not_written(write, unclear);
+        }
         if failed.contains(&self.partition_key) {
             return Err(Superseded);
         }
@@ -77,6 +82,7 @@
                     self.elsewhere.insert(h.id, to);
                 }
             }
+            PendingWrite::Pools => self.pools_written(revision),
             PendingWrite::KeyGone(_) => {}
         }
     }
@@ -88,6 +94,7 @@
             PendingWrite::Host(host_index) | PendingWrite::Given(host_index, _) => {
                 self.host_not_written(host_index, unclear)
             }
+            PendingWrite::Pools => self.pools_not_written(unclear),
             PendingWrite::KeyGone(key) => {
                 self.obsolete_keys.insert(key);
             }
--- a/src/partition/reports.rs
+++ b/src/partition/reports.rs
@@ -39,12 +39,16 @@
         }
         self.account_for(host_index, r);
         let mut orders = Vec::new();
+        orders.extend(self.unknown_slots(r));
         self.reported_tasks(host_index, r, &mut orders, now);
         self.missing_tasks(host_index, r, via);
+        self.slots_reported(host_index, r, now);
+        self.end_claims(now);
         if let Some(left_s) = news.notice_s {
             self.stop_doomed_tasks(host_index, left_s, now);
         }
         if via == ReportSource::Heartbeat {
+            orders.extend(self.slot_orders(host_index));
             self.pending_orders(host_index, &mut orders);
         }
         if let Some(h) = self.cluster.host_mut(host_index).filter(|h| !h.attempts.is_empty()) {
@@ -88,6 +92,7 @@
         h.serial = r.serial;
         h.fence = h.fence.max(r.fence);
         h.addr = Some(r.addr);
+        h.loads_models = r.slots.is_some();
         h.flavor = flavor;
         h.heard_ms = now;
         if via == ReportSource::Direct {
@@ -245,6 +250,7 @@
                 }
                 (TaskPhase::Saving, Some(grace)) if grace > 0.0 => {}
                 (_, Some(grace)) => orders.push(Order::stop(id, c, grace)),
+                (TaskPhase::Sent, None) if c.awaits_record => {}
                 (TaskPhase::Sent, None) => orders.push(Order::run(id, c)),
                 _ => {}
             }
--- a/src/partition/tests/fleet.rs
+++ b/src/partition/tests/fleet.rs
@@ -41,6 +41,9 @@
                 Order::Reap { task, .. } => {
                     self.tasks.remove(task);
                 }
+                Order::Load { .. } | Order::Unload { .. } | Order::Attach { .. } => {
+                    unreachable!("no worker here loads models")
+                }
             }
         }
     }
--- a/src/partition/tests/mod.rs
+++ b/src/partition/tests/mod.rs
@@ -12,6 +12,7 @@
 mod recording;
 mod silence;
 mod takeover;
+mod warm_pools;
 
 use super::*;
 use crate::config::{Operator, tests::settings};
--- a/src/partition/types.rs
+++ b/src/partition/types.rs
@@ -66,6 +66,8 @@
     Host(HostIndex),
     /// The record of a machine that moves to the partition of this number.
     Given(HostIndex, u32),
+    /// Records of warm pools.
+    Pools,
     /// The deletion of this key.
     KeyGone(String),
 }
--- /dev/null
+++ b/src/partition/warm_pools/commits.rs
@@ -0,0 +1,127 @@
+//! The records of the pools: read at a takeover, written with the partition's others.
+
+use super::PartitionPools;
+use crate::model::{CachedImage, HostIndex};
+use crate::partition::Partition;
+use crate::wire::{self, Item};
+use badgerdrift_warm_pools::{HoldKind, PoolEvent, RecordChanges, RecordKey, StoredRecord};
+use serde_json::Value;
+
+/// A record with the version of its key.
+fn record(item: Item) -> Option<(RecordKey, StoredRecord, u64)> {
+    let key = RecordKey::parse(&item.key)?;
+    match serde_json::from_value(item.value) {
+        Ok(record) => Some((key, record, item.version)),
+        Err(e) => {
+            tracing::error!(key = item.key, error = %e, "unreadable record of a warm pool");
+            None
+        }
+    }
+}
+
+impl Partition {
+    /// Begins with the pools' records. What is warm on ordinary machines is known from them alone.
+    pub fn begin_pools(&mut self, items: Vec<Item>, now: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let moment = own.moment(now);
+        own.pools.restore(items.into_iter().filter_map(record), moment);
+        for slot in own.pools.slots().filter(|slot| slot.keep == HoldKind::Image && slot.is_claimable()) {
+            let host = self.cluster.host_index.get(&slot.host).copied();
+            if let Some(host) = host.and_then(|index: HostIndex| self.cluster.host_mut(index))
+                && host.images.iter().all(|image| image.name != slot.image)
+            {
+                let ready = slot.state == badgerdrift_warm_pools::SlotState::Idle;
+                host.images.push(CachedImage { name: slot.image.clone(), gb: slot.size_gb, used_ms: now, ready });
+            }
+        }
+    }
+
+    /// The changes of the pools' records that go into the next commit, if there is room for any.
+    pub(in crate::partition) fn next_pool_changes(&mut self, most: usize) -> Option<RecordChanges> {
+        let own = self.pools.as_mut()?;
+        let id = self.next_attempt + 1;
+        let changes = own.pools.next_changes(id, most)?;
+        // The number is a commit's now, and no attempt's.
+        self.next_attempt = id;
+        Some(changes)
+    }
+
+    /// The pools' part of a commit was made.
+    pub(in crate::partition) fn pools_written(&mut self, revision: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let events = own.pools.written(revision);
+        self.follow_pool_events(events);
+    }
+
+    /// The pools' part of a commit was not made, or that is `unclear`.
+    pub(in crate::partition) fn pools_not_written(&mut self, unclear: bool) {
+        let Some(own) = &mut self.pools else { return };
+        if unclear {
+            own.pools.unclear();
+        } else {
+            own.pools.not_written();
+        }
+    }
+
+    /// Keys of the pools that must be read before their records are written again.
+    pub fn pool_keys_to_read(&self) -> Vec<String> {
+        let keys = self.pools.iter().flat_map(|own| own.pools.keys_to_read());
+        keys.map(|key| key.path()).collect()
+    }
+
+    /// Takes these keys as they are now.
+    pub fn pool_keys_read(&mut self, found: Vec<(String, Option<Item>)>) {
+        let Some(own) = &mut self.pools else { return };
+        let found = found.into_iter().filter_map(|(key, item)| {
+            let item = item.and_then(record).map(|(_, record, version)| (record, version));
+            Some((RecordKey::parse(&key)?, item))
+        });
+        let events = own.pools.reread(found.collect());
+        self.follow_pool_events(events);
+    }
+
+    fn follow_pool_events(&mut self, events: Vec<PoolEvent>) {
+        for event in events {
+            match event {
+                PoolEvent::SlotRecorded(slot) => self.dispatch_slot(slot),
+                PoolEvent::ClaimRecorded(slot, claim) => {
+                    self.claim_recorded(claim.attempt);
+                    self.dispatch_slot(slot);
+                }
+                PoolEvent::SlotFree(_) => self.pass_due = true,
+            }
+        }
+    }
+
+    /// The machine of a slot has orders to get.
+    fn dispatch_slot(&mut self, slot: u64) {
+        let slot = self.pools.as_ref().and_then(|own| own.pools.slot(slot));
+        if let Some(host) = slot.and_then(|slot| self.cluster.host_index.get(&slot.host)) {
+            self.pending_dispatch.insert(*host);
+        }
+        self.pass_due = true;
+    }
+
+    /// The task of this attempt may be ordered.
+    fn claim_recorded(&mut self, attempt: u64) {
+        let attempts = self.cluster.hosts.iter_mut().flatten().flat_map(|host| host.attempts.iter_mut());
+        for own in attempts.filter(|own| own.attempt == attempt) {
+            own.awaits_record = false;
+        }
+    }
+}
+
+impl PartitionPools {
+    /// The conditions and changes of a commit.
+    pub(in crate::partition) fn encode(changes: &RecordChanges) -> Vec<(Value, Value)> {
+        let encode = |write: &badgerdrift_warm_pools::RecordWrite| {
+            let path = write.key.path();
+            let change = match &write.value {
+                Some(value) => wire::put(&path, &serde_json::to_value(value).unwrap_or_default(), None),
+                None => wire::delete(&path),
+            };
+            (wire::guard(&path, write.version), change)
+        };
+        changes.writes.iter().map(encode).collect()
+    }
+}
--- /dev/null
+++ b/src/partition/warm_pools/maintenance.rs
@@ -0,0 +1,112 @@
+//! What is looked after with every plan: targets, claims, slots that have lost their machine,
+//! prices, and new slots.
+
+use super::amounts;
+use crate::model::HostIndex;
+use crate::partition::Partition;
+use badgerdrift_warm_pools::{EndCause, SlotId, SlotState, price_of};
+
+/// A claim that is not recorded within this multiple of `react_ms` is given up: its task is placed
+/// as usual.
+const CLAIM_PATIENCE: u64 = 2;
+
+impl Partition {
+    /// Looks after the pools. `boot_ms` is how long a machine takes to boot.
+    pub fn maintain_pools(&mut self, boot_ms: u64, now: u64, wall: u64) {
+        let Some(own) = &mut self.pools else { return };
+        own.wall_ms = wall;
+        let moment = own.moment(now);
+        own.pools.look(boot_ms, moment);
+        self.give_up_claims(now);
+        self.end_claims(now);
+        self.end_lost_slots(now);
+        self.update_prices(now);
+        self.hold_rooms();
+        self.begin_slots(now);
+        self.dispatch_draining();
+    }
+
+    /// Claims that could not be recorded in time are given up. Their tasks were not ordered.
+    fn give_up_claims(&mut self, now: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let before_ms = now.saturating_sub(CLAIM_PATIENCE * self.policy.react_ms);
+        let late = own.pools.claims_unrecorded_since(before_ms);
+        for (id, _) in &late {
+            own.pools.abandon_claim(*id);
+        }
+        for (slot, claim) in late {
+            tracing::info!(slot, job = claim.job, "claim given up, as it is not recorded");
+            self.metrics.count("warm_claims_given_up", &claim.team);
+            self.take_back_unordered(claim.attempt);
+        }
+    }
+
+    /// An attempt that was never ordered is nowhere: its task is placed again.
+    fn take_back_unordered(&mut self, attempt: u64) {
+        let found = self.cluster.each_host().find_map(|(host_index, host)| {
+            let own = host.attempts.iter().find(|own| own.attempt == attempt && own.awaits_record)?;
+            Some((host_index, own.key))
+        });
+        if let Some((host_index, key)) = found {
+            self.lose(host_index, key, attempt);
+        }
+    }
+
+    /// Claims whose attempts are gone end; what waits to be recorded has an attempt as well.
+    pub(in crate::partition) fn end_claims(&mut self, now: u64) {
+        let Some(own) = &self.pools else { return };
+        let gone = |host: &str, attempt: u64| {
+            let host = self.cluster.host_index.get(host).and_then(|index| self.cluster.host(*index));
+            host.is_some_and(|host| !host.attempts.iter().any(|own| own.attempt == attempt && !own.ended()))
+        };
+        let claims = own.pools.slots().filter(|slot| slot.seen).filter_map(|slot| Some((slot, slot.claim()?)));
+        let ended: Vec<SlotId> =
+            claims.filter(|(slot, claim)| gone(&slot.host, claim.attempt)).map(|(slot, _)| slot.id).collect();
+        let moment = own.moment(now);
+        let Some(own) = &mut self.pools else { return };
+        ended.into_iter().for_each(|id| own.pools.claim_ended(id, moment));
+    }
+
+    /// Slots on machines that are gone, or are to be returned.
+    fn end_lost_slots(&mut self, now: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let moment = own.moment(now);
+        let hosts: Vec<(SlotId, String)> = own.pools.slots().map(|slot| (slot.id, slot.host.clone())).collect();
+        for (id, host) in hosts {
+            match self.cluster.host_index.get(&host).and_then(|index| self.cluster.host(*index)) {
+                None => own.pools.host_lost(&host, EndCause::MachineLost, moment),
+                Some(host) if host.notice || host.releasing || host.draining || host.faulty() => {
+                    own.pools.drain(id, EndCause::MachineLost, moment)
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Slots are charged by the present prices of their machines.
+    fn update_prices(&mut self, now: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let moment = own.moment(now);
+        let flavor_of = |host: &str| {
+            let host = self.cluster.host(*self.cluster.host_index.get(host)?)?;
+            Some((&self.cluster.flavors[host.flavor?], host.spot))
+        };
+        let prices: Vec<(SlotId, u64)> = own
+            .pools
+            .slots()
+            .filter_map(|slot| {
+                let (flavor, spot) = flavor_of(&slot.host)?;
+                Some((slot.id, price_of(&slot.amounts, &amounts(&flavor.cap), flavor.price(spot))))
+            })
+            .collect();
+        prices.into_iter().for_each(|(id, price)| own.pools.set_price(id, price, moment));
+    }
+
+    /// Machines with slots to be unloaded have an order to get.
+    fn dispatch_draining(&mut self) {
+        let draining = self.pool_slots().filter(|slot| matches!(slot.state, SlotState::Draining(_)));
+        let hosts: Vec<HostIndex> =
+            draining.filter_map(|slot| self.cluster.host_index.get(&slot.host).copied()).collect();
+        self.pending_dispatch.extend(hosts);
+    }
+}
--- /dev/null
+++ b/src/partition/warm_pools/mod.rs
@@ -0,0 +1,55 @@
+//! The partition's warm pools: the thin part around `badgerdrift_warm_pools`, which decides how
+//! many replicas are wanted, whose each one is and who pays. Here they meet machines, attempts,
+//! orders and commits. All of it is off unless the controller is told of pools.
+
+mod commits;
+mod maintenance;
+mod placement;
+mod reports;
+mod rooms;
+
+use super::Partition;
+use crate::model::Demand;
+use badgerdrift_warm_pools::{Amounts, Moment, PoolSettings, PoolStatus, Slot, WarmPools};
+
+/// The pools of a partition.
+pub(super) struct PartitionPools {
+    pools: WarmPools,
+    /// The last time of day that was told.
+    wall_ms: u64,
+}
+
+impl PartitionPools {
+    /// A moment by the owner's clocks.
+    fn moment(&self, now: u64) -> Moment {
+        Moment { steady_ms: now, wall_ms: self.wall_ms }
+    }
+}
+
+impl Partition {
+    /// Switches the pools on; the settings were checked.
+    pub fn enable_pools(&mut self, settings: PoolSettings, now: u64, wall: u64) {
+        let pools = WarmPools::new(settings, Moment { steady_ms: now, wall_ms: wall });
+        self.pools = Some(PartitionPools { pools, wall_ms: wall });
+    }
+
+    /// How the pools are; none if there are none.
+    pub fn pool_status(&self) -> Vec<PoolStatus> {
+        self.pools.as_ref().map(|own| own.pools.status()).unwrap_or_default()
+    }
+
+    /// The slots of the pools.
+    pub fn pool_slots(&self) -> impl Iterator<Item = &Slot> {
+        self.pools.iter().flat_map(|own| own.pools.slots())
+    }
+}
+
+/// What a replica takes, as the scheduler counts it.
+fn demand(amounts: &Amounts) -> Demand {
+    Demand { cpus: amounts.cores, gpus: amounts.cards, mem: amounts.mem_gb }
+}
+
+/// What a machine has, as prices count it.
+fn amounts(demand: &Demand) -> Amounts {
+    Amounts { cores: demand.cpus, cards: demand.gpus, mem_gb: demand.mem }
+}
--- /dev/null
+++ b/src/partition/warm_pools/placement.rs
@@ -0,0 +1,167 @@
+//! Where new slots go, and machines for those that find no room.
+
+use super::rooms::hosts_of;
+use super::{PartitionPools, amounts, demand};
+use crate::model::{Host, HostIndex, Shape, Spec, Urgency};
+use crate::partition::Partition;
+use crate::sched::Index;
+use badgerdrift_warm_pools::{HoldKind, Pool, SlotPlace, price_of};
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+impl Partition {
+    /// Begins with the slots that are wanted, where there is room that no work waits for.
+    pub(super) fn begin_slots(&mut self, now: u64) {
+        if !self.claims_recordable || !self.cluster.all_accounted {
+            return;
+        }
+        let Some(own) = &self.pools else { return };
+        let pools: Vec<(String, Pool)> =
+            own.pools.settings().pools.iter().map(|(name, pool)| (name.clone(), pool.clone())).collect();
+        let mut index = Index::new(&self.cluster, now);
+        for (name, pool) in pools {
+            while let Some(host_index) = self.place_for_slot(&index, &name, &pool, now) {
+                self.begin_slot(host_index, &name, &pool, now);
+                index.slots[host_index].free.sub(&demand(&pool.amounts()));
+            }
+        }
+        self.hold_rooms();
+    }
+
+    fn begin_slot(&mut self, host_index: HostIndex, name: &str, pool: &Pool, now: u64) {
+        let (Some(own), Some(host)) = (&mut self.pools, self.cluster.hosts[host_index].as_ref()) else { return };
+        self.next_attempt += 1;
+        let flavor = host.flavor.map(|flavor| &self.cluster.flavors[flavor]);
+        let price = flavor.map_or(0, |f| price_of(&pool.amounts(), &amounts(&f.cap), f.price(host.spot)));
+        let image = own.pools.settings().models.get(&pool.model).map(|model| model.image.clone()).unwrap_or_default();
+        let place = SlotPlace {
+            host: host.id.clone(),
+            tenure: host.tenure,
+            price_per_hour: price,
+            warm: has_image(host, &image),
+        };
+        tracing::info!(slot = self.next_attempt, pool = name, host = host.id, warm = place.warm, "warm slot begins");
+        let moment = own.moment(now);
+        own.pools.begin(self.next_attempt, name, place, moment);
+    }
+
+    /// The machine for the next slot of a pool, if one is wanted and there is room for it.
+    fn place_for_slot(&self, index: &Index, name: &str, pool: &Pool, now: u64) -> Option<HostIndex> {
+        let own = self.pools.as_ref()?;
+        if !self.payer_may_hold(own, index, pool) {
+            return None;
+        }
+        let there = hosts_of(&self.cluster, own, name);
+        let mut by_zone: HashMap<usize, usize> = HashMap::new();
+        there.iter().for_each(|host| *by_zone.entry(index.slots[*host].zone).or_default() += 1);
+        let most_in_zone = if pool.spread { pool.most_wanted().div_ceil(2) } else { usize::MAX };
+        let image = own.pools.settings().models.get(&pool.model).map(|model| model.image.as_str()).unwrap_or_default();
+        let moment = own.moment(now);
+        let suits = |(host_index, host): &(HostIndex, &Host)| {
+            let slot = &index.slots[*host_index];
+            slot.usable
+                && slot.claims == 0
+                && demand(&pool.amounts()).fits(&slot.free)
+                && self.allows(pool, host)
+                && by_zone.get(&slot.zone).copied().unwrap_or(0) < most_in_zone
+                && own.pools.may_begin(name, self.price_on(pool, host), moment) > 0
+        };
+        let rank = |(host_index, host): &(HostIndex, &Host)| {
+            let zone = by_zone.get(&index.slots[*host_index].zone).copied().unwrap_or(0);
+            (Reverse(has_image(host, image)), if pool.spread { zone } else { 0 }, host.attempts.is_empty(), *host_index)
+        };
+        self.cluster.each_host().filter(suits).min_by_key(rank).map(|(host_index, _)| host_index)
+    }
+
+    fn price_on(&self, pool: &Pool, host: &Host) -> u64 {
+        let flavor = host.flavor.map(|flavor| &self.cluster.flavors[flavor]);
+        flavor.map_or(0, |f| price_of(&pool.amounts(), &amounts(&f.cap), f.price(host.spot)))
+    }
+
+    fn allows(&self, pool: &Pool, host: &Host) -> bool {
+        let flavor = host.flavor.map(|flavor| &self.cluster.flavors[flavor].name);
+        let of = |names: &[String], name: &String| names.is_empty() || names.contains(name);
+        flavor.is_some_and(|flavor| of(&pool.machines, flavor))
+            && of(&pool.zones, &host.zone)
+            && (pool.spot || !host.spot)
+            && (pool.keep == HoldKind::Image || host.loads_models)
+    }
+
+    /// Would the payer's tasks and idle replicas keep to its limit with one more? And is no work
+    /// waiting that would have the room at once: work beyond the payer's guarantee gives way.
+    fn payer_may_hold(&self, own: &PartitionPools, index: &Index, pool: &Pool) -> bool {
+        let Some(team) = self.policy.teams.get(&pool.payer) else { return false };
+        let mut total = index.usage.get(&pool.payer).copied().unwrap_or_default();
+        let held = own.pools.slots().filter(|slot| slot.payer == pool.payer && slot.holds_room());
+        held.for_each(|slot| total.add(&demand(&slot.amounts)));
+        total.add(&demand(&pool.amounts()));
+        let within = |amount: f64, guaranteed: f64| guaranteed <= 0.0 || amount <= guaranteed;
+        let guaranteed = team.guarantees(&demand(&pool.amounts()))
+            && within(total.gpus, team.guarantee.gpus)
+            && within(total.cpus, team.guarantee.cpus);
+        total.fits(&team.limit) && (guaranteed || self.unplaced.is_empty())
+    }
+
+    /// Replicas that found no machine with room, as tasks for the plan of what to rent.
+    pub fn pool_replicas_without_machine(&self, now: u64) -> Vec<(Spec, usize)> {
+        let Some(own) = &self.pools else { return Vec::new() };
+        if !self.claims_recordable {
+            return Vec::new();
+        }
+        let moment = own.moment(now);
+        let pools = own.pools.settings().pools.iter();
+        let missing = pools.filter(|(_, pool)| self.machines_may_suit(pool)).map(|(name, pool)| {
+            let price = self.least_price(pool);
+            (name, pool, own.pools.may_begin(name, price, moment))
+        });
+        missing.flat_map(|(name, pool, count)| self.replica_specs(own, name, pool, count)).collect()
+    }
+
+    /// Machines are rented for loaded models only where some worker is known to load them.
+    fn machines_may_suit(&self, pool: &Pool) -> bool {
+        pool.keep == HoldKind::Image
+            || self.cluster.host_index.is_empty()
+            || self.cluster.each_host().any(|(_, host)| host.loads_models)
+    }
+
+    fn least_price(&self, pool: &Pool) -> u64 {
+        let allowed =
+            self.cluster.flavors.iter().filter(|f| pool.machines.is_empty() || pool.machines.contains(&f.name));
+        allowed.map(|f| price_of(&pool.amounts(), &amounts(&f.cap), f.price(pool.spot))).min().unwrap_or(0)
+    }
+
+    /// So many replicas as tasks, divided among the pool's zones.
+    fn replica_specs(&self, own: &PartitionPools, name: &str, pool: &Pool, count: usize) -> Vec<(Spec, usize)> {
+        let Some(model) = own.pools.settings().models.get(&pool.model) else { return Vec::new() };
+        let zones: Vec<Option<String>> =
+            if pool.zones.is_empty() { vec![None] } else { pool.zones.iter().cloned().map(Some).collect() };
+        let parts = zones.len();
+        let spec = |zone: Option<String>| Spec {
+            id: format!("pool/{name}"),
+            class: String::new(),
+            team: pool.payer.clone(),
+            shape: Shape::Service,
+            urgency: Urgency::Low,
+            tasks: count as u32,
+            demand: demand(&pool.amounts()),
+            image: model.image.clone(),
+            image_gb: model.size_gb,
+            flavors: (!pool.machines.is_empty()).then(|| pool.machines.clone()),
+            zone,
+            one_zone: false,
+            spread: pool.spread,
+            spot: pool.spot,
+            expected_s: 0.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            due_s: None,
+            waits_on: Default::default(),
+        };
+        let part = |(position, zone)| (spec(zone), (count + parts - 1 - position) / parts);
+        zones.into_iter().enumerate().map(part).filter(|(_, part)| *part > 0).collect()
+    }
+}
+
+fn has_image(host: &Host, image: &str) -> bool {
+    host.images.iter().any(|cached| cached.ready && cached.name == image)
+}
--- /dev/null
+++ b/src/partition/warm_pools/reports.rs
@@ -0,0 +1,111 @@
+//! What reports say of slots, and the orders that follow.
+
+use crate::model::HostIndex;
+use crate::partition::Partition;
+use crate::wire::{Order, Report};
+use badgerdrift_warm_pools::{EndCause, HoldKind, Slot, SlotId, SlotState};
+
+/// What a report means for a slot.
+enum SlotNews {
+    /// It is there, warm or not yet.
+    Seen { warm: bool },
+    /// It is not there.
+    Missing,
+    /// The claim that the owner before recorded was not carried out, and can't be any more.
+    ClaimNotCarriedOut,
+    /// Nothing can be told from the report.
+    Nothing,
+}
+
+impl Partition {
+    /// Takes what a current report says of the slots on its machine.
+    pub(in crate::partition) fn slots_reported(&mut self, host_index: HostIndex, r: &Report, now: u64) {
+        let Some(own) = &self.pools else { return };
+        let on_host: Vec<&Slot> = own.pools.slots().filter(|slot| slot.host == r.host).collect();
+        let another_session = on_host.iter().any(|slot| slot.tenure != r.tenure);
+        let news: Vec<(SlotId, SlotNews)> =
+            on_host.iter().map(|slot| (slot.id, self.slot_news(slot, host_index, r))).collect();
+        let moment = own.moment(now);
+        let Some(own) = &mut self.pools else { return };
+        if another_session {
+            own.pools.host_lost(&r.host, EndCause::SessionLost, moment);
+            return;
+        }
+        for (id, news) in news {
+            match news {
+                SlotNews::Seen { warm } => own.pools.seen(id, warm, moment),
+                SlotNews::Missing => own.pools.not_reported(id, moment),
+                SlotNews::ClaimNotCarriedOut => {
+                    tracing::info!(slot = id, "claim of the owner before was not carried out");
+                    own.pools.void_claim(id, moment);
+                    own.pools.seen(id, false, moment);
+                    self.pass_due = true;
+                }
+                SlotNews::Nothing => {}
+            }
+        }
+    }
+
+    fn slot_news(&self, slot: &Slot, host_index: HostIndex, r: &Report) -> SlotNews {
+        let Some(host) = self.cluster.host(host_index) else { return SlotNews::Nothing };
+        if let SlotState::Claimed(claim) = &slot.state {
+            let there = host.attempts.iter().any(|attempt| attempt.attempt == claim.attempt);
+            return match (there, slot.seen) {
+                (true, _) => SlotNews::Seen { warm: true },
+                // No order of the owner before can come any more: the machine has seen our token.
+                (false, false) => SlotNews::ClaimNotCarriedOut,
+                (false, true) => SlotNews::Nothing,
+            };
+        }
+        if slot.keep == HoldKind::Image {
+            let warm = host.images.iter().any(|image| image.ready && image.name == slot.image);
+            return SlotNews::Seen { warm };
+        }
+        let reported = r.slots.as_ref().and_then(|slots| slots.iter().find(|reported| reported.slot == slot.id));
+        match (reported, &slot.state) {
+            (Some(reported), _) => SlotNews::Seen { warm: reported.ready },
+            // The order to load it may still be on its way.
+            (None, SlotState::Loading) => SlotNews::Nothing,
+            (None, _) => SlotNews::Missing,
+        }
+    }
+
+    /// The orders for the slots of a machine: what its worker should have done and has not.
+    pub(in crate::partition) fn slot_orders(&self, host_index: HostIndex) -> Vec<Order> {
+        let Some(own) = &self.pools else { return Vec::new() };
+        let Some(host) = self.cluster.host(host_index).filter(|host| host.loads_models && host.accounted) else {
+            return Vec::new();
+        };
+        let loaded = own.pools.slots().filter(|slot| slot.host == host.id && slot.keep == HoldKind::Loaded);
+        loaded
+            .filter_map(|slot| match slot.state {
+                SlotState::Loading if slot.is_recorded() => Some(load(slot)),
+                SlotState::Draining(_) => Some(Order::Unload { slot: slot.id }),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Orders to unload what a worker has and no record knows, or not any more.
+    pub(in crate::partition) fn unknown_slots(&self, r: &Report) -> Vec<Order> {
+        let Some(own) = &self.pools else { return Vec::new() };
+        let known = |id: SlotId| {
+            own.pools.slot(id).is_some_and(|slot| slot.host == r.host && !matches!(slot.state, SlotState::Ended(_)))
+        };
+        let unknown = r.slots.iter().flatten().filter(|reported| !known(reported.slot));
+        unknown.map(|reported| Order::Unload { slot: reported.slot }).collect()
+    }
+}
+
+fn load(slot: &Slot) -> Order {
+    Order::Load {
+        slot: slot.id,
+        model: slot.identity.model.clone(),
+        version: slot.identity.version,
+        image: slot.image.clone(),
+        size_gb: slot.size_gb,
+        cores: slot.amounts.cores,
+        cards: slot.amounts.cards,
+        mem_gb: slot.amounts.mem_gb,
+    }
+}
--- /dev/null
+++ b/src/partition/warm_pools/rooms.rs
@@ -0,0 +1,86 @@
+//! What the scheduler is told of the pools, and what it decided about them.
+
+use super::{PartitionPools, demand};
+use crate::model::{ClusterState, HeldRoom, HostIndex, RoomClaim, RoomOffer};
+use crate::partition::Partition;
+use crate::sched::Outcome;
+use badgerdrift_warm_pools::{Claim, EndCause, HoldKind, Slot, SlotState};
+use std::sync::Arc;
+
+impl Partition {
+    /// Tells the scheduler which room is held. Without the state service no claim could be
+    /// recorded: then none is offered, and jobs are placed as usual.
+    pub(in crate::partition) fn hold_rooms(&mut self) {
+        let Some(own) = &self.pools else { return };
+        let recordable = self.claims_recordable;
+        let cluster = &self.cluster;
+        let rooms = own.pools.slots().filter(|slot| slot.holds_room());
+        self.cluster.held_rooms = rooms
+            .filter_map(|slot| Some(own.held_room(slot, *cluster.host_index.get(&slot.host)?, recordable)))
+            .collect();
+    }
+
+    /// Takes in what a pass decided about rooms.
+    pub(in crate::partition) fn rooms_decided(&mut self, outcome: &Outcome, now: u64) {
+        for claim in &outcome.claims {
+            self.room_claimed(claim, now);
+        }
+        let Some(own) = &mut self.pools else { return };
+        let moment = own.moment(now);
+        for slot in &outcome.rooms_given_up {
+            own.pools.drain(*slot, EndCause::RoomNeeded, moment);
+            if let Some(host) = own.pools.slot(*slot).and_then(|slot| self.cluster.host_index.get(&slot.host)) {
+                self.pending_dispatch.insert(*host);
+            }
+            tracing::info!(slot, cause = EndCause::RoomNeeded.label(), "warm slot drained");
+        }
+    }
+
+    /// A task was given a room: the claim is recorded before the task is ordered.
+    fn room_claimed(&mut self, room: &RoomClaim, now: u64) {
+        let Some(own) = &mut self.pools else { return };
+        let spec = &self.cluster.jobs[room.key.job].spec;
+        let claim = Claim { job: spec.id.clone(), task: room.key.task, attempt: room.attempt, team: spec.team.clone() };
+        let moment = own.moment(now);
+        let claimed = own.pools.claim(room.slot, &spec.image, claim, moment);
+        tracing::info!(slot = room.slot, job = spec.id, team = spec.team, taken = claimed.is_ok(), "warm slot claimed");
+        let loaded = own.pools.slot(room.slot).is_some_and(|slot| slot.keep == HoldKind::Loaded);
+        let host = self.cluster.host_mut(room.host);
+        let Some(attempt) = host.and_then(|host| host.attempt_mut(room.key, room.attempt)) else { return };
+        // What could not be claimed after all is an ordinary start in the room that was held.
+        attempt.awaits_record = claimed.is_ok();
+        attempt.slot = (claimed.is_ok() && loaded).then_some(room.slot);
+    }
+}
+
+impl PartitionPools {
+    fn held_room(&self, slot: &Slot, host: HostIndex, recordable: bool) -> HeldRoom {
+        let offer = (recordable && slot.is_claimable()).then(|| self.offer(slot)).flatten();
+        HeldRoom {
+            slot: slot.id,
+            host,
+            demand: demand(&slot.amounts),
+            offer,
+            warm: slot.state == SlotState::Idle,
+            may_yield: slot.is_available(),
+        }
+    }
+
+    /// Who may claim a slot: those that ask for what it was loaded with.
+    fn offer(&self, slot: &Slot) -> Option<Arc<RoomOffer>> {
+        let settings = self.pools.settings();
+        let pool = settings.pools.get(&slot.pool)?;
+        let model = settings.models.get(&slot.identity.model)?;
+        let names = model.names.iter().chain([&model.image]);
+        // A claim is checked once more as it is made.
+        let images = names.filter(|name| slot.keep == HoldKind::Loaded || **name == slot.image).cloned().collect();
+        (model.version == slot.identity.version)
+            .then(|| Arc::new(RoomOffer { images, teams: pool.claimants.clone(), payer: slot.payer.clone() }))
+    }
+}
+
+/// The hosts on which a pool's slots hold room, one entry a slot.
+pub(super) fn hosts_of<'a>(cluster: &'a ClusterState, own: &'a PartitionPools, pool: &'a str) -> Vec<HostIndex> {
+    let slots = own.pools.slots().filter(|slot| slot.pool == pool && slot.is_available());
+    slots.filter_map(|slot| cluster.host_index.get(&slot.host).copied()).collect()
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,7 @@
 use crate::peer_health::{HealthLimits, SharedPeerHealth};
 use crate::refusal::RefusalReason;
 use crate::task;
+use crate::warm_pools::{PoolsRequest, PoolsResponse};
 use connections::{Connections, Connector};
 use frames::{Frame, encode, read_frame, write_frames};
 use serde::{Deserialize, Deserializer, Serialize};
@@ -23,8 +24,8 @@
 
 pub(crate) use frames::MAX_FRAME;
 
-/// Messages to the actor of a peer that wait, at the most, where nothing else is said.
-const DEFAULT_QUEUED: usize = 256;
+/// Messages to the actor of a peer that wait, at the most; a request beyond is refused at once.
+const MAX_QUEUED: usize = 256;
 
 /// A request to another controller.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -60,6 +61,8 @@
     CapacityReport(CapacityReport),
     /// A request about the configuration that the regions of a fleet share.
     Configuration(ConfigurationRequest),
+    /// A question about warm pools.
+    Pools(PoolsRequest),
     /// From the leader: give this machine, if it is free, to another partition.
     TransferHost {
         /// Partition that the machine belongs to.
@@ -124,6 +127,8 @@
         /// Kinds of machines that cannot be had now.
         refused: Vec<Machines>,
     },
+    /// The response about warm pools.
+    Pools(PoolsResponse),
     /// The response about the shared configuration.
     Configuration(ConfigurationResponse),
     /// The response for the user.
@@ -211,18 +216,12 @@
     pub connect: Duration,
     /// When the peer counts as silent.
     pub health: HealthLimits,
-    /// Messages that wait to be sent, at the most.
-    pub queued: usize,
 }
 
 impl PeerLimits {
     /// The limits for a life of a grant.
     pub fn of_grant(grant_ttl_ms: u64) -> PeerLimits {
-        PeerLimits {
-            connect: Duration::from_millis(grant_ttl_ms / 4),
-            health: HealthLimits::of_grant(grant_ttl_ms),
-            queued: DEFAULT_QUEUED,
-        }
+        PeerLimits { connect: Duration::from_millis(grant_ttl_ms / 4), health: HealthLimits::of_grant(grant_ttl_ms) }
     }
 }
 
@@ -248,9 +247,9 @@
 
     /// The same over a given network.
     pub fn start_on(net: Net, name: String, addr: SocketAddr, limits: PeerLimits) -> Peer {
-        let (tx, rx) = mpsc::channel(limits.queued);
+        let (tx, rx) = mpsc::channel(MAX_QUEUED);
         let health = SharedPeerHealth::new(&name, limits.health);
-        let connector = Connector { net, addr, limit: limits.connect, queued: limits.queued, events: tx.clone() };
+        let connector = Connector { net, addr, limit: limits.connect, events: tx.clone() };
         let format = PeerFormat::new(&name);
         task::spawn(Connections::new(connector, health.clone(), format.clone()).run(rx));
         Peer { name, health, format, connect_limit: limits.connect, tx }
--- a/src/peer/connections.rs
+++ b/src/peer/connections.rs
@@ -1,7 +1,7 @@
 //! The actor that owns the connections to one peer and the requests that wait there.
 
 use super::frames::{Frame, encode, read_frame, write_frames};
-use super::{PeerRequest, PeerResponse, ToPeer};
+use super::{MAX_QUEUED, PeerRequest, PeerResponse, ToPeer};
 use crate::frame_format::PeerFormat;
 use crate::net::{Net, ReadHalf};
 use crate::peer_health::SharedPeerHealth;
@@ -19,8 +19,6 @@
     pub(super) addr: SocketAddr,
     /// How long an attempt to connect may take.
     pub(super) limit: Duration,
-    /// Frames of a connection that wait to be written, at the most.
-    pub(super) queued: usize,
     /// Where connections tell what happens on them.
     pub(super) events: mpsc::Sender<ToPeer>,
 }
@@ -151,7 +149,7 @@
 impl Connector {
     /// Starts a connection; what is to be sent on it waits until it is open.
     fn open(&self, number: u64) -> Connection {
-        let (frames_tx, frames) = mpsc::channel(self.queued);
+        let (frames_tx, frames) = mpsc::channel(MAX_QUEUED);
         let (net, addr, limit, events) = (self.net.clone(), self.addr, self.limit, self.events.clone());
         let task = task::spawn(async move {
             match timeout(limit, net.connect(addr)).await {
--- /dev/null
+++ b/src/pools_command.rs
@@ -0,0 +1,142 @@
+//! `badgerdrift pools`: shows warm pools and their bills, through any controller.
+
+use crate::config_command::CommandError;
+use crate::net::Net;
+use crate::peer::{Peer, PeerLimits, PeerRequest, PeerResponse};
+use crate::warm_pools::{BillRow, PoolsRequest, PoolsResponse};
+use badgerdrift_warm_pools::PoolStatus;
+use clap::Subcommand;
+use serde::Serialize;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an answer is waited for.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Life of a grant from which the limits of the connection follow.
+const CONNECTION_GRANT_MS: u64 = 20_000;
+/// Micro-units in a unit of the currency.
+const MICRO: f64 = 1e6;
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+
+/// What is asked about pools.
+#[derive(Subcommand, Debug, Clone)]
+pub enum PoolsCommand {
+    /// Prints how each pool is.
+    Status {
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Prints what teams pay, by day (UTC) and pool, as far as it is recorded.
+    Bill {
+        /// The first day, as 2026-12-02.
+        #[arg(long, value_name = "DAY")]
+        from: String,
+        /// The last day.
+        #[arg(long, value_name = "DAY")]
+        to: String,
+        /// Of this team alone.
+        #[arg(long)]
+        team: Option<String>,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// Carries a command out through the controller at this internal address; what is to be printed.
+pub async fn run(controller: SocketAddr, command: &PoolsCommand) -> Result<String, CommandError> {
+    let request = request(command)?;
+    let limits = PeerLimits::of_grant(CONNECTION_GRANT_MS);
+    let peer = Peer::start_on(Net::default(), controller.to_string(), controller, limits);
+    let response = match peer.request(PeerRequest::Pools(request), ANSWER_LIMIT).await {
+        Some(PeerResponse::Pools(response)) => response,
+        Some(_) => return Err(CommandError::NotDone("the controller knows no pools".into())),
+        None => return Err(CommandError::NotDone("the controller does not answer".into())),
+    };
+    match (response, command) {
+        (PoolsResponse::Status(pools), PoolsCommand::Status { json: true }) => json_text(&pools),
+        (PoolsResponse::Status(pools), _) => Ok(status_table(&pools)),
+        (PoolsResponse::Bill(rows), PoolsCommand::Bill { json: true, .. }) => json_text(&rows),
+        (PoolsResponse::Bill(rows), _) => Ok(bill_table(&rows)),
+        (PoolsResponse::NoPools, _) => Err(CommandError::NotDone("the controller has no warm pools".into())),
+        (PoolsResponse::RetryLater(after_s), _) => {
+            Err(CommandError::NotDone(format!("no answer is possible now: again in {after_s} s")))
+        }
+    }
+}
+
+fn request(command: &PoolsCommand) -> Result<PoolsRequest, CommandError> {
+    match command {
+        PoolsCommand::Status { .. } => Ok(PoolsRequest::Status),
+        PoolsCommand::Bill { from, to, team, .. } => {
+            check_day("--from", from)?;
+            check_day("--to", to)?;
+            if to < from {
+                return Err(CommandError::BadInput(format!("--to: {to} is before {from}")));
+            }
+            Ok(PoolsRequest::Bill { from: from.clone(), to: to.clone(), team: team.clone() })
+        }
+    }
+}
+
+fn check_day(field: &str, day: &str) -> Result<(), CommandError> {
+    if badgerdrift_warm_pools::is_day(day) {
+        Ok(())
+    } else {
+        Err(CommandError::BadInput(format!("{field}: {day} is no day such as 2026-12-02")))
+    }
+}
+
+fn json_text(value: &impl Serialize) -> Result<String, CommandError> {
+    let text = serde_json::to_string_pretty(value).map_err(|e| CommandError::NotDone(e.to_string()))?;
+    Ok(text + "\n")
+}
+
+fn status_table(pools: &[PoolStatus]) -> String {
+    let mut text =
+        String::from("pool                 payer            wanted renting loading  idle claimed draining  idle/h\n");
+    for pool in pools {
+        let _ = writeln!(
+            text,
+            "{:20} {:16} {:6} {:7} {:7} {:5} {:7} {:8} {:7.2}",
+            pool.pool,
+            pool.payer,
+            pool.wanted,
+            pool.renting,
+            pool.loading,
+            pool.idle,
+            pool.claimed,
+            pool.draining,
+            pool.idle_cost_per_hour as f64 / MICRO
+        );
+    }
+    text
+}
+
+fn bill_table(rows: &[BillRow]) -> String {
+    let mut text = String::from(
+        "day        team             pool                   idle s     idle  claimed s  claimed  estimated s\n",
+    );
+    for row in rows {
+        let total = &row.total;
+        let _ = writeln!(
+            text,
+            "{:10} {:16} {:20} {:8.1} {:8.4} {:10.1} {:8.4} {:12.1}",
+            row.day,
+            row.team,
+            row.pool,
+            total.idle_ms as f64 / MS_PER_S,
+            total.idle_amount as f64 / MICRO,
+            total.claimed_ms as f64 / MS_PER_S,
+            total.claimed_amount as f64 / MICRO,
+            total.estimated_ms as f64 / MS_PER_S
+        );
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/pools_command/tests.rs
@@ -0,0 +1,18 @@
+use super::*;
+
+fn bill(from: &str, to: &str) -> PoolsCommand {
+    PoolsCommand::Bill { from: from.into(), to: to.into(), team: None, json: false }
+}
+
+#[test]
+fn days_are_checked_before_anything_is_sent() {
+    assert!(request(&bill("2026-12-01", "2026-12-02")).is_ok());
+    for (command, field) in [
+        (bill("today", "2026-12-02"), "--from: "),
+        (bill("2026-12-02", "2026-13-02"), "--to: "),
+        (bill("2026-12-02", "2026-12-01"), "--to: "),
+    ] {
+        let Err(CommandError::BadInput(told)) = request(&command) else { panic!("{command:?} is taken") };
+        assert!(told.starts_with(field), "{told}");
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,6 +1,7 @@
 //! The ways to the owners of the partitions: the actors on this node, or the other
 //! controllers.
 
+use crate::clients::State;
 use crate::clock;
 use crate::configuration::ConfigurationHandle;
 use crate::frame_format::FrameFormat;
@@ -10,6 +11,7 @@
 use crate::partition::UserAnswer;
 use crate::peer::{Peer, PeerRequest, PeerResponse, UserCall};
 use crate::refusal::RefusalReason;
+use crate::warm_pools::{PoolsRequest, PoolsResponse, read_bills};
 use crate::wire;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,6 +26,12 @@
 /// Longest wait for the commit of a submission or a cancellation, for which a user waits 5 s.
 const MAX_COMMIT_WAIT: Duration = Duration::from_millis(4000);
 
+/// The partition whose owner keeps the warm pools: there is one alone with them.
+const POOLS_PARTITION: u32 = 0;
+
+/// What is answered about pools while their owner can't be asked.
+const RETRY_POOLS: PoolsResponse = PoolsResponse::RetryLater(1);
+
 /// A partition that there is not: what is released of it changes nothing.
 const NO_PARTITION: u32 = u32::MAX;
 
@@ -67,6 +75,8 @@
     pub grant_ttl_ms: u64,
     /// The shared configuration of a fleet, if the controller is told of one.
     pub configuration: Option<ConfigurationHandle>,
+    /// The state service, where bills of warm pools are read; none without pools.
+    pub bills: Option<State>,
     /// When the owner of each partition was last heard to be at work.
     pub heard_ms: Arc<Vec<AtomicU64>>,
 }
@@ -193,6 +203,7 @@
                 Some(configuration) => PeerResponse::Configuration(configuration.answer(request).await),
                 None => PeerResponse::No,
             },
+            PeerRequest::Pools(request) => PeerResponse::Pools(self.pools(request).await),
             PeerRequest::CapacityReport(capacity_report) => {
                 self.actor(0, |reply| owner::Message::CapacityReport { capacity_report, reply }).await
             }
@@ -202,6 +213,32 @@
         }
     }
 
+    /// Answers a question about warm pools: bills from their records, the rest by the owner,
+    /// wherever it is.
+    async fn pools(&self, request: PoolsRequest) -> PoolsResponse {
+        let Some(state) = &self.bills else { return PoolsResponse::NoPools };
+        match request {
+            PoolsRequest::Bill { from, to, team } => read_bills(state, &from, &to, team.as_deref()).await,
+            PoolsRequest::Status if self.mine(POOLS_PARTITION) => {
+                let (reply, answer) = oneshot::channel();
+                let owner = self.partitions.get(POOLS_PARTITION as usize).map(|handle| &handle.owner);
+                let asked = owner.is_some_and(|owner| owner.try_send(owner::Message::Pools(reply)).is_ok());
+                if asked { answer.await.unwrap_or(RETRY_POOLS) } else { RETRY_POOLS }
+            }
+            PoolsRequest::Status => self.ask_owner_of_pools().await.unwrap_or(RETRY_POOLS),
+        }
+    }
+
+    async fn ask_owner_of_pools(&self) -> Option<PoolsResponse> {
+        let name = self.owner(POOLS_PARTITION)?;
+        let peer = self.peers.iter().find(|peer| peer.name == name)?;
+        let limit = Duration::from_millis(self.grant_ttl_ms * 2 / 5).min(MAX_POLL_WAIT);
+        match peer.request(PeerRequest::Pools(PoolsRequest::Status), limit).await? {
+            PeerResponse::Pools(response) => Some(response),
+            _ => None,
+        }
+    }
+
     async fn actor(
         &self,
         partition: u32,
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -14,6 +14,7 @@
         members: mpsc::channel(1).0,
     };
     let router = Router {
+        bills: None,
         configuration: None,
         partitions: Arc::new(vec![handle]),
         peers: Arc::new(owner.into_iter().collect()),
@@ -84,6 +85,7 @@
 async fn an_owner_counts_as_at_work_while_it_asks_for_promises() {
     let heard_ms = Arc::new(vec![AtomicU64::new(0)]);
     let router = Router {
+        bills: None,
         partitions: Default::default(),
         peers: Default::default(),
         grant_ttl_ms: 2500,
--- a/src/sched/index.rs
+++ b/src/sched/index.rs
@@ -127,6 +127,9 @@
             let slot = host.as_ref().map_or_else(Slot::default, |h| index.count_host(cluster, host_index, h, now));
             index.slots.push(slot);
         }
+        for room in &cluster.held_rooms {
+            index.slots[room.host].free.sub(&room.demand);
+        }
         index.at.sort_unstable();
         index.count_teams(cluster);
         index
--- a/src/sched/pass/mod.rs
+++ b/src/sched/pass/mod.rs
@@ -12,10 +12,11 @@
 mod request;
 mod room;
 mod tasks;
+mod warm_rooms;
 
 use super::Policy;
 use super::index::{Index, TaskRequirements};
-use crate::model::{ClusterState, Demand, HostIndex, JobIndex, Reserve, Shape, TaskKey, Urgency};
+use crate::model::{ClusterState, Demand, HostIndex, JobIndex, Reserve, RoomClaim, Shape, TaskKey, Urgency};
 use ending::EndingTasks;
 use queue::QueuedJob;
 use request::PlacementRequest;
@@ -59,6 +60,10 @@
     pub starts: Vec<Assignment>,
     /// Attempts to be stopped.
     pub stops: Vec<Eviction>,
+    /// Tasks that were given rooms of warm pools; they are among the starts.
+    pub claims: Vec<RoomClaim>,
+    /// Slots of warm pools whose rooms are given to other work.
+    pub rooms_given_up: Vec<u64>,
     /// Jobs with tasks that found no room.
     pub unplaced: Vec<JobIndex>,
     /// How many machines were looked at for how many decisions together.
@@ -162,7 +167,7 @@
         let mut gang_leads = false;
         for QueuedJob { job_index, turn } in self.queue(least) {
             let request = PlacementRequest { turn, ..self.request(job_index) };
-            if self.place(&request, attempt) {
+            if self.place(&request, attempt) || (self.yield_rooms(&request) && self.place(&request, attempt)) {
                 continue;
             }
             if self.out.unplaced.last() != Some(&job_index) && !self.out.unplaced.contains(&job_index) {
--- a/src/sched/pass/room.rs
+++ b/src/sched/pass/room.rs
@@ -99,7 +99,7 @@
     }
 
     /// How many tasks of the job wait for a place.
-    fn waiting_tasks(&self, request: &PlacementRequest) -> usize {
+    pub(super) fn waiting_tasks(&self, request: &PlacementRequest) -> usize {
         let job = &self.cluster.jobs[request.job_index];
         let placeable = self.cluster.placeable(job);
         let open = |t: &&Task| t.retry_ms <= self.now && placeable.open(t);
--- a/src/sched/pass/tasks.rs
+++ b/src/sched/pass/tasks.rs
@@ -56,6 +56,12 @@
             if self.too_many_attempts(&self.cluster.jobs[job_index]) {
                 return true; // waits for others to end, not for room
             }
+            if let Some(room) = self.room_for_replica(request, &counts) {
+                let host = self.claim_room(room, TaskKey { job: job_index, task: n as u32 }, attempt());
+                counts.add(self.index.slots[host].zone);
+                candidates = None;
+                continue;
+            }
             let mut found = candidates.take().unwrap_or_else(|| self.candidates(request));
             let Some(host) = self.best(request, &found, &counts) else { return false };
             // Room that was made for this job is as good as it gets.
--- a/src/sched/plan/drain.rs
+++ b/src/sched/plan/drain.rs
@@ -69,7 +69,8 @@
 ) -> Option<Drain> {
     let h = cluster.host(host)?;
     // One that takes others in stays, or they would have to move again.
-    if !h.claims.is_empty() || taken.iter().any(|t| bins[t.0].host == Some(host)) {
+    let holds_rooms = cluster.held_rooms.iter().any(|room| room.host == host);
+    if !h.claims.is_empty() || holds_rooms || taken.iter().any(|t| bins[t.0].host == Some(host)) {
         return None;
     }
     let promised = taken.len();
--- a/src/sched/plan/mod.rs
+++ b/src/sched/plan/mod.rs
@@ -72,6 +72,8 @@
 pub struct ExpectedWork<'a> {
     /// Jobs with tasks that found no room.
     pub unplaced: &'a [JobIndex],
+    /// Replicas of warm pools that lack a machine, and how many of each kind.
+    pub pool_replicas: &'a [(Spec, usize)],
     /// Jobs that wait for others and may start before a machine that is asked for now is up.
     pub upcoming: &'a [JobIndex],
     /// Arrivals of each class.
@@ -123,6 +125,9 @@
         let n = headroom(cluster, policy, flow);
         fit(cluster, &index, &mut bins, &flow.spec, n, &HashSet::new(), supply);
     }
+    for (spec, n) in work.pool_replicas {
+        fit(cluster, &index, &mut bins, spec, *n, &HashSet::new(), supply);
+    }
     let mut rent: Vec<Rental> = Vec::new();
     for b in &bins[have..] {
         let zone = index.zone_name(b.zone);
@@ -143,11 +148,12 @@
 
 /// The free room of the machines that are in use.
 fn existing_room(cluster: &ClusterState, index: &Index) -> Vec<Bin> {
+    let held: HashSet<HostIndex> = cluster.held_rooms.iter().map(|room| room.host).collect();
     let in_use = cluster.each_host().filter(|(host_index, _)| index.slots[*host_index].usable);
     in_use
         .map(|(host_index, h)| {
             let slot = &index.slots[host_index];
-            let used = !h.attempts.is_empty() || !h.claims.is_empty();
+            let used = !h.attempts.is_empty() || !h.claims.is_empty() || held.contains(&host_index);
             Bin { free: slot.free, flavor: slot.flavor, zone: slot.zone, spot: slot.spot, host: Some(host_index), used }
         })
         .collect()
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -33,6 +33,19 @@
     /// The tasks on the machine.
     #[serde(default, rename = "shards")]
     pub tasks: Vec<ReportedTask>,
+    /// The models that are loaded and not attached to a task; `None` from a worker without the
+    /// extension for that (`docs/warm-pools.md`).
+    #[serde(default)]
+    pub slots: Option<Vec<ReportedSlot>>,
+}
+
+/// A loaded model of a report.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ReportedSlot {
+    /// Number of the slot.
+    pub slot: u64,
+    /// It answers requests as soon as a task is attached to it.
+    pub ready: bool,
 }
 
 /// A task of a report.
@@ -119,6 +132,43 @@
         #[serde(rename = "try_no")]
         attempt: u64,
     },
+    /// Load a model into a slot, so that a task can be attached to it.
+    Load {
+        /// Number of the slot.
+        slot: u64,
+        /// The model.
+        model: String,
+        /// Its version.
+        version: u64,
+        /// Its image.
+        #[serde(rename = "bundle")]
+        image: String,
+        /// Size of the image.
+        size_gb: f64,
+        /// CPU cores that the slot takes.
+        cores: f64,
+        /// Accelerators that it takes.
+        cards: f64,
+        /// Gigabytes of memory that it takes.
+        mem_gb: f64,
+    },
+    /// Unload a slot.
+    Unload {
+        /// Number of the slot.
+        slot: u64,
+    },
+    /// Start an attempt of a task with the loaded model of a slot, or as `run` does if the slot is
+    /// not there.
+    Attach {
+        /// Job id and task number.
+        #[serde(rename = "shard")]
+        task: String,
+        /// Number of the new attempt.
+        #[serde(rename = "try_no")]
+        attempt: u64,
+        /// Number of the slot.
+        slot: u64,
+    },
     /// End an attempt, with time to save its state.
     Stop {
         /// Job id and task number.
@@ -145,7 +195,11 @@
 impl Order {
     /// The order to start an attempt of a task.
     pub fn run(job: &str, c: &TaskAttempt) -> Order {
-        Order::Run { task: format!("{job}/{}", c.key.task), attempt: c.attempt }
+        let task = format!("{job}/{}", c.key.task);
+        match c.slot {
+            Some(slot) => Order::Attach { task, attempt: c.attempt, slot },
+            None => Order::Run { task, attempt: c.attempt },
+        }
     }
 
     /// The order to stop an attempt of a task.
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -19,4 +19,5 @@
 mod simulation;
 mod slow_boots;
 mod teams;
+mod warm_pools;
 mod writes;
--- /dev/null
+++ b/tests/fault_combinations/warm_pools.rs
@@ -0,0 +1,95 @@
+//! Warm pools in whole controllers, with workers that load models.
+
+use crate::scenario::s;
+use crate::simulation::{seeds, simulate_with};
+use badgerdrift::node::Subsystems;
+use badgerdrift_stand_ins::world::SimulationState;
+use badgerdrift_stand_ins::{RandomDay, Setup, Sim, machines};
+use badgerdrift_warm_pools::PoolSettings;
+use tokio::time::Instant;
+
+/// Two pools of images that random jobs use, one of loaded models and one of rooms.
+fn setup() -> Setup {
+    let pools: PoolSettings = serde_json::from_str(
+        r#"{"bill_every_s": 20,
+            "model": {"zero": {"version": 1, "image": "img-0", "size_gb": 1},
+                      "one": {"version": 1, "image": "img-1", "size_gb": 1}},
+            "pool": {"loaded": {"model": "zero", "payer": "red", "keep": "loaded", "count": 2,
+                                "cores": 4, "cards": 2, "mem_gb": 4},
+                     "rooms": {"model": "one", "payer": "blue", "count": 1,
+                               "cores": 2, "cards": 1, "mem_gb": 4}}}"#,
+    )
+    .unwrap();
+    Setup {
+        subsystems: Subsystems { warm_pools: Some(pools), ..Subsystems::default() },
+        loads_models: true,
+        ..Setup::default()
+    }
+}
+
+/// Runs until so many models are ready.
+async fn until_ready(sim: &mut Sim, count: usize) {
+    sim.until("the pool is warm", s(120), |world| world.ready_slots() >= count).await;
+}
+
+/// A service of one replica of the model that is kept loaded.
+fn replica(sim: &mut Sim) -> String {
+    let mut job = sim.job("service", 1);
+    (job.team, job.bundle, job.cores, job.cards, job.mem_gb) = ("blue", 0, 2.0, 1.0, 1.0);
+    sim.submit(job)
+}
+
+// Found here: nothing but what the rules of the stand-ins check. One claimant a slot, no team over
+// its limit, no task twice, whatever fails at the same time.
+#[test]
+fn random_faults_break_no_rule_with_warm_pools() {
+    for seed in seeds(1..=8) {
+        simulate_with(setup(), seed, async |mut sim| {
+            let faults = 2 + (seed % 4) as usize;
+            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 0, rollout: false };
+            sim.random_day_of(day).await;
+            sim.settle().await;
+        });
+    }
+}
+
+#[test]
+fn an_owner_that_ends_in_a_burst_leaves_every_job_one_replica() {
+    for seed in seeds(1..=3) {
+        simulate_with(setup(), seed, async |mut sim| {
+            until_ready(&mut sim, 2).await;
+            let jobs: Vec<String> = (0..3).map(|_| replica(&mut sim)).collect();
+            sim.run(std::time::Duration::from_millis(40 * seed)).await;
+            let leader = sim.leader().expect("there is a leader");
+            sim.kill(leader);
+            sim.run(s(20)).await;
+            sim.start(leader);
+            sim.until("all replicas run", s(60), |world| jobs.iter().all(|id| world.jobs[id].began.is_some())).await;
+            until_ready(&mut sim, 2).await;
+            sim.settle().await;
+        });
+    }
+}
+
+#[test]
+fn half_of_the_machines_die_while_the_cloud_is_out() {
+    for seed in seeds(1..=3) {
+        simulate_with(setup(), seed, async |mut sim| {
+            until_ready(&mut sim, 2).await;
+            let job = replica(&mut sim);
+            sim.run(s(5)).await;
+            sim.g.w.lock().unwrap().cloud_down = true;
+            let now = Instant::now();
+            let alive = |world: &SimulationState| {
+                world.machines.values().filter(|m| m.alive(now)).map(|m| m.id.clone()).collect()
+            };
+            let alive: Vec<String> = alive(&sim.g.w.lock().unwrap());
+            alive.iter().step_by(2).for_each(|id| machines::die(&sim.g, id));
+            sim.run(s(20)).await;
+            sim.g.w.lock().unwrap().cloud_down = false;
+            sim.until("the replica runs", s(120), |world| world.jobs[&job].began.is_some()).await;
+            until_ready(&mut sim, 2).await;
+            sim.settle().await;
+        });
+    }
+}
