--- a/crates/scale/src/burst_report.rs
+++ b/crates/scale/src/burst_report.rs
@@ -10,7 +10,7 @@
 /// An owner that is killed in mid-burst is back after so many seconds.
 const RESTART_S: f64 = 3.0;
 /// It is killed so many seconds after the burst began.
-const KILLED_AFTER_S: f64 = 0.05;
+const KILLED_AFTER_S: f64 = 0.01;
 const MS_PER_S: f64 = 1000.0;
 
 /// How a burst is run.
--- a/crates/warm-pools/src/lib.rs
+++ b/crates/warm-pools/src/lib.rs
@@ -29,5 +29,5 @@
 pub use settings::{
     Amounts, DateException, HoldKind, Identity, Model, ModelName, Pool, PoolName, PoolSettings, TeamName, Window,
 };
-pub use slot::{Claim, EndCause, Slot, SlotId, SlotState};
+pub use slot::{Claim, EndCause, Slot, SlotId, SlotState, Transition};
 pub use wall_clock::AcceptedTime;
--- a/crates/warm-pools/src/pools/claims.rs
+++ b/crates/warm-pools/src/pools/claims.rs
@@ -51,7 +51,7 @@
         let bill_ms = self.bill_ms(now);
         let slot = self.slots.get_mut(&id).ok_or(ClaimError::NotFree)?;
         slot.charge_until(bill_ms);
-        slot.state = SlotState::Claiming(claim);
+        slot.enter(SlotState::Claiming(claim), &mut self.transitions);
         slot.since_ms = now.steady_ms;
         slot.changed = true;
         Ok(())
@@ -72,7 +72,7 @@
         if let Some(slot) = self.slots.get_mut(&id)
             && matches!(slot.state, SlotState::Claiming(_))
         {
-            slot.state = SlotState::Abandoned;
+            slot.enter(SlotState::Abandoned, &mut self.transitions);
             slot.changed = true;
         }
     }
@@ -85,7 +85,7 @@
             && matches!(slot.state, SlotState::Claimed(_))
         {
             slot.charge_until(bill_ms);
-            slot.state = SlotState::Idle;
+            slot.enter(SlotState::Idle, &mut self.transitions);
             slot.since_ms = now.steady_ms;
             slot.changed = true;
         }
--- a/crates/warm-pools/src/pools/lifecycle.rs
+++ b/crates/warm-pools/src/pools/lifecycle.rs
@@ -3,7 +3,7 @@
 use super::{Moment, WarmPools};
 use crate::money::{MicroUnits, micro};
 use crate::settings::HoldKind;
-use crate::slot::{EndCause, Slot, SlotId, SlotState};
+use crate::slot::{EndCause, Slot, SlotId, SlotState, Transition};
 
 /// How long a replica takes until it is warm, before that was seen.
 const ASSUMED_LOAD_MS: u64 = 60_000;
@@ -82,6 +82,7 @@
             version: 0,
             changed: true,
         };
+        self.transitions.push(Transition { slot: id, pool: slot.pool.clone(), from: None, to: slot.state.clone() });
         Some(self.slots.entry(id).or_insert(slot))
     }
 
@@ -99,7 +100,7 @@
             slot.seen = true;
         }
         if warm && slot.state == SlotState::Loading {
-            slot.state = SlotState::Idle;
+            slot.enter(SlotState::Idle, &mut self.transitions);
             slot.changed = true;
             self.load_ms.insert(slot.pool.clone(), now.steady_ms.saturating_sub(slot.since_ms));
         }
@@ -115,7 +116,7 @@
             self.end(id, cause, now);
             return;
         }
-        slot.state = SlotState::Draining(cause);
+        slot.enter(SlotState::Draining(cause), &mut self.transitions);
         slot.since_ms = now.steady_ms;
     }
 
@@ -143,7 +144,7 @@
         let unresolved = self.is_being_written(id);
         let Some(slot) = self.slots.get_mut(&id) else { return };
         slot.charge_until(bill_ms);
-        slot.state = SlotState::Ended(cause);
+        slot.enter(SlotState::Ended(cause), &mut self.transitions);
         slot.changed = true;
         // Never recorded: nothing was ordered for it, and nobody knows of it.
         if slot.version == 0 && !unresolved {
--- a/crates/warm-pools/src/pools/mod.rs
+++ b/crates/warm-pools/src/pools/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::bill::BillRecord;
 use crate::settings::{PoolSettings, TeamName};
-use crate::slot::{Slot, SlotId};
+use crate::slot::{Slot, SlotId, Transition};
 use crate::targets::Targets;
 use jiff::civil::Date;
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,6 +42,8 @@
     began: Moment,
     /// How long replicas took until they were warm, lately, by pool.
     load_ms: BTreeMap<String, u64>,
+    /// Changes of slots' states since they were last taken.
+    transitions: Vec<Transition>,
     in_flight: Option<InFlight>,
     /// Commits without an answer that may be made yet.
     unresolved: Vec<InFlight>,
@@ -59,6 +61,7 @@
             bills: BTreeMap::new(),
             began: now,
             load_ms: BTreeMap::new(),
+            transitions: Vec::new(),
             in_flight: None,
             unresolved: Vec::new(),
             retried: BTreeSet::new(),
@@ -70,6 +73,11 @@
         &self.settings
     }
 
+    /// Changes of slots' states since the last call.
+    pub fn take_transitions(&mut self) -> Vec<Transition> {
+        std::mem::take(&mut self.transitions)
+    }
+
     /// All slots, those included that are ended and still recorded.
     pub fn slots(&self) -> impl Iterator<Item = &Slot> {
         self.slots.values()
--- a/crates/warm-pools/src/pools/writes.rs
+++ b/crates/warm-pools/src/pools/writes.rs
@@ -10,7 +10,7 @@
 use crate::bill::{BillRecord, day_of};
 use crate::records::{ClaimRecord, RecordChanges, RecordKey, RecordWrite, SlotRecord, StoredRecord, WriteId};
 use crate::settings::TeamName;
-use crate::slot::{Claim, Slot, SlotId, SlotState};
+use crate::slot::{Claim, Slot, SlotId, SlotState, Transition};
 use jiff::civil::Date;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -221,7 +221,7 @@
                 self.slots.remove(&id);
             } else if let Some(slot) = self.slots.get_mut(&id) {
                 let version = versions.get(&RecordKey::Slot(id)).copied().unwrap_or(0);
-                events.extend(slot.recorded(&snapshot, version));
+                events.extend(slot.recorded(&snapshot, version, &mut self.transitions));
             }
         }
         for ((day, team), record) in commit.bills {
@@ -292,17 +292,17 @@
     }
 
     /// Its record was written; what follows.
-    fn recorded(&mut self, snapshot: &Snapshot, version: u64) -> Option<PoolEvent> {
+    fn recorded(&mut self, snapshot: &Snapshot, version: u64, transitions: &mut Vec<Transition>) -> Option<PoolEvent> {
         let is_new = self.version == 0;
         self.version = version;
         self.charges.drain(..snapshot.charges.min(self.charges.len()));
         match self.state.clone() {
             SlotState::Claiming(claim) if snapshot.claim.as_ref() == Some(&claim) => {
-                self.state = SlotState::Claimed(claim.clone());
+                self.enter(SlotState::Claimed(claim.clone()), transitions);
                 Some(PoolEvent::ClaimRecorded(self.id, claim))
             }
             SlotState::Abandoned if snapshot.claim.is_none() => {
-                self.state = SlotState::Idle;
+                self.enter(SlotState::Idle, transitions);
                 Some(PoolEvent::SlotFree(self.id))
             }
             SlotState::Ended(_) => {
--- a/crates/warm-pools/src/slot.rs
+++ b/crates/warm-pools/src/slot.rs
@@ -90,6 +90,19 @@
     }
 }
 
+/// A change of a slot's state, to be logged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Transition {
+    /// The slot.
+    pub slot: SlotId,
+    /// Its pool.
+    pub pool: PoolName,
+    /// The state that it left; `None` for a new one.
+    pub from: Option<SlotState>,
+    /// The state that it is in.
+    pub to: SlotState,
+}
+
 /// One replica of a pool on one machine.
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -132,6 +145,12 @@
 }
 
 impl Slot {
+    /// Changes its state.
+    pub(crate) fn enter(&mut self, to: SlotState, transitions: &mut Vec<Transition>) {
+        let from = Some(std::mem::replace(&mut self.state, to.clone()));
+        transitions.push(Transition { slot: self.id, pool: self.pool.clone(), from, to });
+    }
+
     /// Does it count as one of the pool's replicas, idle or about to be?
     pub fn is_available(&self) -> bool {
         matches!(self.state, SlotState::Loading | SlotState::Idle)
--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,7 @@
 use crate::job_reads::{JobReads, READ_LIMIT, RecordedJob};
 use crate::metrics::{SharedMetrics, gauge_line, labelled_gauge_line};
 use crate::model::{JobEnd, JobPhase, JobRecord, Spec};
-use crate::owner::{self, HeartbeatReply};
+use crate::owner;
 use crate::partition::{CommitResult, inbox_key, job_key};
 use crate::peer::UserCall;
 use crate::refusal::RefusalReason::{self, ConfigurationBehind, ControllerOutdated, PredecessorUnclear};
@@ -15,7 +15,7 @@
 use crate::router::Router;
 use crate::sched::{self, Policy};
 use crate::user_metrics::UserMetrics;
-use crate::wire::{self, Report};
+use crate::wire;
 use crate::write_limits::WriteLimits;
 use std::collections::HashMap;
 use std::future::Future;
@@ -24,6 +24,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+pub use route_hints::RouteHints;
+
 /// Longest wait for the answer to a submission or a cancellation: users wait 5 s.
 const MAX_USER_WAIT: Duration = Duration::from_millis(4500);
 
@@ -54,43 +56,9 @@
     pub route_hints: Arc<Mutex<RouteHints>>,
 }
 
-/// Which partition a job or machine was last found in: a hint, nothing more.
-pub struct RouteHints {
-    /// Most hints of a kind.
-    most: usize,
-    jobs: HashMap<String, u32>,
-    hosts: HashMap<String, u32>,
-    /// Workers whose leases this node keeps alive, with the token that they had first.
-    kept: HashMap<String, u64>,
-}
-
 /// Requests of an acceptance without the owner: the machine types, and the commit.
 const ACCEPTANCE_REQUESTS: usize = 2;
 
-impl RouteHints {
-    /// No hints yet, and at most so many of a kind: when there are more they begin anew.
-    pub fn new(most: usize) -> RouteHints {
-        RouteHints { most, jobs: HashMap::new(), hosts: HashMap::new(), kept: HashMap::new() }
-    }
-
-    fn remember_job(&mut self, id: &str, partition: u32) {
-        remember(&mut self.jobs, self.most, id, partition);
-    }
-
-    fn remember_host(&mut self, id: &str, partition: u32) {
-        remember(&mut self.hosts, self.most, id, partition);
-    }
-}
-
-fn remember(hints: &mut HashMap<String, u32>, most: usize, id: &str, partition: u32) {
-    if hints.get(id) != Some(&partition) {
-        if hints.len() >= most {
-            hints.clear();
-        }
-        hints.insert(id.to_string(), partition);
-    }
-}
-
 impl Api {
     /// Answers a request; refusals are told at `debug`.
     pub async fn handle(self, req: Request) -> Response {
@@ -164,67 +132,6 @@
         }
     }
 
-    async fn heartbeat(&self, body: &[u8]) -> Response {
-        let Ok(report) = serde_json::from_slice::<Report>(body) else {
-            return Response::error(400, "not a report");
-        };
-        let host = report.host.clone();
-        let hint = self.route_hints.lock().ok().and_then(|p| p.hosts.get(&host).copied());
-        if let Some(fence) = self.keeps(&report) {
-            return Response::json(200, &wire::orders(fence, &[]));
-        }
-        // Where it was last, then the other partitions of this node; the leader's
-        // knows where a machine belongs.
-        let mut todo: Vec<u32> = (0..self.router.partitions.len() as u32).filter(|p| self.router.mine(*p)).collect();
-        todo.sort_by_key(|p| (Some(*p) != hint, *p));
-        let mut belongs = 0;
-        for partition in todo {
-            let (tx, rx) = oneshot::channel();
-            let m = owner::Message::Heartbeat { report: Box::new(report.clone()), reply: tx };
-            if self.router.partitions[partition as usize].owner.try_send(m).is_err() {
-                return RefusalReason::TooManyReports.response();
-            }
-            match rx.await {
-                Ok(HeartbeatReply::Orders { term, orders }) => {
-                    if let Ok(mut p) = self.route_hints.lock() {
-                        p.remember_host(&host, partition);
-                    }
-                    return Response::json(200, &wire::orders(term, &orders));
-                }
-                Ok(HeartbeatReply::Elsewhere(p)) => belongs = p,
-                Ok(HeartbeatReply::Unknown) => {}
-                _ => return RefusalReason::NotEntitled.response(),
-            }
-        }
-        if !self.router.mine(belongs) {
-            return match self.router.owner(belongs) {
-                Some(h) => Response::json(421, &wire::redirect(Some(&h))),
-                None => RefusalReason::MachineUnowned.response(),
-            };
-        }
-        RefusalReason::NotEntitled.response()
-    }
-
-    /// Whether this node keeps the worker's lease alive for an owner that neither
-    /// of them can reach, as in a zone that is cut off or after all controllers
-    /// ended in an outage: the token with which it answers, which is the worker's
-    /// own. Nothing is ordered. It is bound by no promise, so that no owner counts
-    /// on the end of leases meanwhile (`membership::PromiseStatus`). A worker that has
-    /// seen a later term was asked by an owner since: it is to look for that one.
-    fn keeps(&self, r: &Report) -> Option<u64> {
-        let (now, grant_ttl_ms) = (clock::now_ms(), self.router.grant_ttl_ms);
-        let alone = !self.state.answers(grant_ttl_ms)
-            && self.router.partitions.iter().all(|d| now >= d.promise_status.bound_until());
-        let mut route_hints = self.route_hints.lock().ok()?;
-        if !alone {
-            route_hints.kept.clear();
-            return None;
-        }
-        let known = self.router.partitions.iter().map(|d| d.promise_status.term()).max().unwrap_or(0);
-        let kept = route_hints.kept.entry(r.host.clone()).or_insert(r.fence);
-        (r.fence > 0 && *kept == r.fence && (known == 0 || r.fence <= known)).then_some(r.fence)
-    }
-
     async fn submit(&self, body: Vec<u8>) -> Response {
         // What is malformed needs no owner to say so.
         let spec = match wire::parse_submission(&body) {
@@ -348,7 +255,7 @@
             }
             return ended.response(id);
         }
-        let hint = self.route_hints.lock().ok().and_then(|p| p.jobs.get(id).copied());
+        let hint = self.route_hints.lock().ok().and_then(|hints| hints.job(id));
         let all = 0..self.router.partitions.len() as u32;
         let order: Vec<u32> = hint.into_iter().chain(all.filter(|p| Some(*p) != hint)).collect();
         let mut unclear = None;
@@ -413,5 +320,7 @@
 }
 
 mod predecessors;
+mod route_hints;
 #[cfg(test)]
 mod tests;
+mod workers;
--- /dev/null
+++ b/src/api/workers.rs
@@ -0,0 +1,73 @@
+//! Reports of workers: passed on to the owner of their machine, or answered for one that is gone.
+
+use super::Api;
+use crate::clock;
+use crate::http::Response;
+use crate::owner::{self, HeartbeatReply};
+use crate::refusal::RefusalReason;
+use crate::wire::{self, Report};
+use tokio::sync::oneshot;
+
+impl Api {
+    /// Answers the report of a worker.
+    pub(super) async fn heartbeat(&self, body: &[u8]) -> Response {
+        let Ok(report) = serde_json::from_slice::<Report>(body) else {
+            return Response::error(400, "not a report");
+        };
+        let host = report.host.clone();
+        let hint = self.route_hints.lock().ok().and_then(|hints| hints.host(&host));
+        if let Some(fence) = self.keeps(&report) {
+            return Response::json(200, &wire::orders(fence, &[]));
+        }
+        // Where it was last, then the other partitions of this node; the leader's
+        // knows where a machine belongs.
+        let mut todo: Vec<u32> = (0..self.router.partitions.len() as u32).filter(|p| self.router.mine(*p)).collect();
+        todo.sort_by_key(|p| (Some(*p) != hint, *p));
+        let mut belongs = 0;
+        for partition in todo {
+            let (tx, rx) = oneshot::channel();
+            let m = owner::Message::Heartbeat { report: Box::new(report.clone()), reply: tx };
+            if self.router.partitions[partition as usize].owner.try_send(m).is_err() {
+                return RefusalReason::TooManyReports.response();
+            }
+            match rx.await {
+                Ok(HeartbeatReply::Orders { term, orders }) => {
+                    if let Ok(mut p) = self.route_hints.lock() {
+                        p.remember_host(&host, partition);
+                    }
+                    return Response::json(200, &wire::orders(term, &orders));
+                }
+                Ok(HeartbeatReply::Elsewhere(p)) => belongs = p,
+                Ok(HeartbeatReply::Unknown) => {}
+                _ => return RefusalReason::NotEntitled.response(),
+            }
+        }
+        if !self.router.mine(belongs) {
+            return match self.router.owner(belongs) {
+                Some(h) => Response::json(421, &wire::redirect(Some(&h))),
+                None => RefusalReason::MachineUnowned.response(),
+            };
+        }
+        RefusalReason::NotEntitled.response()
+    }
+
+    /// Whether this node keeps the worker's lease alive for an owner that neither
+    /// of them can reach, as in a zone that is cut off or after all controllers
+    /// ended in an outage: the token with which it answers, which is the worker's
+    /// own. Nothing is ordered. It is bound by no promise, so that no owner counts
+    /// on the end of leases meanwhile (`membership::PromiseStatus`). A worker that has
+    /// seen a later term was asked by an owner since: it is to look for that one.
+    fn keeps(&self, r: &Report) -> Option<u64> {
+        let (now, grant_ttl_ms) = (clock::now_ms(), self.router.grant_ttl_ms);
+        let alone = !self.state.answers(grant_ttl_ms)
+            && self.router.partitions.iter().all(|d| now >= d.promise_status.bound_until());
+        let mut route_hints = self.route_hints.lock().ok()?;
+        if !alone {
+            route_hints.keep_none();
+            return None;
+        }
+        let known = self.router.partitions.iter().map(|d| d.promise_status.term()).max().unwrap_or(0);
+        let first = route_hints.first_token(&r.host, r.fence);
+        (r.fence > 0 && first == r.fence && (known == 0 || r.fence <= known)).then_some(r.fence)
+    }
+}
--- a/src/clients.rs
+++ b/src/clients.rs
@@ -1,58 +1,21 @@
 //! Clients of the state service, the cloud and the workers, with timeouts and
 //! rate budgets derived from the settings.
 
-use crate::bounds::Bounds;
 use crate::clock;
 use crate::config::Settings;
 use crate::http::{CallError, Client, SMALL_IDLE_POOL};
-use crate::model::Flavor;
 use crate::net::Net;
-use crate::partition::{CommitResult, DirectResult};
-use crate::wire::{self, Changes, Grant, Item, Listed, Page, Revision, store};
+use crate::partition::CommitResult;
+use crate::wire::{self, Changes, Grant, Item, Page, Revision, store};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// A token bucket on the steady clock.
-#[derive(Debug)]
-pub struct TokenBucket {
-    rate: f64,
-    most: f64,
-    tokens: f64,
-    at_ms: u64,
-}
-
-impl TokenBucket {
-    /// `rate` tokens a second; bursts of `burst_s` seconds' worth.
-    pub fn new(rate: f64, burst_s: f64, now: u64) -> TokenBucket {
-        let most = (rate * burst_s).max(1.0);
-        TokenBucket { rate, most, tokens: most, at_ms: now }
-    }
-
-    /// Whole tokens at hand.
-    pub fn available_tokens(&mut self, now: u64) -> usize {
-        let passed = now.saturating_sub(self.at_ms) as f64 / 1000.0;
-        self.at_ms = now;
-        self.tokens = (self.tokens + passed * self.rate).min(self.most);
-        self.tokens.max(0.0) as usize
-    }
-
-    /// Takes `n` tokens, also if fewer are at hand: the bucket then fills up from below 0.
-    pub fn spend(&mut self, n: usize) {
-        self.tokens -= n as f64;
-    }
-
-    /// Takes one token if there is one; false if there is none.
-    pub fn take(&mut self, now: u64) -> bool {
-        let ok = self.available_tokens(now) >= 1;
-        if ok {
-            self.spend(1);
-        }
-        ok
-    }
-}
+pub use cloud::{Cloud, RentResult};
+pub use token_bucket::TokenBucket;
+pub use worker::Worker;
 
 /// Why the state service or the cloud gave no answer to work with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -235,151 +198,9 @@
     }
 }
 
-/// The cloud.
-#[derive(Clone)]
-pub struct Cloud {
-    http: Client,
-    addr: SocketAddr,
-    timeout: Duration,
-    budget: Arc<std::sync::Mutex<TokenBucket>>,
-}
-
-/// What became of a rental request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum RentResult {
-    /// The machines were rented; with their ids.
-    Rented(Vec<String>),
-    /// The cloud has no such machines now.
-    NoCapacity,
-    /// The cloud does not accept the request.
-    Malformed,
-    /// Ask again under the same name.
-    Again,
-}
-
-impl Cloud {
-    /// A client over TCP.
-    pub fn new(s: &Settings) -> Cloud {
-        Cloud::on(&Net::default(), s)
-    }
-
-    /// A client over a given network.
-    pub fn on(net: &Net, s: &Settings) -> Cloud {
-        Cloud {
-            http: Client::on(net, SMALL_IDLE_POOL),
-            addr: s.endpoints.cloud,
-            timeout: Duration::from_millis(s.lease_ms() / 4),
-            budget: Arc::new(std::sync::Mutex::new(TokenBucket::new(s.params.cloud.rps * 0.8, 1.0, clock::now_ms()))),
-        }
-    }
-
-    async fn call(&self, method: &str, path: &str, body: Option<&[u8]>) -> Result<(u16, Vec<u8>), RequestError> {
-        loop {
-            if self.budget.lock().is_ok_and(|mut b| b.take(clock::now_ms())) {
-                break;
-            }
-            tokio::time::sleep(self.timeout / 20).await;
-        }
-        Ok(self.http.call(self.addr, method, path, body, self.timeout).await?)
-    }
-
-    /// The machine types, at least one; `None` if there was no usable answer.
-    pub async fn flavors(&self) -> Option<Vec<Flavor>> {
-        let (status, body) = self.call("GET", "/flavors", None).await.ok()?;
-        if status != 200 {
-            return None;
-        }
-        wire::parse_flavors(&body).filter(|f| !f.is_empty())
-    }
-
-    /// Rents machines. The name identifies the request, so that it can be repeated.
-    pub async fn rent(&self, name: &str, flavor: &str, zone: &str, spot: bool, count: usize) -> RentResult {
-        let body = wire::rent_body(name, flavor, zone, spot, count);
-        match self.call("POST", "/hosts", Some(&body)).await {
-            Ok((200, b)) => wire::parse_rented(&b).map_or(RentResult::Again, RentResult::Rented),
-            Ok((400, _)) => RentResult::Malformed,
-            Ok((503, b)) if String::from_utf8_lossy(&b).contains("no capacity") => RentResult::NoCapacity,
-            _ => RentResult::Again,
-        }
-    }
-
-    /// True once the cloud has confirmed that the machines are gone.
-    pub async fn release(&self, hosts: &[String]) -> bool {
-        let body = wire::release_body(hosts);
-        matches!(self.call("POST", "/hosts/release", Some(&body)).await, Ok((200, _)))
-    }
-
-    /// All machines, page by page; `None` if a page had no usable answer.
-    pub async fn list(&self) -> Option<Vec<Listed>> {
-        let mut out: Vec<Listed> = Vec::new();
-        loop {
-            let after = out.last().map_or("", |h| h.id.as_str());
-            let (status, body) = self.call("GET", &wire::list_path(after), None).await.ok()?;
-            if status != 200 {
-                return None;
-            }
-            let (page, more) = wire::parse_list(&body)?;
-            let empty = page.is_empty();
-            out.extend(page);
-            if !more || empty {
-                return Some(out);
-            }
-        }
-    }
-}
-
-/// Direct commands to workers.
-#[derive(Clone)]
-pub struct Worker {
-    http: Client,
-    /// Bounds the commands under way, and so the sockets that they use.
-    under_way: Arc<tokio::sync::Semaphore>,
-    kept: usize,
-    timeout: Duration,
-}
-
-impl Worker {
-    /// A client over TCP.
-    pub fn new(s: &Settings) -> Worker {
-        Worker::on(&Net::default(), s)
-    }
-
-    /// A client over a given network.
-    pub fn on(net: &Net, s: &Settings) -> Worker {
-        let bounds = Bounds::new(s);
-        Worker {
-            http: Client::on(net, bounds.worker_connections),
-            under_way: Arc::new(tokio::sync::Semaphore::new(bounds.direct_commands)),
-            kept: bounds.direct_commands / 2,
-            // Two questions in vain make a machine lost: both fit into one `react_ms`.
-            timeout: Duration::from_millis(s.react_ms() / 2),
-        }
-    }
-
-    /// Sends a direct command, once fewer than the allowed number are under way.
-    pub async fn direct(&self, addr: SocketAddr, body: &[u8]) -> DirectResult {
-        let Ok(_place) = self.under_way.acquire().await else { return DirectResult::NotSent };
-        match self.http.call(addr, "POST", wire::DO_PATH, Some(body), self.timeout).await {
-            Ok((200 | 409, b)) => match serde_json::from_slice(&b) {
-                Ok(r) => DirectResult::Answered(Box::new(r)),
-                Err(_) => DirectResult::Unclear,
-            },
-            Ok(_) | Err(CallError::Unclear) => DirectResult::Unclear,
-            Err(CallError::NotSent) => DirectResult::NotSent,
-        }
-    }
-
-    /// How many more commands may be under way, and how many of those are kept
-    /// for orders when there is much to ask.
-    pub fn places(&self) -> (usize, usize) {
-        (self.under_way.available_permits(), self.kept)
-    }
-
-    /// Closes the idle connections to a worker that is gone.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.http.forget(addr);
-    }
-}
+mod cloud;
+mod token_bucket;
+mod worker;
 
 #[cfg(test)]
 mod tests;
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -237,7 +237,10 @@
                     self.cloud_op(h, op);
                 }
             }
-            SessionEvent::Flavors(flavors) => h.partition.set_flavors(flavors),
+            SessionEvent::Flavors(flavors) => {
+                self.check_pool_machines(&flavors);
+                h.partition.set_flavors(flavors);
+            }
         }
     }
 
--- a/src/owner/pools.rs
+++ b/src/owner/pools.rs
@@ -6,6 +6,7 @@
 use crate::clients::State;
 use crate::clock;
 use crate::leader::longest_boot_ms;
+use crate::model::Flavor;
 use crate::task;
 use crate::warm_pools::PoolsResponse;
 use crate::wire::Item;
@@ -29,6 +30,16 @@
         h.partition.maintain_pools(boot_ms, now, clock::wall_ms());
     }
 
+    /// Machine types are told by the cloud, so that a pool's could not be checked at the start.
+    pub(super) fn check_pool_machines(&self, flavors: &[Flavor]) {
+        let pools = self.pools.iter().flat_map(|settings| &settings.pools);
+        for (pool, machine) in pools.flat_map(|(name, pool)| pool.machines.iter().map(move |machine| (name, machine))) {
+            if !flavors.iter().any(|flavor| flavor.name == *machine) {
+                tracing::error!(pool, machine, "the cloud has no such machine type");
+            }
+        }
+    }
+
     /// Reads the pools' records that are unclear, until all are read.
     pub(super) fn read_unclear_pool_records(&self, h: &mut ActiveTerm) {
         let keys = h.partition.pool_keys_to_read();
--- a/src/partition/passes.rs
+++ b/src/partition/passes.rs
@@ -38,6 +38,7 @@
             self.note_stop(stop);
         }
         self.rooms_decided(&out, now);
+        self.note_transitions();
         tracing::debug!(
             least = ?least,
             hosts_examined = out.hosts_examined,
--- a/src/partition/warm_pools/maintenance.rs
+++ b/src/partition/warm_pools/maintenance.rs
@@ -24,6 +24,7 @@
         self.hold_rooms();
         self.begin_slots(now);
         self.dispatch_draining();
+        self.note_transitions();
     }
 
     /// Claims that could not be recorded in time are given up. Their tasks were not ordered.
--- a/src/partition/warm_pools/mod.rs
+++ b/src/partition/warm_pools/mod.rs
@@ -10,7 +10,7 @@
 
 use super::Partition;
 use crate::model::Demand;
-use badgerdrift_warm_pools::{Amounts, Moment, PoolSettings, PoolStatus, Slot, WarmPools};
+use badgerdrift_warm_pools::{Amounts, Moment, PoolSettings, PoolStatus, Slot, SlotState, WarmPools};
 
 /// The pools of a partition.
 pub(super) struct PartitionPools {
@@ -38,6 +38,21 @@
         self.pools.as_ref().map(|own| own.pools.status()).unwrap_or_default()
     }
 
+    /// Logs and counts what has happened to slots since the last call.
+    pub(in crate::partition) fn note_transitions(&mut self) {
+        let Some(own) = &mut self.pools else { return };
+        for transition in own.pools.take_transitions() {
+            let from = transition.from.as_ref().map_or("none", SlotState::label);
+            let to = transition.to.label();
+            let cause = match transition.to {
+                SlotState::Draining(cause) | SlotState::Ended(cause) => cause.label(),
+                _ => "",
+            };
+            tracing::info!(slot = transition.slot, pool = transition.pool, from, to, cause, "warm slot changes");
+            self.metrics.count("warm_slots", if cause.is_empty() { to } else { cause });
+        }
+    }
+
     /// The slots of the pools.
     pub fn pool_slots(&self) -> impl Iterator<Item = &Slot> {
         self.pools.iter().flat_map(|own| own.pools.slots())
--- a/src/partition/warm_pools/placement.rs
+++ b/src/partition/warm_pools/placement.rs
@@ -40,7 +40,6 @@
             price_per_hour: price,
             warm: has_image(host, &image),
         };
-        tracing::info!(slot = self.next_attempt, pool = name, host = host.id, warm = place.warm, "warm slot begins");
         let moment = own.moment(now);
         own.pools.begin(self.next_attempt, name, place, moment);
     }
--- a/src/partition/warm_pools/rooms.rs
+++ b/src/partition/warm_pools/rooms.rs
@@ -32,7 +32,6 @@
             if let Some(host) = own.pools.slot(*slot).and_then(|slot| self.cluster.host_index.get(&slot.host)) {
                 self.pending_dispatch.insert(*host);
             }
-            tracing::info!(slot, cause = EndCause::RoomNeeded.label(), "warm slot drained");
         }
     }
 
--- a/src/warm_pools/tests.rs
+++ b/src/warm_pools/tests.rs
@@ -1,7 +1,7 @@
 //! The operators' file, read as they write it.
 
 use super::settings::parse_pools;
-use crate::config::tests::settings;
+use crate::config::{Team, tests::settings};
 
 const FILE: &str = r#"
 model "notes" {
@@ -37,6 +37,13 @@
     let pools = parse_pools(FILE, &settings()).unwrap();
     assert_eq!((pools.pools["counter"].most_wanted(), pools.models["notes"].version), (6, 3));
     assert!(parse_pools("", &settings()).unwrap().pools.is_empty());
+    let mut users = settings();
+    users.params.zones = vec!["viti-levu".into(), "vanua-levu".into()];
+    let team = users.params.teams[0].clone();
+    let named = |name: &str| Team { name: name.into(), gpus_max: 350.0, ..team.clone() };
+    users.params.teams = vec![named("valuers"), named("objections")];
+    let delivered = parse_pools(include_str!("../../deploy/warm-pools.hcl"), &users).unwrap();
+    assert_eq!(delivered.pools["counter"].most_wanted(), 4);
 }
 
 #[test]
