--- /dev/null
+++ b/src/partition/tests/warm_pools/machines.rs
@@ -0,0 +1,99 @@
+//! Machines that fail or are taken back, and room that others need.
+
+use super::*;
+use std::collections::BTreeSet;
+
+#[test]
+fn half_of_the_pools_machines_are_lost_at_once() {
+    let mut rig = Rig::cold(4, "loaded");
+    // One replica a machine.
+    rig.pools.pools.get_mut("counter").unwrap().cards = 5.0;
+    rig.take_over();
+    rig.rounds(8);
+    let lost: BTreeSet<String> = rig.partition.pool_slots().map(|slot| slot.host.clone()).collect();
+    assert_eq!((rig.idle(), lost.len()), (POOL_SIZE, 2));
+    let job = rig.submit("blue", "notes");
+    rig.rounds(1);
+    assert!(rig.attached(&job).is_some());
+    for id in &lost {
+        rig.workers.remove(id);
+        rig.partition.host_gone(id);
+    }
+    rig.rounds(10);
+    assert_eq!((rig.idle(), rig.runs(&job)), (POOL_SIZE, 1));
+    let on_lost = rig.partition.pool_slots().filter(|slot| lost.contains(&slot.host)).count();
+    assert_eq!(on_lost, 0);
+}
+
+// The worker's session starts anew: nothing is warm then, and nobody is given it.
+#[test]
+fn a_worker_that_lost_its_lease_keeps_nothing_warm() {
+    let mut rig = Rig::new(2);
+    for worker in rig.workers.values_mut() {
+        *worker = Worker { tenure: worker.tenure + 1, fence: worker.fence, ..Worker::default() };
+    }
+    let job = rig.submit("blue", "notes");
+    rig.now += ROUND_MS;
+    ["h0", "h1"].iter().for_each(|id| rig.report(id));
+    assert_eq!(rig.idle(), 0);
+    rig.rounds(10);
+    assert_eq!((rig.idle(), rig.runs(&job)), (POOL_SIZE, 1));
+}
+
+#[test]
+fn slots_leave_machines_that_the_cloud_takes_back() {
+    let mut rig = Rig::new(4);
+    let doomed = rig.partition.pool_slots().next().unwrap().host.clone();
+    let index = rig.partition.cluster.host_index[&doomed];
+    rig.partition.cluster.host_mut(index).unwrap().notice = true;
+    rig.rounds(6);
+    assert_eq!(rig.idle(), POOL_SIZE);
+    assert!(rig.partition.pool_slots().all(|slot| slot.host != doomed));
+    assert!(rig.workers[&doomed].slots.is_empty(), "it was told to unload");
+}
+
+// What no record knows, a late order to load among it, is unloaded.
+#[test]
+fn a_slot_that_no_record_knows_is_unloaded() {
+    let mut rig = Rig::new(2);
+    rig.workers.get_mut("h0").unwrap().slots.insert(7, true);
+    rig.rounds(2);
+    assert!(!rig.workers["h0"].slots.contains_key(&7));
+    assert_eq!(rig.idle(), POOL_SIZE);
+}
+
+// Idle room beyond the payer's guarantee gives way to work within another team's.
+#[test]
+fn no_guarantee_waits_for_another_teams_pool() {
+    for (guaranteed, left) in [(0.0, 0), (8.0, POOL_SIZE)] {
+        let mut rig = Rig::new(1);
+        let policy = &mut rig.partition.policy;
+        policy.teams.get_mut("red").unwrap().guarantee.gpus = guaranteed;
+        // The machine has eight accelerators, two of which the pool holds.
+        let jobs: Vec<String> = (0..8).map(|_| rig.submit("blue", "other")).collect();
+        rig.rounds(4);
+        let running = jobs.iter().map(|job| rig.runs(job)).sum::<usize>();
+        assert_eq!((running, rig.idle()), (8 - left, left), "red is guaranteed {guaranteed}");
+    }
+}
+
+// An ordinary worker knows nothing of slots: room is held beside its image.
+#[test]
+fn room_is_held_beside_an_image_on_ordinary_workers() {
+    let mut rig = Rig::cold(3, "image");
+    rig.rounds(4);
+    // No machine has the image: the room is held all the same, and claimed under the image's name.
+    let held = rig.partition.cluster.held_rooms.len();
+    assert_eq!((held, rig.loads), (POOL_SIZE, 0));
+    let hosts: Vec<String> = rig.partition.pool_slots().map(|slot| slot.host.clone()).collect();
+    let job = rig.submit("blue", "notes-3");
+    rig.rounds(1);
+    assert_eq!((rig.runs(&job), rig.claimed()), (1, 1));
+    let claimant = rig.workers.iter().find(|(_, worker)| !worker.tasks.is_empty()).unwrap().0.clone();
+    assert!(hosts.contains(&claimant));
+    // Where it runs the image is there, and the next room is beside it.
+    let index = rig.partition.cluster.host_index[&claimant];
+    rig.partition.cluster.host_mut(index).unwrap().image_ready("notes-3");
+    rig.rounds(2);
+    assert!(rig.partition.pool_slots().any(|slot| slot.state == SlotState::Idle && slot.host == claimant));
+}
--- /dev/null
+++ b/src/partition/tests/warm_pools/takeovers.rs
@@ -0,0 +1,74 @@
+//! Successors, and files that were changed.
+
+use super::*;
+
+#[test]
+fn a_successor_neither_gives_a_claimed_replica_away_nor_loses_it() {
+    // The owner ends before its claim is recorded, between the record and the order, or after it.
+    for (recorded, ordered) in [(false, false), (true, false), (true, true)] {
+        let mut rig = Rig::new(3);
+        let job = rig.submit("blue", "notes");
+        rig.pass();
+        if recorded {
+            rig.commit();
+        }
+        if ordered {
+            rig.dispatch();
+        }
+        let before = rig.attached(&job);
+        rig.take_over();
+        let other = rig.submit("red", "notes");
+        rig.rounds(10);
+        assert_eq!((rig.runs(&job), rig.runs(&other)), (1, 1));
+        let (own, others) = (rig.attached(&job), rig.attached(&other));
+        assert!(own.is_some() && others.is_some() && own != others, "{own:?} and {others:?}");
+        assert!(!ordered || own == before);
+        assert_eq!((rig.claimed(), rig.idle()), (2, POOL_SIZE), "recorded {recorded}, ordered {ordered}");
+    }
+}
+
+// A paused owner wakes and goes on: its token is refused by the workers, its writes by the guard.
+#[test]
+fn an_owner_that_was_replaced_orders_nothing() {
+    let mut rig = Rig::new(3);
+    let job = rig.submit("blue", "notes");
+    rig.pass();
+    let host = *rig.partition.pending_dispatch.first().unwrap();
+    rig.commit();
+    let late = rig.partition.direct(host, rig.now, false).unwrap();
+    let old_term = late.term;
+    rig.take_over();
+    rig.rounds(4);
+    assert!(old_term < rig.workers[&late.id].fence, "the worker refuses the late order");
+    assert_eq!(rig.runs(&job), 1);
+}
+
+// A name may be given to another model while replicas sit in the pool.
+#[test]
+fn a_new_version_replaces_the_old_one_without_a_moment_below_the_pools_size() {
+    let mut rig = Rig::new(4);
+    let model = rig.pools.models.get_mut("notes").unwrap();
+    (model.version, model.image) = (4, "notes-4".into());
+    rig.take_over();
+    let before: Vec<u64> = rig.partition.pool_slots().map(|slot| slot.id).collect();
+    let job = rig.submit("blue", "notes");
+    for _ in 0..12 {
+        rig.round();
+        assert!(rig.workers.values().flat_map(|w| w.slots.values()).filter(|ready| **ready).count() >= POOL_SIZE - 1);
+    }
+    assert_eq!((rig.idle(), rig.runs(&job)), (POOL_SIZE, 1));
+    assert!(rig.partition.pool_slots().all(|slot| slot.identity.version == 4));
+    assert!(rig.attached(&job).is_none_or(|slot| !before.contains(&slot)), "not the weights of version 3");
+}
+
+#[test]
+fn a_file_that_asks_for_less_drains_what_is_idle_and_not_what_is_claimed() {
+    let mut rig = Rig::new(3);
+    let job = rig.submit("blue", "notes");
+    rig.rounds(6);
+    rig.pools.pools.get_mut("counter").unwrap().count = 0;
+    rig.take_over();
+    rig.rounds(6);
+    assert_eq!((rig.idle(), rig.claimed(), rig.runs(&job)), (0, 1, 1));
+    assert!(rig.workers.values().all(|worker| worker.slots.is_empty()));
+}
