--- a/crates/warm-pools/src/pools/charging.rs
+++ b/crates/warm-pools/src/pools/charging.rs
@@ -20,7 +20,7 @@
         let every_ms = (self.settings.bill_every_s * MS_PER_S) as u64;
         for slot in self.slots.values_mut() {
             let settled = !slot.changed && !matches!(slot.state, SlotState::Claiming(_) | SlotState::Ended(_));
-            if settled && bill_ms >= slot.charged_until_ms + every_ms {
+            if settled && !slot.has_unclear_claim() && bill_ms >= slot.charged_until_ms + every_ms {
                 slot.charge_until(bill_ms);
                 slot.changed = true;
             }
@@ -31,7 +31,8 @@
     pub fn set_price(&mut self, id: SlotId, price_per_hour: MicroUnits, now: Moment) {
         let bill_ms = self.bill_ms(now);
         let Some(slot) = self.slots.get_mut(&id) else { return };
-        if slot.price_per_hour != price_per_hour && !matches!(slot.state, SlotState::Ended(_)) {
+        let settled = !matches!(slot.state, SlotState::Ended(_)) && !slot.has_unclear_claim();
+        if settled && slot.price_per_hour != price_per_hour {
             slot.charge_until(bill_ms);
             slot.price_per_hour = price_per_hour;
         }
@@ -58,6 +59,11 @@
 }
 
 impl Slot {
+    /// Was it claimed under an owner before, and is it not known yet whether the claimant has it?
+    pub(crate) fn has_unclear_claim(&self) -> bool {
+        matches!(self.state, SlotState::Claimed(_)) && !self.seen
+    }
+
     /// Charges the interval since the last charge to whoever pays in the present state.
     pub(crate) fn charge_until(&mut self, bill_ms: u64) {
         let from_ms = self.charged_until_ms;
--- a/crates/warm-pools/src/pools/claims.rs
+++ b/crates/warm-pools/src/pools/claims.rs
@@ -84,8 +84,9 @@
         if let Some(slot) = self.slots.get_mut(&id)
             && matches!(slot.state, SlotState::Claimed(_))
         {
-            slot.charge_until(bill_ms);
+            // Nobody has used it since it was claimed.
             slot.enter(SlotState::Idle, &mut self.transitions);
+            slot.charge_until(bill_ms);
             slot.since_ms = now.steady_ms;
             slot.changed = true;
         }
--- a/crates/warm-pools/src/pools/restore.rs
+++ b/crates/warm-pools/src/pools/restore.rs
@@ -9,7 +9,8 @@
 
 impl WarmPools {
     /// Takes the records of the owner before. What it did not record until now is charged by its
-    /// last record and marked as estimated, up to `estimate_at_most_s`.
+    /// last record and marked as estimated, up to `estimate_at_most_s`. Whose time a claimed slot's
+    /// was is told once it is known whether its task was ever ordered.
     pub fn restore(&mut self, records: impl IntoIterator<Item = (RecordKey, StoredRecord, u64)>, now: Moment) {
         for (key, record, version) in records {
             match (key, record) {
@@ -29,7 +30,9 @@
         let bill_ms = self.began.wall_ms;
         for slot in self.slots.values_mut() {
             slot.charged_until_ms = slot.charged_until_ms.max(bill_ms.saturating_sub(most_ms));
-            slot.charge_until(bill_ms);
+            if !slot.has_unclear_claim() {
+                slot.charge_until(bill_ms);
+            }
             slot.changed = !slot.charges.is_empty();
         }
     }
--- a/crates/warm-pools/tests/slots.rs
+++ b/crates/warm-pools/tests/slots.rs
@@ -156,6 +156,22 @@
     }
 }
 
+// Found in a burst whose owner was killed: claimants were billed for replicas that they never had.
+#[test]
+fn a_claim_that_was_not_carried_out_is_billed_to_the_payer() {
+    let (mut pools, mut store, mut write) = warm(1);
+    pools.claim(1, "notes", claim("blue", 7), at(10_000)).unwrap();
+    record_all(&mut pools, &mut store, &mut write);
+    let mut next = WarmPools::new(settings(), at(30_000));
+    next.restore(store.all(), at(30_000));
+    next.look(BOOT_MS, at(400_000));
+    next.void_claim(1, at(401_000));
+    next.seen(1, true, at(401_000));
+    next.host_lost("h1", EndCause::MachineLost, at(405_000));
+    record_all(&mut next, &mut store, &mut 100);
+    assert_eq!((charged(&store, "red"), charged(&store, "blue")), ((405_000, 0, 391_000), (0, 0, 0)));
+}
+
 #[test]
 fn a_step_of_the_clock_changes_no_bill_of_an_owner() {
     let (mut pools, mut store, mut write) = warm(1);
