Pools are begun with by the boots that were seen; more failures of claimed machines and names

Cause: the time before a window at which replicas are begun with followed the nominal boot times alone.

Change: the expected boot of any kind, from what was seen lately. Tests: a claimed machine hangs beyond its lease, or is taken back; names move while slots are loading, claimed or draining.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -273,8 +273,7 @@
     }
 }
 
-/// The longest boot time of all machine types.
-pub fn longest_boot_ms(cluster: &ClusterState) -> u64 {
+fn longest_boot_ms(cluster: &ClusterState) -> u64 {
     (cluster.flavors.iter().map(|f| f.boot_s).fold(0.0, f64::max) * 1000.0) as u64
 }
 
--- a/src/leader/boots.rs
+++ b/src/leader/boots.rs
@@ -230,6 +230,19 @@
         self.release(drop)
     }
 
+    /// How long a machine is expected to take until it is up, whatever its kind: by the boots that
+    /// were seen lately, or by the nominal time.
+    pub fn expected_boot_ms(&self, partition: &Partition, now: u64) -> u64 {
+        let kinds = partition.cluster.flavors.iter().enumerate().flat_map(|(flavor, f)| {
+            let nominal_ms = nominal_boot_ms(f);
+            let of_zone = move |zone: &String| {
+                [false, true].map(|spot| (MachineKind { flavor, zone: zone.clone(), spot }, nominal_ms))
+            };
+            f.zones.iter().flat_map(of_zone)
+        });
+        kinds.map(|(kind, nominal_ms)| self.boot_times.expected_ms(&kind, nominal_ms, now)).max().unwrap_or(0)
+    }
+
     /// Notes a failed boot, unless the machine was up before.
     fn boot_failed(&mut self, id: &str, partition: &Partition, now: u64) {
         if let Some(machine) = self.booting.remove(id) {
--- a/src/leader/tests/late_boots.rs
+++ b/src/leader/tests/late_boots.rs
@@ -157,3 +157,16 @@
     assert_eq!(bench.zones(), ["a"], "the surplus is returned");
     assert_eq!(bench.rented.len(), 2);
 }
+
+// Pools of warm replicas are begun with as long before they are wanted.
+#[test]
+fn the_expected_boot_follows_what_was_seen() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.leader.expected_boot_ms(&bench.partition, bench.now), BOOT_MS);
+    bench.boot_ms = |_| Some(2 * BOOT_MS);
+    // A job of a team without a limit that fills ten machines.
+    let job = String::from_utf8(crate::partition::tests::body("run-000001", "service", 80)).unwrap();
+    let _rx = submit(&mut bench.partition, job.replace("\"red\"", "\"blue\"").as_bytes(), bench.now);
+    bench.run(6 * BOOT_MS);
+    assert!(bench.leader.expected_boot_ms(&bench.partition, bench.now) > BOOT_MS);
+}
--- a/src/owner/pools.rs
+++ b/src/owner/pools.rs
@@ -5,7 +5,6 @@
 use super::messages::SessionEvent;
 use crate::clients::State;
 use crate::clock;
-use crate::leader::longest_boot_ms;
 use crate::model::Flavor;
 use crate::task;
 use crate::warm_pools::PoolsResponse;
@@ -25,7 +24,10 @@
 impl PartitionOwner {
     /// Looks after the pools, if there are any.
     pub(super) fn maintain_pools(&self, h: &mut ActiveTerm, now: u64) {
-        let boot_ms = longest_boot_ms(&h.partition.cluster);
+        if self.pools.is_none() {
+            return;
+        }
+        let boot_ms = h.leader.expected_boot_ms(&h.partition, now);
         h.partition.claims_recordable = self.state.answers(self.settings.grant_ttl_ms());
         h.partition.maintain_pools(boot_ms, now, clock::wall_ms());
     }
--- a/src/partition/tests/warm_pools/machines.rs
+++ b/src/partition/tests/warm_pools/machines.rs
@@ -97,3 +97,39 @@
     rig.rounds(2);
     assert!(rig.partition.pool_slots().any(|slot| slot.state == SlotState::Idle && slot.host == claimant));
 }
+
+// It hangs beyond its lease: its task and its slot are gone, and the claimant runs elsewhere.
+#[test]
+fn a_claimed_machine_that_hangs_loses_its_claim_and_its_task_runs_elsewhere() {
+    let mut rig = Rig::new(3);
+    let job = rig.submit("blue", "notes");
+    rig.rounds(2);
+    let (hung, _) = rig.workers.iter().find(|(_, worker)| !worker.tasks.is_empty()).unwrap();
+    let hung = hung.clone();
+    rig.workers.get_mut(&hung).unwrap().silent = true;
+    for _ in 0..2 * LEASE / ROUND_MS {
+        rig.round();
+        let (release, _) = rig.partition.upkeep(rig.now, 0);
+        assert!(rig.claimed() <= 2, "one at a time, whatever is released: {release:?}");
+    }
+    let elsewhere = rig.workers.iter().filter(|(id, _)| **id != hung);
+    assert_eq!(elsewhere.filter(|(_, worker)| worker.tasks.contains_key(&format!("{job}/0"))).count(), 1);
+    assert_eq!(rig.idle(), POOL_SIZE);
+    assert!(rig.partition.pool_slots().all(|slot| slot.host != hung || !slot.is_claimable()));
+}
+
+#[test]
+fn a_claimed_machine_that_is_taken_back_keeps_its_task_until_it_is_gone() {
+    let mut rig = Rig::new(3);
+    let job = rig.submit("blue", "notes");
+    rig.rounds(2);
+    let doomed = rig.partition.pool_slots().find(|slot| slot.claim().is_some()).unwrap().host.clone();
+    let index = rig.partition.cluster.host_index[&doomed];
+    rig.partition.cluster.host_mut(index).unwrap().notice = true;
+    rig.rounds(2);
+    assert_eq!((rig.claimed(), rig.runs(&job)), (1, 1));
+    rig.workers.remove(&doomed);
+    rig.partition.host_gone(&doomed);
+    rig.rounds(8);
+    assert_eq!((rig.idle(), rig.claimed(), rig.runs(&job)), (POOL_SIZE, 1, 1), "it has another replica");
+}
--- a/src/partition/tests/warm_pools/takeovers.rs
+++ b/src/partition/tests/warm_pools/takeovers.rs
@@ -72,3 +72,34 @@
     assert_eq!((rig.idle(), rig.claimed(), rig.runs(&job)), (0, 1, 1));
     assert!(rig.workers.values().all(|worker| worker.slots.is_empty()));
 }
+
+// The name is given to another model while replicas are loading, claimed or draining.
+#[test]
+fn names_that_move_in_any_state_yield_nobody_another_models_weights() {
+    for state in ["loading", "claimed", "draining"] {
+        let mut rig = if state == "loading" { Rig::cold(4, "loaded") } else { Rig::new(4) };
+        let claimed = (state == "claimed").then(|| rig.submit("red", "notes"));
+        match state {
+            "draining" => rig.pools.pools.get_mut("counter").unwrap().count = 1,
+            _ => rig.rounds(1),
+        }
+        rig.take_over();
+        rig.rounds(1);
+        let before: Vec<u64> = rig.partition.pool_slots().map(|slot| slot.id).collect();
+        // What was `notes` is `letters` now, and `notes` is a new model.
+        let mut letters = rig.pools.models["notes"].clone();
+        letters.names = vec!["letters".into()];
+        let mut notes = letters.clone();
+        (notes.image, notes.names) = ("new-notes-1".into(), vec!["notes".into()]);
+        rig.pools.models.insert("notes".into(), notes);
+        rig.pools.models.insert("letters".into(), letters);
+        rig.pools.models.get_mut("notes").unwrap().version = 4;
+        rig.take_over();
+        let job = rig.submit("blue", "notes");
+        rig.rounds(12);
+        assert_eq!(rig.runs(&job), 1, "{state}");
+        assert!(rig.attached(&job).is_none_or(|slot| !before.contains(&slot)), "{state}");
+        assert!(claimed.is_none_or(|claimed| rig.runs(&claimed) == 1), "who had it keeps it");
+        assert!(rig.partition.pool_slots().filter(|slot| slot.is_claimable()).all(|slot| slot.identity.version == 4));
+    }
+}
