Test that rooms beside images begin anew with their worker's session

Cause: with the guard of another session taken out all tests passed: loaded models are found missing in any case, rooms beside images were not looked at.

--- a/src/partition/tests/warm_pools/machines.rs
+++ b/src/partition/tests/warm_pools/machines.rs
@@ -133,3 +133,19 @@
     rig.rounds(8);
     assert_eq!((rig.idle(), rig.claimed(), rig.runs(&job)), (POOL_SIZE, 1, 1), "it has another replica");
 }
+
+// What a worker keeps beyond its session is not known: rooms beside images begin anew, too.
+#[test]
+fn rooms_on_a_machine_whose_session_began_anew_begin_anew() {
+    let mut rig = Rig::cold(2, "image");
+    rig.rounds(4);
+    let before: Vec<u64> = rig.partition.pool_slots().map(|slot| slot.id).collect();
+    assert_eq!(before.len(), POOL_SIZE);
+    for worker in rig.workers.values_mut() {
+        *worker = Worker { tenure: worker.tenure + 1, fence: worker.fence, ..Worker::default() };
+    }
+    rig.rounds(4);
+    let after: Vec<(u64, u64)> = rig.partition.pool_slots().map(|slot| (slot.id, slot.tenure)).collect();
+    assert_eq!(after.len(), POOL_SIZE);
+    assert!(after.iter().all(|(id, tenure)| !before.contains(id) && *tenure == 2), "{before:?}, {after:?}");
+}
