Messages cost less: term check at upkeep, no chunk in futures, buffered peer frames

Cause: with 3.6% of a core an owner of 300 machines spent an eighth of its own processor time on a look at all attempts after each message (must the term be raised?), cleared 8 KiB for each request, read each frame of a peer in three calls, and counted all rooms for passes that had nothing to place. Each connection kept two chunks of 8 KiB.

Change: the term is looked at with the upkeep (or when a higher token is seen), requests are read through the stack, frames are read ahead and written together, a pass without waiting work ends before it counts, reports are not copied.

--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -6,6 +6,7 @@
 use crate::owner::{self, HeartbeatReply};
 use crate::refusal::RefusalReason;
 use crate::wire::{self, Report};
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
 impl Api {
@@ -14,6 +15,7 @@
         let Ok(report) = serde_json::from_slice::<Report>(body) else {
             return Response::error(400, "not a report");
         };
+        let report = Arc::new(report);
         let host = report.host.clone();
         let hint = self.route_hints.lock().ok().and_then(|hints| hints.host(&host));
         if let Some(fence) = self.keeps(&report) {
@@ -26,7 +28,7 @@
         let mut belongs = 0;
         for partition in todo {
             let (tx, rx) = oneshot::channel();
-            let m = owner::Message::Heartbeat { report: Box::new(report.clone()), reply: tx };
+            let m = owner::Message::Heartbeat { report: report.clone(), reply: tx };
             if self.router.partitions[partition as usize].owner.try_send(m).is_err() {
                 return RefusalReason::TooManyReports.response();
             }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,6 +3,7 @@
 use super::framing::{parse_reply, read_message};
 use super::pool::Pool;
 use crate::net::{Net, Stream};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -97,9 +98,10 @@
 
 fn encode_request(addr: SocketAddr, method: &str, path: &str, body: Option<&[u8]>) -> Vec<u8> {
     let mut out = Vec::with_capacity(128 + body.map_or(0, <[u8]>::len));
-    out.extend_from_slice(format!("{method} {path} HTTP/1.1\r\nHost: {addr}\r\n").as_bytes());
+    // Writing to a vector can't fail.
+    let _ = write!(out, "{method} {path} HTTP/1.1\r\nHost: {addr}\r\n");
     if let Some(b) = body {
-        out.extend_from_slice(format!("Content-Type: application/json\r\nContent-Length: {}\r\n", b.len()).as_bytes());
+        let _ = write!(out, "Content-Type: application/json\r\nContent-Length: {}\r\n", b.len());
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body.unwrap_or(&[]));
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -2,12 +2,17 @@
 
 use super::message::MAX_BODY;
 use crate::net::Stream;
-use tokio::io::AsyncReadExt;
+use std::future::poll_fn;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::task::ready;
+use tokio::io::{AsyncRead, ReadBuf};
 
 /// Most that the head of a message may hold.
 pub(super) const MAX_HEAD: usize = 16 * 1024;
 /// Most that is read from a connection at once.
-pub(super) const READ_CHUNK: usize = 8192;
+const READ_CHUNK: usize = 8192;
 /// Most headers of a message.
 const MAX_HEADERS: usize = 64;
 /// Replies of the state service have no size limit; this one only bounds memory.
@@ -59,12 +64,11 @@
     buf: &mut Vec<u8>,
     parse: impl Fn(&[u8]) -> Parsed<T>,
 ) -> Result<Message<T>, ReadError> {
-    let mut chunk = [0u8; READ_CHUNK];
     loop {
         if let Some((head, f)) = parse(buf).map_err(ReadError::Refused)? {
             let total = f.head_len + f.body_len;
             while buf.len() < total {
-                read_more(stream, buf, &mut chunk).await?;
+                read_more(stream, buf).await?;
             }
             let body = buf[f.head_len..total].to_vec();
             buf.drain(..total);
@@ -73,18 +77,30 @@
         if buf.len() > MAX_HEAD {
             return Err(ReadError::Refused(431));
         }
-        read_more(stream, buf, &mut chunk).await?;
+        read_more(stream, buf).await?;
     }
 }
 
 /// Appends what arrives next to `buf`.
-async fn read_more(stream: &mut Box<dyn Stream>, buf: &mut Vec<u8>, chunk: &mut [u8]) -> Result<(), ReadError> {
-    let n = stream.read(chunk).await.map_err(|_| ReadError::Closed)?;
-    if n == 0 {
-        return Err(ReadError::Closed);
+async fn read_more(stream: &mut Box<dyn Stream>, buf: &mut Vec<u8>) -> Result<(), ReadError> {
+    match read_available(stream, buf).await {
+        Ok(n) if n > 0 => Ok(()),
+        _ => Err(ReadError::Closed),
     }
-    buf.extend_from_slice(&chunk[..n]);
-    Ok(())
+}
+
+/// Appends what arrives next to `buf`, and tells how many bytes that is; 0 at the end of the
+/// stream. What is read passes through the stack of the poll: a chunk in the future itself
+/// would take its room in every idle connection, and be cleared for every message.
+pub(super) async fn read_available(stream: &mut Box<dyn Stream>, buf: &mut Vec<u8>) -> io::Result<usize> {
+    poll_fn(|context| {
+        let mut chunk = [MaybeUninit::<u8>::uninit(); READ_CHUNK];
+        let mut chunk = ReadBuf::uninit(&mut chunk);
+        ready!(Pin::new(&mut *stream).poll_read(context, &mut chunk))?;
+        buf.extend_from_slice(chunk.filled());
+        Ok(chunk.filled().len()).into()
+    })
+    .await
 }
 
 /// Why no message could be read.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,15 +1,16 @@
 //! The server.
 
-use super::framing::{Message, READ_CHUNK, ReadError, parse_request, read_message};
+use super::framing::{Message, ReadError, parse_request, read_available, read_message};
 use super::idle::{Idle, IdleEntry};
 use super::message::{Request, Response, TOO_LARGE, reason};
 use crate::net::{Listener, Stream};
 use crate::task;
 use std::future::Future;
+use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
 /// Pause before a connection is accepted again when no socket was free.
@@ -109,17 +110,10 @@
     patience: Duration,
     idle: &Mutex<Idle>,
 ) -> bool {
-    let mut chunk = [0u8; READ_CHUNK];
     let Some(waits) = IdleEntry::enter(idle) else { return false };
     tokio::select! {
         biased;
-        read = timeout(patience * IDLE_FACTOR, stream.read(&mut chunk)) => match read {
-            Ok(Ok(n)) if n > 0 => {
-                buf.extend_from_slice(&chunk[..n]);
-                true
-            }
-            _ => false,
-        },
+        read = timeout(patience * IDLE_FACTOR, read_available(stream, buf)) => matches!(read, Ok(Ok(n)) if n > 0),
         () = waits.asked_to_go.notified() => false,
     }
 }
@@ -135,21 +129,14 @@
 
 fn encode_reply(r: &Response, close: bool) -> Vec<u8> {
     let mut out = Vec::with_capacity(160 + r.body.len());
-    out.extend_from_slice(
-        format!(
-            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
-            r.status,
-            reason(r.status),
-            r.content_type,
-            r.body.len()
-        )
-        .as_bytes(),
-    );
+    let (status, reason, content_type, length) = (r.status, reason(r.status), r.content_type, r.body.len());
+    // Writing to a vector can't fail.
+    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\nContent-Length: {length}\r\n");
     if let Some(s) = r.retry_after_s {
-        out.extend_from_slice(format!("Retry-After: {s}\r\n").as_bytes());
+        let _ = write!(out, "Retry-After: {s}\r\n");
     }
     if let Some(a) = r.allow {
-        out.extend_from_slice(format!("Allow: {a}\r\n").as_bytes());
+        let _ = write!(out, "Allow: {a}\r\n");
     }
     if close {
         out.extend_from_slice(b"Connection: close\r\n");
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -146,6 +146,7 @@
             next_pass_ms: 0,
             next_urgent_ms: 0,
             next_upkeep_ms: 0,
+            term_check_due: true,
             upkeep_ms: now,
             next_plan_ms: 0,
             known_externals: None,
--- a/src/owner/answers.rs
+++ b/src/owner/answers.rs
@@ -28,7 +28,10 @@
             HostRouting::Mine => {
                 HeartbeatReply::Orders { term, orders: h.partition.report(r, ReportSource::Heartbeat, now) }
             }
-            HostRouting::NotYet => HeartbeatReply::NotEntitled,
+            HostRouting::NotYet => {
+                h.term_check_due = true;
+                HeartbeatReply::NotEntitled
+            }
             HostRouting::Elsewhere(p) => HeartbeatReply::Elsewhere(p),
             HostRouting::Unknown => HeartbeatReply::Unknown,
         }
--- a/src/owner/commits.rs
+++ b/src/owner/commits.rs
@@ -15,9 +15,12 @@
         if h.raising || h.partition.committing() || now < h.commit_after_ms {
             return;
         }
-        if h.partition.needs_new_term() && now >= h.raise_after_ms {
-            self.raise_term(h);
-            return;
+        if h.term_check_due && now >= h.raise_after_ms {
+            h.term_check_due = false;
+            if h.partition.needs_new_term() {
+                self.raise_term(h);
+                return;
+            }
         }
         let ops = h.writes.available_tokens(now);
         if ops == 0 {
--- a/src/owner/messages.rs
+++ b/src/owner/messages.rs
@@ -19,7 +19,7 @@
     /// A worker reports.
     Heartbeat {
         /// The report.
-        report: Box<Report>,
+        report: Arc<Report>,
         /// Takes the reply to it.
         reply: oneshot::Sender<HeartbeatReply>,
     },
--- a/src/owner/rounds.rs
+++ b/src/owner/rounds.rs
@@ -38,6 +38,7 @@
     fn upkeep(&self, h: &mut ActiveTerm, now: u64) {
         let react = self.settings.react_ms();
         h.next_upkeep_ms = now + react / 3;
+        h.term_check_due = true;
         let stalled = now > h.upkeep_ms + 2 * react;
         h.upkeep_ms = now;
         if !stalled && h.partition.cut_off(now) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,7 +10,7 @@
 use crate::task;
 use crate::warm_pools::{PoolsRequest, PoolsResponse};
 use connections::{Connections, Connector};
-use frames::{Frame, encode, read_frame, write_frames};
+use frames::{Frame, encode, frame_reader, read_frame, write_frames};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -176,7 +176,8 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let (mut read, write) = stream.halves();
+        let (read, write) = stream.halves();
+        let mut read = frame_reader(read);
         let handler = handler.clone();
         let (tx, rx) = mpsc::channel::<Vec<u8>>(64);
         task::spawn(write_frames(write, rx));
--- a/src/peer/connections.rs
+++ b/src/peer/connections.rs
@@ -1,9 +1,9 @@
 //! The actor that owns the connections to one peer and the requests that wait there.
 
-use super::frames::{Frame, encode, read_frame, write_frames};
+use super::frames::{Frame, FrameReader, encode, frame_reader, read_frame, write_frames};
 use super::{MAX_QUEUED, PeerRequest, PeerResponse, ToPeer};
 use crate::frame_format::PeerFormat;
-use crate::net::{Net, ReadHalf};
+use crate::net::Net;
 use crate::peer_health::SharedPeerHealth;
 use crate::task;
 use std::collections::HashMap;
@@ -155,7 +155,7 @@
             match timeout(limit, net.connect(addr)).await {
                 Ok(Ok(stream)) => {
                     let (read, write) = stream.halves();
-                    tokio::join!(write_frames(write, frames), read_responses(read, number, events));
+                    tokio::join!(write_frames(write, frames), read_responses(frame_reader(read), number, events));
                 }
                 _ => {
                     let _ = events.send(ToPeer::Broken { connection: number }).await;
@@ -167,7 +167,7 @@
 }
 
 /// Tells the responses that come on a connection, and its end.
-async fn read_responses(mut read: ReadHalf, connection: u64, events: mpsc::Sender<ToPeer>) {
+async fn read_responses(mut read: FrameReader, connection: u64, events: mpsc::Sender<ToPeer>) {
     while let Some(frame) = read_frame(&mut read).await {
         if events.send(ToPeer::Response { connection, frame }).await.is_err() {
             return;
--- a/src/peer/frames.rs
+++ b/src/peer/frames.rs
@@ -5,13 +5,26 @@
 use crate::net::{ReadHalf, WriteHalf};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::sync::mpsc;
 
 /// Most that a frame may hold: a request's body with what is around it. What names machines is
 /// kept shorter by its sender.
 pub(crate) const MAX_FRAME: usize = 2 * MAX_BODY;
 
+/// Frames are joined to one write until it is so long.
+const JOINED_WRITE: usize = 16 * 1024;
+/// Bytes that are read ahead on a connection: most frames are taken with one read.
+const READ_AHEAD: usize = 2 * 1024;
+
+/// The reading direction of a connection, with what was read ahead.
+pub(super) type FrameReader = BufReader<ReadHalf>;
+
+/// Reads frames from a connection.
+pub(super) fn frame_reader(read: ReadHalf) -> FrameReader {
+    BufReader::with_capacity(READ_AHEAD, read)
+}
+
 /// A message with the number of its request, and the format that its sender speaks.
 #[derive(Serialize, Deserialize)]
 struct Numbered<T> {
@@ -47,7 +60,7 @@
 }
 
 /// The next frame; none once the connection is of no more use.
-pub(super) async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut ReadHalf) -> Option<Frame<T>> {
+pub(super) async fn read_frame<T: for<'a> Deserialize<'a>>(stream: &mut FrameReader) -> Option<Frame<T>> {
     let mut len = [0; 4];
     stream.read_exact(&mut len).await.ok()?;
     let len = u32::from_be_bytes(len) as usize;
@@ -68,10 +81,16 @@
     Some(Frame { number: n, format, message: None })
 }
 
-/// Writes frames until nobody can send any more, or the connection takes no more.
+/// Writes frames until nobody can send any more, or the connection takes no more. Those that
+/// wait are written together.
 pub(super) async fn write_frames(mut write: WriteHalf, mut rx: mpsc::Receiver<Vec<u8>>) {
-    while let Some(frame) = rx.recv().await {
-        if write.write_all(&frame).await.is_err() {
+    while let Some(mut bytes) = rx.recv().await {
+        while bytes.len() < JOINED_WRITE
+            && let Ok(frame) = rx.try_recv()
+        {
+            bytes.extend_from_slice(&frame);
+        }
+        if write.write_all(&bytes).await.is_err() {
             return;
         }
     }
--- a/src/sched/pass/mod.rs
+++ b/src/sched/pass/mod.rs
@@ -106,9 +106,22 @@
     least: Urgency,
     attempt: impl FnMut() -> u64,
 ) -> Outcome {
+    expire_claims(cluster, now);
+    if !queue::any_waits(cluster, now, least) {
+        // Nothing to decide: what a pass counts first would be counted in vain.
+        cluster.accelerators_short = false;
+        return Outcome::default();
+    }
     pass_and_index(cluster, policy, now, wall, least, attempt).0
 }
 
+/// Drops the claims of room that have run out.
+fn expire_claims(cluster: &mut ClusterState, now: u64) {
+    for host in cluster.hosts.iter_mut().flatten() {
+        host.claims.retain(|c| c.until_ms > now);
+    }
+}
+
 /// The pass, with the index as it left it.
 pub(super) fn pass_and_index(
     cluster: &mut ClusterState,
@@ -118,9 +131,7 @@
     least: Urgency,
     mut attempt: impl FnMut() -> u64,
 ) -> (Outcome, Index) {
-    for host in cluster.hosts.iter_mut().flatten() {
-        host.claims.retain(|c| c.until_ms > now);
-    }
+    expire_claims(cluster, now);
     let index = Index::new(cluster, now);
     let unseen = cluster.unseen();
     let attempts_before = cluster.each_host().map(|(_, h)| h.attempts.len()).sum();
--- a/src/sched/pass/queue.rs
+++ b/src/sched/pass/queue.rs
@@ -1,7 +1,7 @@
 //! The order in which a pass looks at jobs.
 
 use super::Pass;
-use crate::model::{Job, JobIndex, Shape, Urgency};
+use crate::model::{ClusterState, Job, JobIndex, Shape, Urgency};
 use std::cmp::Reverse;
 
 /// Which tasks of a job are looked at.
@@ -31,26 +31,36 @@
     job: JobIndex,
 }
 
+/// Has any job tasks to place, of this urgency at least?
+pub(super) fn any_waits(cluster: &ClusterState, now: u64, least: Urgency) -> bool {
+    cluster.live.iter().any(|job_index| waits_for_place(cluster, &cluster.jobs[*job_index], now, least))
+}
+
+/// Has the job tasks to place, of this urgency at least?
+fn waits_for_place(cluster: &ClusterState, job: &Job, now: u64, least: Urgency) -> bool {
+    if job.urgency < least || !job.active() {
+        return false;
+    }
+    // A task that may be on a machine not accounted for waits; what
+    // was seen alive since is certainly nowhere else.
+    let placeable = cluster.placeable(job);
+    job.tasks.iter().any(|t| t.retry_ms <= now && placeable.open(t))
+}
+
 impl Pass<'_> {
     /// Jobs with tasks to place: of those that may preempt one another the more
     /// urgent first, as preemption would turn any other order round; then what is within
     /// guarantees, then the lowest bin, then the older.
     pub(super) fn queue(&self, least: Urgency) -> Vec<QueuedJob> {
         let live = self.cluster.live.iter().copied();
-        let waiting = live.filter(|job_index| self.waits_for_place(&self.cluster.jobs[*job_index], least));
+        let waits =
+            |job_index: &JobIndex| waits_for_place(self.cluster, &self.cluster.jobs[*job_index], self.now, least);
+        let waiting = live.filter(waits);
         let mut queue: Vec<QueueRank> = waiting.flat_map(|job_index| self.queue_ranks(job_index)).collect();
         queue.sort_unstable();
         queue.into_iter().map(|rank| QueuedJob { job_index: rank.job, turn: rank.turn }).collect()
     }
 
-    /// Has it tasks to place, of this urgency at least?
-    fn waits_for_place(&self, job: &Job, least: Urgency) -> bool {
-        // A task that may be on a machine not accounted for waits; what
-        // was seen alive since is certainly nowhere else.
-        let placeable = self.cluster.placeable(job);
-        job.urgency >= least && job.active() && job.tasks.iter().any(|t| t.retry_ms <= self.now && placeable.open(t))
-    }
-
     /// Its ordinary turn, and before that one of what may stop equal work for its guarantee.
     fn queue_ranks(&self, job_index: JobIndex) -> impl Iterator<Item = QueueRank> {
         let job = &self.cluster.jobs[job_index];
