Takeovers cost less: tokens are shown by answers, questions to machines are paced

Cause: a new owner of 240 machines with 3.6% of a core opened a connection to each of them within a second, while the same machines reported to it; it decided three times a second and accepted nothing for 2.5 s.

Change: a machine of the last owner learns the token from the answer to its first report (its worker reports again for that) and is asked directly only if that makes no difference within a reaction time; other questions follow the processor share (1,000 a second for a whole core), those asked in vain last.

--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -48,8 +48,15 @@
 /// Direct commands to workers under way at a time, as a part of the sockets.
 const DIRECT_COMMANDS_PART: usize = 8;
 
+/// Machines that an owner with a whole core may ask in a second how they are, beside its other
+/// work. An owner with a small share that asked all machines at once after a takeover would
+/// answer neither their reports nor users for seconds.
+const PROBES_PER_CORE: f64 = 1000.0;
+/// Fewest machines that may be asked in a second.
+const LEAST_PROBES_PER_S: f64 = 1.0;
+
 /// What a controller holds at the most.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     /// Ends of jobs that are remembered; one that is forgotten is read from its record.
     pub ended_jobs: usize,
@@ -61,6 +68,8 @@
     pub worker_connections: usize,
     /// Direct commands under way; further ones wait.
     pub direct_commands: usize,
+    /// Machines that may be asked in a second how they are; none if that is not limited.
+    pub probes_per_s: Option<f64>,
     /// How many attempts an owner follows.
     pub attempts: AttemptBounds,
 }
@@ -76,6 +85,7 @@
             server_connections: sockets * SERVER_SHARE.0 / SERVER_SHARE.1,
             worker_connections: (sockets / WORKER_POOL_PART).max(1),
             direct_commands: (sockets / DIRECT_COMMANDS_PART).max(1),
+            probes_per_s: limits.core_share.map(|share| (share * PROBES_PER_CORE).max(LEAST_PROBES_PER_S)),
             attempts: AttemptBounds::new(limits),
         }
     }
--- a/src/bounds/tests.rs
+++ b/src/bounds/tests.rs
@@ -37,3 +37,17 @@
     assert_eq!(bounds.attempts.most(MOST_ENTRIES_PER_S), bounds.attempts.by_memory);
     assert!(bounds.worker_connections >= 1 && bounds.direct_commands >= 1);
 }
+
+// Asked all at once, the machines of a taken-over fleet held up an owner with a small share.
+#[test]
+fn questions_to_machines_follow_the_processor_share() {
+    let rate = |core_share| {
+        let mut settings = settings();
+        settings.params.limits.core_share = core_share;
+        Bounds::new(&settings).probes_per_s
+    };
+    assert_eq!(rate(Some(0.4)), Some(400.0));
+    assert_eq!(rate(Some(0.036)), Some(36.0));
+    assert_eq!(rate(Some(1e-6)), Some(LEAST_PROBES_PER_S));
+    assert_eq!(rate(None), None);
+}
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -65,6 +65,8 @@
     pub heard_ms: u64,
     /// Steady time of the last answer that may have renewed the worker's lease.
     pub answered_ms: u64,
+    /// Steady time of the answer to a report that showed the worker this owner's token; 0 if none.
+    pub token_shown_ms: u64,
     /// In the registry, so that a successor knows that it may hold tasks.
     pub registered: bool,
     /// Has reported under this owner's token, or surely lost all it had.
@@ -119,6 +121,7 @@
             transferring_to: None,
             heard_ms: now,
             answered_ms: now,
+            token_shown_ms: 0,
             registered: false,
             accounted: false,
             has_unknown_tasks: false,
--- a/src/owner/active_term.rs
+++ b/src/owner/active_term.rs
@@ -25,6 +25,8 @@
     pub(super) next_urgent_ms: u64,
     pub(super) next_upkeep_ms: u64,
     pub(super) upkeep_ms: u64,
+    /// Bounds the questions to machines; none if they are not bounded.
+    pub(super) probes: Option<TokenBucket>,
     pub(super) next_plan_ms: u64,
     /// What is known of jobs of other partitions that are waited for.
     pub(super) known_externals: Option<KnownExternals>,
--- a/src/owner/actor.rs
+++ b/src/owner/actor.rs
@@ -5,6 +5,7 @@
 use super::followed::FollowedConfiguration;
 use super::load::Loaded;
 use super::messages::{HeartbeatReply, Message, SessionEvent, SessionSender};
+use crate::bounds::Bounds;
 use crate::clients::{Cloud, State, TokenBucket, Worker};
 use crate::clock;
 use crate::config::{Operator, Settings};
@@ -31,6 +32,9 @@
 /// Writes may come in bursts of so many seconds' worth.
 pub(super) const WRITE_BURST_S: f64 = 0.8;
 
+/// Questions to machines may come in bursts of so many seconds' worth.
+const PROBE_BURST_S: f64 = 1.0;
+
 /// What the actor works with.
 pub struct PartitionOwner {
     /// Number of the partition.
@@ -142,12 +146,13 @@
             writes: TokenBucket::new(limits.changes_per_s, WRITE_BURST_S, now),
             raising: false,
             raise_after_ms: 0,
+            term_check_due: true,
             commit_after_ms: 0,
             next_pass_ms: 0,
             next_urgent_ms: 0,
             next_upkeep_ms: 0,
-            term_check_due: true,
             upkeep_ms: now,
+            probes: Bounds::new(&self.settings).probes_per_s.map(|rate| TokenBucket::new(rate, PROBE_BURST_S, now)),
             next_plan_ms: 0,
             known_externals: None,
             externals_under_way: false,
--- a/src/owner/dispatch.rs
+++ b/src/owner/dispatch.rs
@@ -13,12 +13,17 @@
         // Not more than there are places for: one that waits here for its turn
         // would look deaf.
         let (free, kept) = self.worker.places();
-        let mut left = free.saturating_sub(kept);
+        let places = free.saturating_sub(kept);
+        let most = h.probes.as_mut().map_or(places, |probes| places.min(probes.available_tokens(now)));
+        let mut sent = 0;
         for host_index in hosts {
-            if left == 0 {
+            if sent == most {
                 break;
             }
-            left -= usize::from(self.send_direct(h, host_index, now, true));
+            sent += usize::from(self.send_direct(h, host_index, now, true));
+        }
+        if let Some(probes) = &mut h.probes {
+            probes.spend(sent);
         }
     }
 
--- a/src/partition/reports.rs
+++ b/src/partition/reports.rs
@@ -34,7 +34,7 @@
         self.session_seen(host_index, r, now);
         let Some(news) = self.state_seen(host_index, r, via, now) else { return Vec::new() };
         if !news.current {
-            self.pending_dispatch.insert(host_index);
+            self.show_token(host_index, via, now);
             return Vec::new();
         }
         self.account_for(host_index, r);
@@ -57,6 +57,19 @@
         orders
     }
 
+    /// The worker has not seen this owner's token yet. A machine of the last owner learns it from
+    /// the answer to its report, and reports again for that: a direct command to each of them
+    /// would double the work of a takeover. A new machine is told directly, to be of use at once,
+    /// and so is one to which the answer made no difference.
+    fn show_token(&mut self, host_index: HostIndex, via: ReportSource, now: u64) {
+        let Some(h) = self.cluster.host_mut(host_index) else { return };
+        if via == ReportSource::Heartbeat && h.registered && h.token_shown_ms == 0 {
+            h.token_shown_ms = now;
+        } else {
+            self.pending_dispatch.insert(host_index);
+        }
+    }
+
     /// The machine that reports, added if it is new.
     fn reporting_host(&mut self, r: &Report, now: u64) -> HostIndex {
         if let Some(&host_index) = self.cluster.host_index.get(&r.host) {
--- a/src/partition/tests/fleet.rs
+++ b/src/partition/tests/fleet.rs
@@ -15,6 +15,8 @@
 use tokio::sync::oneshot;
 
 const REPORT: u64 = 4000;
+/// A change is reported no earlier than so many milliseconds after the last report.
+const REPORT_AFTER_CHANGE: u64 = 500;
 
 struct Machine {
     flavor: String,
@@ -178,7 +180,11 @@
             m.next_ms = now + REPORT;
             let r = m.report(id, now);
             let orders = self.partition.report(&r, ReportSource::Heartbeat, now);
-            m.fence = m.fence.max(self.partition.term);
+            if self.partition.term > m.fence {
+                // A higher token is a change, which is reported after half a second.
+                m.fence = self.partition.term;
+                m.next_ms = now + REPORT_AFTER_CHANGE;
+            }
             m.carry_out(&orders, now, 60_000);
         }
         if self.partition.pass_due && now >= self.next_pass {
--- a/src/partition/tests/takeover.rs
+++ b/src/partition/tests/takeover.rs
@@ -113,6 +113,40 @@
     assert_eq!(p.cluster.jobs[0].tasks[0].place, Place::Idle, "it may be on h1");
 }
 
+// With 3.6% of a core a new owner of 240 machines asked each of them directly, though each had
+// just reported to it, and answered nobody for two seconds.
+#[test]
+fn a_machine_learns_a_new_owners_token_from_the_answer_to_its_report() {
+    let mut old = running("service", 1);
+    let a = attempt(&old, 0);
+    let (jobs, hosts) = items(&mut old);
+    let mut p = partition_of(5, jobs, hosts);
+    let react = p.policy.react_ms;
+    let still_old = |serial| report("h1", 1, serial, 1, vec![reported("run-000001/0", a, "running", None)]);
+    p.report(&still_old(7), ReportSource::Heartbeat, 1100);
+    assert!(p.pending_dispatch.is_empty());
+    assert!(p.upkeep(1100 + react - 1, 0).1.is_empty(), "its next report is on its way");
+    assert_eq!(p.upkeep(1100 + react, 0).1, [0], "the answer may not have reached it");
+    p.report(&still_old(8), ReportSource::Heartbeat, 1100 + react);
+    assert!(p.pending_dispatch.contains(&0), "the answer made no difference");
+    p.report(&report("h1", 1, 9, 5, vec![]), ReportSource::Heartbeat, 1200 + react);
+    p.refresh_unaccounted();
+    assert!(p.cluster.all_accounted);
+}
+
+#[test]
+fn machines_that_were_asked_in_vain_are_asked_after_the_others() {
+    let mut old = partition();
+    for host in ["h1", "h2", "h3"] {
+        old.report(&report(host, 1, 1, 1, vec![]), ReportSource::Heartbeat, 1000);
+    }
+    let (jobs, hosts) = items(&mut old);
+    let mut p = partition_of(5, jobs, hosts);
+    assert_eq!(p.upkeep(1000, 0).1, [0, 1, 2]);
+    p.cluster.host_mut(0).unwrap().missed = 1;
+    assert_eq!(p.upkeep(1100, 0).1, [1, 2, 0]);
+}
+
 // The next size: a controller in a zone that is cut off keeps the leases there alive.
 #[test]
 fn a_lease_is_outlived_only_while_no_other_controller_could_keep_it_alive() {
--- a/src/partition/upkeep.rs
+++ b/src/partition/upkeep.rs
@@ -94,10 +94,12 @@
                 survey.silent.push(host_index);
             }
             // After a takeover all are asked at once: most look for us elsewhere first.
-            if quiet || !h.token_confirmed() || h.missed > 0 {
+            if quiet || h.missed > 0 || !(h.token_confirmed() || self.confirms_soon(h, now)) {
                 survey.probe.push(host_index);
             }
         }
+        // Asked in vain before: the others go first where not all can be asked now.
+        survey.probe.sort_by_key(|host_index| self.cluster.host(*host_index).map_or(0, |h| h.missed));
         // Many machines of a zone that fall silent together: it is rather the zone
         // that is cut off, or we are. The first of them must not be released before
         // the rest shows it.
@@ -106,6 +108,11 @@
         survey
     }
 
+    /// Was its worker shown our token just now, so that its next report will confirm that?
+    fn confirms_soon(&self, h: &Host, now: u64) -> bool {
+        h.token_shown_ms > 0 && now < h.token_shown_ms + self.policy.react_ms
+    }
+
     /// Has its lease surely expired, with something to be given up?
     fn lease_expired(&self, h: &Host, now: u64, unbound_ms: u64) -> bool {
         let outlived = (self.policy.lease_ms as f64 * (1.0 + DRIFT)) as u64 + self.policy.react_ms;
--- a/src/peer/frames.rs
+++ b/src/peer/frames.rs
@@ -95,3 +95,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/sched/tests/ordering.rs
+++ b/src/sched/tests/ordering.rs
@@ -139,3 +139,19 @@
     cluster.hosts.iter_mut().flatten().for_each(|h| h.attempts.retain(|a| a.key.job == 0));
     assert_eq!(pass_over(&mut cluster, 4).starts.iter().filter(|s| s.key.job == 0).count(), 1);
 }
+
+// A pass that counts all rooms to place nothing was a good part of what a report cost.
+#[test]
+fn a_pass_without_waiting_work_ends_what_has_run_out_and_decides_nothing() {
+    let mut w = cluster(&[("a", false)]);
+    let job = add(&mut w, spec("run-000001", Shape::Batch, 1, 1.0), 0);
+    assert_eq!(run(&mut w, 1).starts.len(), 1);
+    let claim = |until_ms| Claim { job, demand: Demand::default(), until_ms };
+    w.host_mut(0).unwrap().claims = vec![claim(5), claim(9)];
+    w.accelerators_short = true;
+    let out = run(&mut w, 5);
+    assert!(out.starts.is_empty() && out.stops.is_empty() && out.unplaced.is_empty());
+    let left: Vec<u64> = w.host(0).unwrap().claims.iter().map(|c| c.until_ms).collect();
+    assert_eq!(left, [9]);
+    assert!(!w.accelerators_short, "no work with accelerators waits");
+}
--- a/tests/fault_combinations/pipelines.rs
+++ b/tests/fault_combinations/pipelines.rs
@@ -88,6 +88,7 @@
         let first = sim.submit_pipeline(vec![root]);
         let ids = sim.submit_pipeline(fan);
         all_accepted(sim, &ids).await;
+        sim.until("the first runs", s(30), |w| w.starts > 0).await;
         sim.cancel(&first[0], &[0, 1, 2]);
         sim.until("the first is cancelled", s(30), |w| w.jobs[&first[0]].cancelled.is_some()).await;
         if let Some(leader) = sim.leader() {
