Submissions wait for a slow owner on another node; pools' machine types checked at the start

Cause: with 3.6% of a core a new owner is slow for two seconds. Other nodes gave a submission to it up after a fifth of a grant's life, found the owner at work and refused with 429, so that it came again a second later. And a pool's unknown machine type was told only in the log of a running owner.

Change: a node waits for the owner's answer while the owner is heard at work, for 4 s at the most; for one that is not heard as long as before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use badgerdrift::config_command::{self, CommandError, ConfigCommand};
 use badgerdrift::configuration;
+use badgerdrift::net::Net;
 use badgerdrift::node::{self, Subsystems};
 use badgerdrift::pools_command::{self, PoolsCommand};
 use badgerdrift::{config, warm_pools};
@@ -64,6 +65,8 @@
     settings: config::Settings,
     operator: config::Operator,
     subsystems: Subsystems,
+    /// The file that the pools of `subsystems` are from.
+    pools_file: Option<PathBuf>,
 }
 
 impl Files {
@@ -79,7 +82,8 @@
         if warm_pools.is_some() && operator.partitions > 1 {
             return Err("partitions: must be 1 with warm pools".into());
         }
-        Ok(Loaded { settings, operator, subsystems: Subsystems { fleet, warm_pools } })
+        let pools_file = self.warm_pools.clone();
+        Ok(Loaded { settings, operator, subsystems: Subsystems { fleet, warm_pools }, pools_file })
     }
 }
 
@@ -137,6 +141,10 @@
         _ => LevelFilter::INFO,
     };
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
+    if let Err(error) = runtime.block_on(check_machine_types(&loaded)) {
+        eprintln!("badgerdrift: {error}");
+        return ExitCode::from(BAD_INPUT);
+    }
     match runtime.block_on(node::run(loaded.settings, loaded.operator, loaded.subsystems)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -145,3 +153,10 @@
         }
     }
 }
+
+/// Checks what only the cloud can tell of the pools' file, if there is one.
+async fn check_machine_types(loaded: &Loaded) -> Result<(), String> {
+    let (Some(pools), Some(file)) = (&loaded.subsystems.warm_pools, &loaded.pools_file) else { return Ok(()) };
+    let checked = warm_pools::check_machine_types(&Net::default(), &loaded.settings, pools).await;
+    checked.map_err(|error| format!("{}: {error}", file.display()))
+}
--- a/src/owner/pools.rs
+++ b/src/owner/pools.rs
@@ -32,7 +32,8 @@
         h.partition.maintain_pools(boot_ms, now, clock::wall_ms());
     }
 
-    /// Machine types are told by the cloud, so that a pool's could not be checked at the start.
+    /// Machine types are told by the cloud: where it gave no answer as this controller started, a
+    /// pool's could not be checked then, and the cloud may have dropped one since.
     pub(super) fn check_pool_machines(&self, flavors: &[Flavor]) {
         let pools = self.pools.iter().flat_map(|settings| &settings.pools);
         for (pool, machine) in pools.flat_map(|(name, pool)| pool.machines.iter().map(move |machine| (name, machine))) {
--- a/src/partition/tests/mod.rs
+++ b/src/partition/tests/mod.rs
@@ -30,7 +30,7 @@
 /// Bytes of a value in these tests.
 pub const RECORD_BYTES: usize = 30 * 1024;
 
-pub(super) fn flavor() -> Flavor {
+pub(crate) fn flavor() -> Flavor {
     Flavor {
         name: "g8".into(),
         cap: Demand { cpus: 32.0, gpus: 8.0, mem: 256.0 },
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep};
 
 mod connections;
 mod frames;
@@ -259,6 +259,15 @@
     /// The response to a request, if it comes within the limit. A user's request to a silent
     /// peer fails at once, unless it is the one that probes it; all others are always sent.
     pub async fn request(&self, request: PeerRequest, limit: Duration) -> Option<PeerResponse> {
+        self.request_until(request, sleep(limit)).await
+    }
+
+    /// The same, if it comes before `given_up` is over.
+    pub async fn request_until(
+        &self,
+        request: PeerRequest,
+        given_up: impl Future<Output = ()>,
+    ) -> Option<PeerResponse> {
         if matches!(request, PeerRequest::User { .. }) && !self.health.may_ask() {
             return None;
         }
@@ -266,13 +275,17 @@
         let (reply, response) = oneshot::channel();
         self.tx.try_send(ToPeer::Request(request, reply)).ok()?;
         // The receiver is dropped before the actor hears that the request is abandoned.
-        let outcome = timeout(limit, response).await;
+        let outcome = tokio::select! {
+            biased;
+            response = response => Some(response),
+            () = given_up => None,
+        };
         match outcome {
-            Ok(Ok(response)) => return Some(response),
+            Some(Ok(response)) => return Some(response),
             // Refused at once, or its connection has hung.
-            Ok(Err(_)) if sent.elapsed() < self.connect_limit => return None,
-            Ok(Err(_)) => {}
-            Err(_) => {
+            Some(Err(_)) if sent.elapsed() < self.connect_limit => return None,
+            Some(Err(_)) => {}
+            None => {
                 let _ = self.tx.try_send(ToPeer::Abandoned);
             }
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Longest wait for an owner that is polled or told to cancel. A user waits 2 s for a poll:
 /// a fresh read of the record still fits in.
@@ -26,6 +26,10 @@
 /// Longest wait for the commit of a submission or a cancellation, for which a user waits 5 s.
 const MAX_COMMIT_WAIT: Duration = Duration::from_millis(4000);
 
+/// While a submission waits for an owner on another node, this node looks so many times in a
+/// grant's life whether the owner is at work.
+const OWNER_LOOKS: u64 = 10;
+
 /// The partition whose owner keeps the warm pools: there is one alone with them.
 const POOLS_PARTITION: u32 = 0;
 
@@ -99,15 +103,25 @@
         }
         let name = self.owner(partition)?;
         let peer = self.peers.iter().find(|p| p.name == name)?;
-        // A submission can be accepted without the owner: it need not wait
-        // for one that may be gone.
-        let submits = matches!(request, PeerRequest::User { call: UserCall::Submit(_), .. });
-        let limit_ms = match submits {
-            true if self.at_work(partition) => self.grant_ttl_ms / 5,
-            true => self.grant_ttl_ms / 10,
-            false => self.grant_ttl_ms * 2 / 5,
-        };
-        peer.request(request, Duration::from_millis(limit_ms).min(MAX_POLL_WAIT)).await
+        if matches!(request, PeerRequest::User { call: UserCall::Submit(_), .. }) {
+            return peer.request_until(request, self.owner_is_gone(partition)).await;
+        }
+        let limit = Duration::from_millis(self.grant_ttl_ms * 2 / 5);
+        peer.request(request, limit.min(MAX_POLL_WAIT)).await
+    }
+
+    /// Waits until the owner of the partition is not heard to be at work, or a submission can
+    /// wait no longer. It can be accepted without the owner, and need not wait for one that may
+    /// be gone; but one that is only slow, as after a takeover, is the one to accept it.
+    async fn owner_is_gone(&self, partition: u32) {
+        let begun = Instant::now();
+        let look = Duration::from_millis(self.grant_ttl_ms / OWNER_LOOKS).min(MAX_POLL_WAIT);
+        loop {
+            sleep(look).await;
+            if !self.at_work(partition) || begun.elapsed() + look > MAX_COMMIT_WAIT {
+                return;
+            }
+        }
     }
 
     /// How many of the other controllers are silent.
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -98,3 +98,22 @@
     tokio::time::advance(Duration::from_millis(700)).await;
     assert!(!router.at_work(0), "it asks five times in a life");
 }
+
+// With a small processor share a new owner was slow for two seconds: submissions to it were given
+// up after half a second, refused, and came again a second later.
+#[tokio::test(start_paused = true)]
+async fn a_submission_waits_for_a_slow_owner_and_not_for_one_that_is_gone() {
+    let submission = || UserCall::Submit(Vec::new());
+    let (peer, _accepted) = scripted_peer(Some(Duration::ZERO));
+    let (router, _owner) = router(Some(peer), GRANT_TTL_MS);
+    assert_eq!(wait_ms(&router, submission()).await, u128::from(GRANT_TTL_MS / OWNER_LOOKS), "it was never heard");
+    let heard = |after_ms: u64| router.heard_ms[0].store(clock::now_ms() + after_ms, Ordering::Relaxed);
+    heard(0);
+    let gone = wait_ms(&router, submission()).await;
+    assert!((u128::from(GRANT_TTL_MS / 4)..u128::from(GRANT_TTL_MS / 2)).contains(&gone), "{gone} ms");
+    // As if it asked for promises all the time.
+    heard(60_000);
+    router.peers[0].health.heard();
+    let slow = wait_ms(&router, submission()).await;
+    assert!((3500..=4000).contains(&slow), "{slow} ms: a user waits 5 s");
+}
--- /dev/null
+++ b/src/warm_pools/machine_types.rs
@@ -0,0 +1,33 @@
+//! The machine types that pools name, checked before a controller opens a port.
+
+use super::known_fleet;
+use crate::clients::{Cloud, State};
+use crate::config::Settings;
+use crate::model::Flavor;
+use crate::net::Net;
+use crate::owner::kept_flavors;
+use badgerdrift_warm_pools::{FieldError, KnownFleet, PoolSettings};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Checks the pools against the machine types of the cloud and those that the state service
+/// keeps; the error names the first field at fault.
+///
+/// A type that was known once does not keep a controller from starting: the cloud may have
+/// dropped it since. Neither does a cloud or a state service that gives no answer: the owner
+/// looks at the types again once they are known.
+pub async fn check_machine_types(net: &Net, settings: &Settings, pools: &PoolSettings) -> Result<(), FieldError> {
+    let limit = Duration::from_millis(settings.react_ms());
+    let (cloud, state) = (Cloud::on(net, settings), State::on(net, settings));
+    let (offered, kept) = tokio::join!(timeout(limit, cloud.flavors()), timeout(limit, kept_flavors(&state)));
+    let (Ok(Some(offered)), Ok(Some(kept))) = (offered, kept) else {
+        tracing::warn!("the machine types of warm pools can't be checked now");
+        return Ok(());
+    };
+    pools.check(&KnownFleet { machines: Some(names(&offered, &kept)), ..known_fleet(settings) })
+}
+
+fn names(offered: &[Flavor], kept: &[Flavor]) -> BTreeSet<String> {
+    offered.iter().chain(kept).map(|flavor| flavor.name.clone()).collect()
+}
--- a/src/warm_pools/mod.rs
+++ b/src/warm_pools/mod.rs
@@ -3,11 +3,13 @@
 //! in `partition`.
 
 mod bills;
+mod machine_types;
 mod messages;
 mod settings;
 #[cfg(test)]
 mod tests;
 
 pub use bills::read_bills;
+pub use machine_types::check_machine_types;
 pub use messages::{BillRow, PoolsRequest, PoolsResponse};
 pub use settings::{LEAST_CHANGES, known_fleet, load_pools};
--- a/src/warm_pools/tests.rs
+++ b/src/warm_pools/tests.rs
@@ -75,3 +75,74 @@
     let refused = parse_pools(FILE, &small).unwrap_err();
     assert!(refused.starts_with("params.state.txn_ops: "), "{refused}");
 }
+
+mod machine_types {
+    use super::super::check_machine_types;
+    use super::{FILE, parse_pools, settings};
+    use crate::http::{self, Response};
+    use crate::net::Net;
+    use serde_json::{Value, json};
+    use std::net::SocketAddr;
+    use std::time::Duration;
+    use tokio::net::TcpListener;
+
+    /// A server that gives every request this answer, or none.
+    #[expect(clippy::disallowed_methods, reason = "only a controller's own tasks are kept together")]
+    async fn server(answer: Option<Value>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let handler = move |_| {
+            let answer = answer.clone();
+            async move {
+                match answer {
+                    Some(body) => Response::json(200, &body),
+                    None => std::future::pending().await,
+                }
+            }
+        };
+        tokio::spawn(http::serve(listener, 8, Duration::from_secs(5), handler));
+        address
+    }
+
+    fn machine_type(name: &str) -> Value {
+        json!({"sku": name, "cores": 32.0, "cards": 8.0, "mem_gb": 256.0, "cache_gb": 100.0, "fetch_gb_per_s": 1.0,
+            "rate": 10.0, "low_price": 4.0, "startup_s": 30.0, "regions": ["a"]})
+    }
+
+    fn cloud_with(names: &[&str]) -> Option<Value> {
+        let types: Vec<Value> = names.iter().map(|name| machine_type(name)).collect();
+        Some(json!({ "flavors": types }))
+    }
+
+    fn state_with(name: &str) -> Option<Value> {
+        let kept = crate::partition::tests::flavor();
+        let kept = crate::model::Flavor { name: name.into(), ..kept };
+        Some(json!({"items": [{"path": "flavors", "data": [kept], "stamp": 1}], "more": false, "epoch": 1}))
+    }
+
+    async fn check(cloud: Option<Value>, state: Option<Value>) -> Result<(), String> {
+        let mut settings = settings();
+        settings.params.workers.report_s = 0.3;
+        settings.endpoints.cloud = server(cloud).await;
+        settings.endpoints.state = server(state).await;
+        let file = FILE.replace("mem_gb = 16", "mem_gb = 16\n  machines = [\"g8\"]");
+        let pools = parse_pools(&file, &settings).unwrap();
+        check_machine_types(&Net::default(), &settings, &pools).await.map_err(|error| error.to_string())
+    }
+
+    // An operator learnt of a type with a mistake from the log of a controller that ran.
+    #[tokio::test]
+    async fn a_type_that_nobody_knows_is_refused_with_its_field() {
+        let refused = check(cloud_with(&["g4"]), state_with("c8")).await;
+        assert_eq!(refused.unwrap_err(), "pool.counter.machines: there is no machine type g8");
+        assert_eq!(check(cloud_with(&["g4", "g8"]), state_with("c8")).await, Ok(()));
+    }
+
+    // Refused for these, controllers could not be started again when it matters most.
+    #[tokio::test]
+    async fn a_type_that_was_known_once_or_can_not_be_asked_for_keeps_nobody_from_starting() {
+        assert_eq!(check(cloud_with(&["g4"]), state_with("g8")).await, Ok(()), "the cloud has dropped it");
+        assert_eq!(check(None, state_with("c8")).await, Ok(()));
+        assert_eq!(check(cloud_with(&["g4"]), None).await, Ok(()));
+    }
+}
