Answers to submissions, tests of the API and the network in memory divided by subject

api.rs keeps routing and polls, api/submissions.rs has acceptance; api/tests.rs is divided into answers and predecessors, the stand-ins' net.rs into the network, its processes and its streams. No test changed. Frames that controllers now write together are taken apart one by one before the network puts them into the form of the version in production; before, those behind the first were lost there.

--- /dev/null
+++ b/crates/stand-ins/src/net/process.rs
@@ -0,0 +1,121 @@
+//! A process on the network: what it opens and what it accepts.
+
+use super::streams::{MemRead, MemStream, MemWrite, Pipe};
+use super::{Bound, Cut, Fabric, Link, Shared, pair};
+use crate::versions::INTERNAL_PORT;
+use badgerdrift::net::{BoxFuture, Listener, Network, Stream};
+use rand::RngExt;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+pub(super) struct Process {
+    pub(super) fabric: Fabric,
+    pub(super) host: IpAddr,
+    pub(super) life: u64,
+}
+
+impl Process {
+    async fn connect_to(&self, addr: SocketAddr) -> io::Result<Box<dyn Stream>> {
+        let lag = Duration::from_millis(self.fabric.0.lock().unwrap().rng.random_range(1..=5));
+        tokio::time::sleep(lag).await;
+        if self.storms(addr) {
+            return std::future::pending().await;
+        }
+        loop {
+            let mended = self.fabric.0.lock().unwrap().mended.clone();
+            let mended = mended.notified();
+            tokio::pin!(mended);
+            mended.as_mut().enable();
+            if let Some(done) = self.try_connect(addr) {
+                return done;
+            }
+            mended.await;
+        }
+    }
+
+    /// Over 1000 connections in a second: the clock would hardly go on.
+    fn storms(&self, addr: SocketAddr) -> bool {
+        let mut inner = self.fabric.0.lock().unwrap();
+        let now = Instant::now();
+        let (since, count) = inner.opened.entry(self.life).or_insert((now, 0));
+        if now - *since > Duration::from_secs(1) {
+            (*since, *count) = (now, 0);
+        }
+        *count += 1;
+        let storms = *count > 1000;
+        if storms {
+            inner.broken = Some(format!("{} opens over 1000 connections a second, to {addr}", self.host));
+        }
+        storms
+    }
+
+    /// None while the way is held.
+    fn try_connect(&self, addr: SocketAddr) -> Option<io::Result<Box<dyn Stream>>> {
+        let mut inner = self.fabric.0.lock().unwrap();
+        if inner.dead.contains(&self.life) {
+            return None;
+        }
+        let refused = || Some(Err(ErrorKind::ConnectionRefused.into()));
+        match inner.cuts.get(&pair(self.host, addr.ip())) {
+            Some(Cut::Hold) => return None,
+            Some(Cut::Refuse) => return refused(),
+            None => {}
+        }
+        let Some(b) = inner.bound.get(&addr) else { return refused() };
+        let (there, tx) = (b.life, b.tx.clone());
+        let pipe = || Arc::new(Mutex::new(Pipe::new()));
+        let (out, back) = (pipe(), pipe());
+        let of_production = [self.life, there].iter().any(|life| inner.production.contains(life));
+        let in_production_form = addr.port() == INTERNAL_PORT && of_production;
+        let end = |read: &Shared<Pipe>, write: &Shared<Pipe>, life| MemStream {
+            read: MemRead { pipe: read.clone(), timer: None },
+            write: MemWrite { pipe: write.clone(), fabric: self.fabric.clone(), life, in_production_form },
+        };
+        let (ours, theirs) = (end(&back, &out, self.life), end(&out, &back, there));
+        inner.links.retain(|l| l.pipes.iter().any(|p| p.strong_count() > 0));
+        let pipes = [Arc::downgrade(&out), Arc::downgrade(&back)];
+        inner.links.push(Link { ends: (self.host, addr.ip()), lives: (self.life, there), pipes });
+        // An end that is dropped takes the lock.
+        drop(inner);
+        if tx.send(Box::new(theirs)).is_err() {
+            return refused();
+        }
+        Some(Ok(Box::new(ours)))
+    }
+}
+
+impl Network for Process {
+    fn connect(&self, addr: SocketAddr) -> BoxFuture<'_, Box<dyn Stream>> {
+        Box::pin(self.connect_to(addr))
+    }
+
+    fn bind(&self, addr: SocketAddr) -> BoxFuture<'_, Box<dyn Listener>> {
+        Box::pin(async move {
+            let mut inner = self.fabric.0.lock().unwrap();
+            if inner.bound.get(&addr).is_some_and(|b| !b.tx.is_closed()) {
+                return Err(ErrorKind::AddrInUse.into());
+            }
+            let (tx, rx) = mpsc::unbounded_channel();
+            inner.bound.insert(addr, Bound { life: self.life, tx });
+            Ok(Box::new(MemListener(tokio::sync::Mutex::new(rx))) as Box<dyn Listener>)
+        })
+    }
+}
+
+struct MemListener(tokio::sync::Mutex<mpsc::UnboundedReceiver<Box<dyn Stream>>>);
+
+impl Listener for MemListener {
+    fn accept(&self) -> BoxFuture<'_, Box<dyn Stream>> {
+        Box::pin(async move {
+            match self.0.lock().await.recv().await {
+                Some(s) => Ok(s),
+                // The process is dead: nothing comes any more.
+                None => std::future::pending().await,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/net/streams.rs
@@ -0,0 +1,194 @@
+//! The two directions of a connection, and its ends.
+
+use super::{Fabric, Shared};
+use crate::versions::production_frames;
+use badgerdrift::net::{ReadHalf, Stream, WriteHalf};
+use rand::RngExt;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, Sleep};
+
+/// One direction of a connection.
+pub(super) struct Pipe {
+    pub(super) chunks: VecDeque<(Instant, Vec<u8>)>,
+    /// The writer has closed it then.
+    pub(super) closed: Option<Instant>,
+    pub(super) reset: bool,
+    pub(super) held: bool,
+    pub(super) last: Instant,
+    pub(super) reader: Option<Waker>,
+}
+
+impl Pipe {
+    /// A direction on which nothing was written yet.
+    pub(super) fn new() -> Pipe {
+        Pipe { chunks: VecDeque::new(), closed: None, reset: false, held: false, last: Instant::now(), reader: None }
+    }
+
+    pub(super) fn wake(&mut self) {
+        if let Some(w) = self.reader.take() {
+            w.wake();
+        }
+    }
+}
+
+/// One end of a connection.
+pub(super) struct MemStream {
+    pub(super) read: MemRead,
+    pub(super) write: MemWrite,
+}
+
+pub(super) struct MemRead {
+    pub(super) pipe: Shared<Pipe>,
+    pub(super) timer: Option<Pin<Box<Sleep>>>,
+}
+
+pub(super) struct MemWrite {
+    pub(super) pipe: Shared<Pipe>,
+    pub(super) fabric: Fabric,
+    pub(super) life: u64,
+    /// What is written are frames, which are put into the form of the version in production.
+    pub(super) in_production_form: bool,
+}
+
+impl AsyncRead for MemRead {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let me = &mut *self;
+        loop {
+            let mut p = me.pipe.lock().unwrap();
+            if p.reset {
+                return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+            }
+            p.reader = Some(cx.waker().clone());
+            if p.held {
+                return Poll::Pending;
+            }
+            let now = Instant::now();
+            let closed = p.closed;
+            let due = match (p.chunks.front_mut(), closed) {
+                (Some((at, bytes)), _) if *at <= now => {
+                    let n = bytes.len().min(buf.remaining());
+                    buf.put_slice(&bytes[..n]);
+                    bytes.drain(..n);
+                    if bytes.is_empty() {
+                        p.chunks.pop_front();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                (Some((at, _)), _) => *at,
+                (None, Some(at)) if at <= now => return Poll::Ready(Ok(())),
+                (None, Some(at)) => at,
+                (None, None) => return Poll::Pending,
+            };
+            drop(p);
+            let timer = me.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
+            timer.as_mut().reset(due);
+            if timer.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+        }
+    }
+}
+
+impl Drop for MemRead {
+    fn drop(&mut self) {
+        if let Ok(mut p) = self.pipe.lock() {
+            p.reader = None;
+        }
+    }
+}
+
+impl MemWrite {
+    fn close(&self) {
+        // Locked in the same order as by a cut.
+        let inner = self.fabric.0.lock().unwrap();
+        if inner.dead.contains(&self.life) {
+            return;
+        }
+        let mut p = self.pipe.lock().unwrap();
+        if p.closed.is_none() {
+            p.closed = Some(p.last.max(Instant::now()));
+            p.wake();
+        }
+    }
+}
+
+impl AsyncWrite for MemWrite {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let mut inner = self.fabric.0.lock().unwrap();
+        if inner.dead.contains(&self.life) {
+            return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+        }
+        let lag = Duration::from_millis(inner.rng.random_range(1..=5));
+        let sent = match self.in_production_form.then(|| production_frames(buf)) {
+            Some(Ok(frame)) => frame,
+            Some(Err(broken)) => {
+                inner.broken.get_or_insert(broken);
+                return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+            }
+            None => buf.to_vec(),
+        };
+        let mut p = self.pipe.lock().unwrap();
+        if p.reset || p.closed.is_some() {
+            return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+        }
+        let at = p.last.max(Instant::now() + lag);
+        p.last = at;
+        p.chunks.push_back((at, sent));
+        p.wake();
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.close();
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for MemWrite {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl AsyncRead for MemStream {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.read).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for MemStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.write).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_shutdown(cx)
+    }
+}
+
+impl Stream for MemStream {
+    fn is_closed(&self) -> bool {
+        let p = self.read.pipe.lock().unwrap();
+        let now = Instant::now();
+        let ended = !p.held && p.closed.is_some_and(|at| at <= now);
+        p.reset || ended || (!p.held && p.chunks.front().is_some_and(|c| c.0 <= now))
+    }
+
+    fn halves(self: Box<Self>) -> (ReadHalf, WriteHalf) {
+        let MemStream { read, write } = *self;
+        (Box::new(read), Box::new(write))
+    }
+}
--- a/crates/stand-ins/src/versions.rs
+++ b/crates/stand-ins/src/versions.rs
@@ -15,6 +15,22 @@
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
 
+/// Frames that are written together, as they go between a controller of the version in production
+/// and another one; the rule that one of them breaks otherwise.
+pub fn production_frames(mut written: &[u8]) -> Result<Vec<u8>, String> {
+    let mut out = Vec::new();
+    while let Some((length, rest)) = written.split_first_chunk::<LENGTH_BYTES>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        if rest.len() < length {
+            break;
+        }
+        let (frame, next) = written.split_at(LENGTH_BYTES + length);
+        out.extend(production_frame(frame)?);
+        written = next;
+    }
+    if written.is_empty() { Ok(out) } else { Err("a write that ends within a frame".into()) }
+}
+
 /// A frame as it goes between a controller of the version in production and another one; the
 /// rule that it breaks otherwise.
 pub fn production_frame(frame: &[u8]) -> Result<Vec<u8>, String> {
--- /dev/null
+++ b/src/api/submissions.rs
@@ -0,0 +1,132 @@
+//! Submissions: passed on to the owner of the team's partition, or accepted without it.
+
+use super::Api;
+use crate::clock;
+use crate::http::Response;
+use crate::model::{JobRecord, Spec};
+use crate::owner;
+use crate::partition::{CommitResult, inbox_key, job_key};
+use crate::peer::UserCall;
+use crate::refusal::RefusalReason::{self, ConfigurationBehind, ControllerOutdated, PredecessorUnclear};
+use crate::request_budget::Purpose;
+use crate::sched::{self, Policy};
+use crate::wire;
+use std::sync::Arc;
+
+/// Requests of an acceptance without the owner: the machine types, and the commit.
+const ACCEPTANCE_REQUESTS: usize = 2;
+
+impl Api {
+    /// Answers a submission.
+    pub(super) async fn submit(&self, body: Vec<u8>) -> Response {
+        // What is malformed needs no owner to say so.
+        let spec = match wire::parse_submission(&body) {
+            Ok(spec) => spec,
+            Err(e) => {
+                let refusal = Response::error(400, &e.message);
+                return match e.id {
+                    Some(id) => self.unless_known(&id, refusal).await,
+                    None => refusal,
+                };
+            }
+        };
+        if let Some(ended) = self.ended_jobs.get(&spec.id) {
+            return ended.response(&spec.id);
+        }
+        let waits = !spec.waits_on.is_empty();
+        if waits && self.router.has_old_peer() {
+            return self.unless_known(&spec.id, RefusalReason::ControllerOutdated.response()).await;
+        }
+        let partition = self.teams.get(&spec.team).copied().unwrap_or(0);
+        // An owner that is not known to be of this version might not let the job wait.
+        let asked = match waits && !self.router.owner_is_current(partition) {
+            true => None,
+            false => self.router.user(partition, UserCall::Submit(body)).await,
+        };
+        let answer = match asked {
+            Some(r) if r.status != 503 => r,
+            // What keeps the owner from accepting it would not keep this node from it.
+            Some(r) if matches!(r.refusal, Some(ConfigurationBehind | ControllerOutdated | PredecessorUnclear)) => r,
+            // A second way in would only add to the work that the owner has.
+            None if self.router.at_work(partition) && self.state.answers(self.router.grant_ttl_ms) => {
+                RefusalReason::SubmissionSlow.response()
+            }
+            // Nobody holds the partition now, or can't be reached, or the job's end is
+            // being recorded.
+            other => {
+                let later = other.unwrap_or_else(|| RefusalReason::OwnerUnreachable.response());
+                match self.fresh(&spec.id, true, Purpose::Change).await {
+                    known if known.status == 200 => known,
+                    excess if excess.status == 429 => excess,
+                    unknown if unknown.status == 404 => self.accept(partition, &spec).await.unwrap_or(later),
+                    _ => later,
+                }
+            }
+        };
+        match answer.status {
+            400 | 422 => return self.unless_known(&spec.id, answer).await,
+            200 | 201 => {
+                if let Ok(mut p) = self.route_hints.lock() {
+                    p.remember_job(&spec.id, partition);
+                }
+            }
+            _ => {}
+        }
+        answer
+    }
+
+    /// A known job is answered as such even where its content is refused now.
+    async fn unless_known(&self, id: &str, refusal: Response) -> Response {
+        if let Some(ended) = self.ended_jobs.get(id) {
+            return ended.response(id);
+        }
+        match self.fresh(id, true, Purpose::Change).await {
+            unknown if unknown.status == 404 => refusal,
+            known => known,
+        }
+    }
+
+    /// The policy under the shared configuration, if there is one, and whether nothing newer is known.
+    fn current_policy(&self) -> (Arc<Policy>, bool) {
+        let Some(configuration) = &self.router.configuration else { return (self.policy.clone(), true) };
+        match (configuration.policy(&self.policy), configuration.published()) {
+            (Some(policy), Some(published)) => (Arc::new(policy), published.is_up_to_date()),
+            _ => (self.policy.clone(), false),
+        }
+    }
+
+    /// Accepts a job without its partition's owner: the record is what counts. The
+    /// next owner reads it; a present one is told by a key in its inbox.
+    async fn accept(&self, partition: u32, spec: &Spec) -> Option<Response> {
+        if !self.request_budget.admits_all(ACCEPTANCE_REQUESTS, Purpose::Change) {
+            return Some(RefusalReason::TooManySubmissions.response());
+        }
+        let flavors = owner::kept_flavors(&self.state).await.filter(|flavors| !flavors.is_empty())?;
+        let (policy, up_to_date) = self.current_policy();
+        if let Some(why) = sched::impossible(spec, &policy, &flavors) {
+            return Some(match why.is_for_now(up_to_date) {
+                true => RefusalReason::ConfigurationBehind.response(),
+                false => Response::error(422, &why.to_string()),
+            });
+        }
+        let checked = match self.check_predecessors(spec).await {
+            Ok(checked) => checked,
+            Err(refusal) => return Some(refusal),
+        };
+        if let Some(why) = self.limits.refuses(&checked.spec) {
+            return Some(Response::error(400, why));
+        }
+        let id = spec.id.clone();
+        let record = JobRecord { spec: checked.spec, accepted_ms: clock::wall_ms(), end: None, done: Vec::new() };
+        let value = serde_json::to_value(&record).ok()?;
+        let apply = [
+            wire::put(&job_key(&id), &value, None),
+            wire::put(&inbox_key(partition, &id), &serde_json::json!({}), None),
+        ];
+        match self.state.commit(&[wire::guard(&job_key(&id), 0)], &apply).await {
+            CommitResult::Done { .. } => Some(Response::json(201, &wire::job_answer(&id, checked.phase, 0, 0))),
+            CommitResult::Conflict { .. } => Some(self.fresh(&id, true, Purpose::Change).await),
+            _ => None,
+        }
+    }
+}
