Scale runs: a failed run says why and keeps its evidence

Seen: a burst ended with a failure, an empty standard error and a readable report. Change: each run prints its broken rules with region and history, in one function for all four commands, and keeps the directory of a failed run. LOG_LEVEL is passed on to the controllers. small_run.rs checks the status first and shows the output; its assertions stay.

--- a/crates/scale/src/borrow_report.rs
+++ b/crates/scale/src/borrow_report.rs
@@ -1,12 +1,12 @@
 //! Comparison of one burst without faults, with the leader killed and with machines lost, each with and
 //! without borrowing, over several seeds.
 
-use crate::comparison::Comparison;
 use crate::prepared::Prepared;
 use crate::report::{BrokenRule, Report};
 use crate::results::BorrowResult;
 use crate::results::Role;
 use crate::run;
+use crate::run_report::RunReport;
 use crate::scenario::{Fault, FaultKind};
 use comfy_table::Table;
 use serde::Serialize;
@@ -153,7 +153,7 @@
     Seconds { p50: at(0.5), p99: at(0.99), max: at(1.0) }
 }
 
-impl Comparison for BorrowReport {
+impl RunReport for BorrowReport {
     fn rules_hold(&self) -> bool {
         self.runs.iter().all(|run| run.broken_rules.is_empty())
     }
--- a/crates/scale/src/burst_report.rs
+++ b/crates/scale/src/burst_report.rs
@@ -1,10 +1,10 @@
 //! Comparison of one burst with and without a pool, over several seeds.
 
-use crate::comparison::Comparison;
 use crate::prepared::Prepared;
 use crate::report::{BrokenRule, Report};
 use crate::results::BurstResult;
 use crate::run;
+use crate::run_report::RunReport;
 use crate::scenario::{Fault, FaultKind};
 use comfy_table::Table;
 use serde::Serialize;
@@ -123,7 +123,7 @@
     teams.map(difference).fold(0.0, f64::max) / result.loaded.max(1) as f64
 }
 
-impl Comparison for BurstReport {
+impl RunReport for BurstReport {
     fn rules_hold(&self) -> bool {
         self.rows.iter().all(|row| row.broken_rules.is_empty())
     }
--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -7,9 +7,13 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
+use std::path::PathBuf;
 use std::process::Stdio;
 use tokio::process::{Child, Command};
 
+/// Log level of the controllers where the environment does not set `LOG_LEVEL`.
+const DEFAULT_LOG_LEVEL: &str = "error";
+
 /// Controllers of a region. They are killed when this value is dropped.
 pub struct Controllers {
     plan: RegionPlan,
@@ -30,28 +34,28 @@
         if self.processes[number].is_some() {
             return Ok(());
         }
-        let base = self.plan.directory.join(format!("{}-n{number}", self.plan.name()));
-        let settings = base.with_extension("toml");
+        let settings = self.file(number, "toml");
         std::fs::write(&settings, settings_text(&self.plan, number))?;
-        let fleet = base.with_extension("fleet.hcl");
-        let log = File::options().create(true).append(true).open(base.with_extension("log"))?;
+        let log = File::options().create(true).append(true).open(self.file(number, "log"))?;
         let mut command = Command::new(&self.plan.controller);
         command.arg("serve").arg("--config").arg(&settings).kill_on_drop(true);
         if self.plan.scenario.configuration.is_some() {
+            let fleet = self.file(number, "fleet.hcl");
             std::fs::write(&fleet, fleet_text(&self.plan))?;
             command.arg("--fleet").arg(&fleet);
         }
         if let Some(pool) = &self.plan.scenario.warm_pool {
-            let pools = base.with_extension("pools.hcl");
+            let pools = self.file(number, "pools.hcl");
             std::fs::write(&pools, pools_text(pool))?;
             command.arg("--warm-pools").arg(&pools);
         }
         if let Some(borrowing) = self.plan.scenario.borrowing.as_ref().filter(|borrowing| borrowing.enabled) {
-            let file = base.with_extension("borrowing.hcl");
+            let file = self.file(number, "borrowing.hcl");
             std::fs::write(&file, borrowing_text(borrowing, self.plan.scenario.teams.count))?;
             command.arg("--borrowing").arg(&file);
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).env("LOG_LEVEL", "error");
+        let log_level = std::env::var_os("LOG_LEVEL").unwrap_or_else(|| DEFAULT_LOG_LEVEL.into());
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).env("LOG_LEVEL", log_level);
         self.processes[number] = Some(command.spawn()?);
         Ok(())
     }
@@ -88,10 +92,23 @@
         self.processes.len()
     }
 
-    /// Returns a controller that has exited by itself, if there is one.
-    pub fn ended(&mut self) -> Option<usize> {
-        let ended = |process: &mut Option<Child>| process.as_mut().is_some_and(|p| matches!(p.try_wait(), Ok(Some(_))));
-        self.processes.iter_mut().position(ended)
+    /// Returns a description of a controller that has exited by itself, if there is one.
+    pub fn ended(&mut self) -> Option<String> {
+        let status_of = |process: &mut Option<Child>| process.as_mut()?.try_wait().ok()?;
+        let (number, status) = self.processes.iter_mut().map(status_of).enumerate().find_map(|(n, s)| Some((n, s?)))?;
+        let name = format!("{} of {}", controller_name(number), self.plan.name());
+        Some(format!("controller {name} ended by itself: {status}: {}", self.last_log_line(number)))
+    }
+
+    /// Returns the last line of a controller's log; empty if it has none.
+    fn last_log_line(&self, number: usize) -> String {
+        let log = std::fs::read(self.file(number, "log")).unwrap_or_default();
+        String::from_utf8_lossy(&log).lines().last().unwrap_or_default().to_string()
+    }
+
+    /// Returns the path of one of a controller's files.
+    fn file(&self, number: usize, extension: &str) -> PathBuf {
+        self.plan.directory.join(format!("{}-n{number}.{extension}", self.plan.name()))
     }
 }
 
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -10,10 +10,10 @@
 mod burst;
 mod burst_report;
 mod child;
-mod comparison;
 mod configuration;
 mod controllers;
 mod counting;
+mod directory;
 mod faults;
 mod names;
 mod plan;
@@ -23,13 +23,14 @@
 mod report;
 mod results;
 mod run;
+mod run_report;
 mod samples;
 mod scenario;
 mod sweep;
 mod workload;
 
 use clap::{Parser, Subcommand};
-use comparison::Comparison;
+use run_report::RunReport;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -112,16 +113,16 @@
             Err(error) => refuse(&error),
         },
         Command::Burst { run, seeds } => match prepare(&run) {
-            Ok(prepared) => comparison_outcome(runtime.block_on(burst_report::compare(&prepared, seeds)), &run),
+            Ok(prepared) => outcome(runtime.block_on(burst_report::compare(&prepared, seeds)), &run),
             Err(error) => refuse(&error),
         },
         Command::Borrow { run, seeds } => match prepare(&run) {
-            Ok(prepared) => comparison_outcome(runtime.block_on(borrow_report::compare(&prepared, seeds)), &run),
+            Ok(prepared) => outcome(runtime.block_on(borrow_report::compare(&prepared, seeds)), &run),
             Err(error) => refuse(&error),
         },
         Command::Sweep { run, sizes } => {
             match prepare(&run).and_then(|prepared| sweep::check(&sizes).map(|()| prepared)) {
-                Ok(prepared) => comparison_outcome(runtime.block_on(sweep::sweep(&prepared, &sizes)), &run),
+                Ok(prepared) => outcome(runtime.block_on(sweep::sweep(&prepared, &sizes)), &run),
                 Err(error) => refuse(&error),
             }
         }
@@ -135,22 +136,8 @@
     Ok(prepared::Prepared { scenario, seed, controller: arguments.controller.clone() })
 }
 
-fn outcome(result: Result<report::Report, String>, arguments: &RunArguments) -> ExitCode {
-    let report = match result {
-        Ok(report) => report,
-        Err(error) => return fail(&error),
-    };
-    println!("{}", report.table());
-    if let Err(error) = write(arguments.report.as_deref(), &report) {
-        return fail(&error);
-    }
-    for broken in &report.broken_rules {
-        eprintln!("rule broken in {}: {}\n{}", broken.region, broken.rule, broken.history);
-    }
-    if report.broken_rules.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
-}
-
-fn comparison_outcome(result: Result<impl Comparison, String>, arguments: &RunArguments) -> ExitCode {
+/// Prints and writes the report of a command. Broken rules were printed by their runs.
+fn outcome(result: Result<impl RunReport, String>, arguments: &RunArguments) -> ExitCode {
     let report = match result {
         Ok(report) => report,
         Err(error) => return fail(&error),
--- a/crates/scale/src/region.rs
+++ b/crates/scale/src/region.rs
@@ -54,6 +54,11 @@
     say(&message);
 }
 
+/// Makes a panic in any task end the run with its message.
+fn fail_on_panic(region: String) {
+    std::panic::set_hook(Box::new(move |panic| say(&RegionMessage::Failed(format!("{region}: {panic}")))));
+}
+
 fn say(message: &RegionMessage) {
     if let Ok(line) = serde_json::to_string(message) {
         println!("{line}");
@@ -71,6 +76,7 @@
 
 /// Runs the region. Returns `None` if the run was given up because the input ended.
 async fn run(plan: RegionPlan, mut input: Lines<BufReader<Stdin>>) -> Result<Option<RegionResult>, String> {
+    fail_on_panic(plan.name());
     let traffic = RegionTraffic::default();
     let context = start_stand_ins(&plan, &traffic);
     let controllers = Controllers::start(&plan).map_err(|error| format!("start of a controller failed: {error}"))?;
@@ -91,12 +97,13 @@
     while !measurement.is_over() {
         tokio::select! {
             _ = ticks.tick() => measurement.context.world.lock().unwrap().tick(),
-            _ = samples.tick() => measurement.sample().await,
+            _ = samples.tick() => measurement.sample().await?,
             line = input.next_line() => if !matches!(line, Ok(Some(_))) {
                 return abort(&controllers).await;
             },
         }
     }
+    measurement.check_processes().await?;
     let mut result = measurement.finish(&traffic);
     (result.changes, result.applied_at_ms) = configuration.take();
     result.burst = burst.finish(&plan).await;
@@ -208,21 +215,32 @@
         self.began.elapsed() >= self.duration || self.context.world.lock().unwrap().broken.is_some()
     }
 
-    async fn sample(&mut self) {
+    /// Takes one sample.
+    ///
+    /// # Errors
+    ///
+    /// A simulated service has failed or a controller has ended by itself, so that the run shows nothing about the
+    /// rules.
+    async fn sample(&mut self) -> Result<(), String> {
+        self.check_processes().await?;
         self.sample_processes().await;
         self.sample_world();
         let elapsed_s = self.began.elapsed().as_secs_f64();
         say(&RegionMessage::Progress { elapsed_s, starts: self.starts_before, workers: self.result.workers });
+        Ok(())
+    }
+
+    /// Returns an error if a simulated service has failed or a controller has ended by itself.
+    async fn check_processes(&mut self) -> Result<(), String> {
+        let service_failure = self.context.world.lock().unwrap().service_failure.clone();
+        let ended = self.controllers.lock().await.ended();
+        self.result.controllers_ended += usize::from(ended.is_some());
+        service_failure.or(ended).map_or(Ok(()), Err)
     }
 
     async fn sample_processes(&mut self) {
         let leader = faults::leader(&self.context);
-        let mut controllers = self.controllers.lock().await;
-        if let Some(number) = controllers.ended() {
-            self.result.controllers_ended += 1;
-            let _ = controllers.kill(number).await;
-            let _ = controllers.start_one(number);
-        }
+        let controllers = self.controllers.lock().await;
         let ids = (0..controllers.count()).map(|number| (number, controllers.process_id(number)));
         let mut processes: Vec<(Role, u32)> = ids
             .filter_map(|(number, id)| Some((if leader == Some(number) { Role::Leader } else { Role::Standby }, id?)))
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::prepared::Prepared;
 use crate::results::{BorrowResult, BurstResult, ChangeResult, RegionResult, Role, RoleUsage, ServiceTraffic};
+use crate::run_report::RunReport;
 use crate::scenario::Scenario;
 use comfy_table::Table;
 use hdrhistogram::Histogram;
@@ -127,9 +128,14 @@
             broken_rules: broken_rules(scenario, regions),
         }
     }
+}
+
+impl RunReport for Report {
+    fn rules_hold(&self) -> bool {
+        self.broken_rules.is_empty()
+    }
 
-    /// Returns the figures as a table for a terminal.
-    pub fn table(&self) -> Table {
+    fn table(&self) -> Table {
         let mut table = Table::new();
         table.set_header(["figure", "value"]);
         let mut row = |name: &str, value: String| _ = table.add_row([name.to_string(), value]);
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -158,7 +158,7 @@
     /// of day.
     #[serde(rename = "obeyed_at_ms")]
     pub applied_at_ms: Vec<(u64, u64)>,
-    /// Number of controllers that exited by themselves.
+    /// Number of controllers that exited by themselves. Such an exit ends the run with an error.
     pub controllers_ended: usize,
     pub broken_rule: Option<String>,
     /// Events about the task or team of the broken rule.
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -2,22 +2,43 @@
 
 use crate::addresses::RegionNetworks;
 use crate::child::RegionProcess;
+use crate::directory::RunDirectory;
 use crate::plan::{RegionMessage, RegionPlan};
 use crate::prepared::Prepared;
-use crate::report::Report;
+use crate::report::{BrokenRule, Report};
 use crate::results::RegionResult;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use tokio::sync::mpsc;
 
-/// Runs a scenario. All processes have ended when this returns, also after an error.
+/// Runs a scenario. All processes have ended when this returns, also after an error. Broken rules are printed to
+/// standard error; the settings and logs of the controllers of a failed run are kept.
 pub async fn run(prepared: &Prepared) -> Result<Report, String> {
     let controller = match &prepared.controller {
         Some(path) => path.clone(),
         None => build_controller()?,
     };
-    let directory = Directory::create()?;
+    let mut directory = RunDirectory::create()?;
+    let result = tokio::select! {
+        result = run_in(directory.path(), prepared, &controller) => result,
+        _ = tokio::signal::ctrl_c() => return Err("interrupted".into()),
+    };
+    if let Ok(report) = &result {
+        report.broken_rules.iter().for_each(print_broken_rule);
+    }
+    if !result.as_ref().is_ok_and(|report| report.broken_rules.is_empty()) {
+        directory.keep();
+    }
+    result
+}
+
+fn print_broken_rule(broken: &BrokenRule) {
+    eprintln!("rule broken in {}: {}\n{}", broken.region, broken.rule, broken.history);
+}
+
+/// Runs a scenario with the settings and logs of its controllers in `directory`.
+async fn run_in(directory: &Path, prepared: &Prepared, controller: &Path) -> Result<Report, String> {
     let networks = RegionNetworks::find(prepared.scenario.regions)?;
     println!("seed {}, {} regions, {} workers", prepared.seed, prepared.scenario.regions, prepared.scenario.workers);
     let plans = (0..prepared.scenario.regions).map(|region| RegionPlan {
@@ -25,17 +46,14 @@
         seed: prepared.seed,
         scenario: prepared.scenario.clone(),
         all_networks: networks.clone(),
-        controller: controller.clone(),
-        directory: directory.0.clone(),
+        controller: controller.to_path_buf(),
+        directory: directory.to_path_buf(),
     });
     let mut regions = Vec::new();
     for plan in plans {
         regions.push(RegionProcess::start(&plan).await?);
     }
-    let results = tokio::select! {
-        results = follow(regions, prepared.scenario.duration_s) => results?,
-        _ = tokio::signal::ctrl_c() => return Err("interrupted".into()),
-    };
+    let results = follow(regions, prepared.scenario.duration_s).await?;
     Ok(Report::new(prepared, &results))
 }
 
@@ -104,20 +122,3 @@
         Err(format!("{}: the controller program could not be built", program.display()))
     }
 }
-
-/// Directory of settings and logs, which is removed after the run.
-struct Directory(PathBuf);
-
-impl Directory {
-    fn create() -> Result<Directory, String> {
-        let path = std::env::temp_dir().join(format!("badgerdrift-scale-{}", std::process::id()));
-        std::fs::create_dir_all(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Ok(Directory(path))
-    }
-}
-
-impl Drop for Directory {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
--- a/crates/scale/src/sweep.rs
+++ b/crates/scale/src/sweep.rs
@@ -1,10 +1,10 @@
 //! Sweep: runs of a scenario at several sizes, with a line fitted to each cost.
 
-use crate::comparison::Comparison;
 use crate::prepared::Prepared;
 use crate::report::Report;
 use crate::results::Role;
 use crate::run;
+use crate::run_report::RunReport;
 use comfy_table::Table;
 use serde::Serialize;
 
@@ -108,7 +108,7 @@
     (mean_y - slope * mean_x, slope)
 }
 
-impl Comparison for Sweep {
+impl RunReport for Sweep {
     fn rules_hold(&self) -> bool {
         self.runs.iter().all(|run| run.broken_rules.is_empty())
     }
--- a/crates/scale/tests/small_run.rs
+++ b/crates/scale/tests/small_run.rs
@@ -4,12 +4,19 @@
 
 use serde_json::Value;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn scenario(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/scale").join(name)
 }
 
+/// Fails the test with all that a run printed unless the run succeeded.
+fn assert_success(output: &Output) {
+    let printed = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let (stdout, stderr) = (printed(&output.stdout), printed(&output.stderr));
+    assert!(output.status.success(), "{}\n{stdout}\n{stderr}", output.status);
+}
+
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_badgerdrift-scale")).args(arguments).output().unwrap()
 }
@@ -26,15 +33,17 @@
 fn a_small_run_starts_tasks_keeps_the_rules_and_leaves_nothing_behind() {
     let report = std::env::temp_dir().join(format!("badgerdrift-small-run-{}.json", std::process::id()));
     let small = scenario("small.hcl");
-    let mut process = Command::new(env!("CARGO_BIN_EXE_badgerdrift-scale"))
+    let process = Command::new(env!("CARGO_BIN_EXE_badgerdrift-scale"))
         .args(["run", small.to_str().unwrap(), "--seed", "7", "--report", report.to_str().unwrap()])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .spawn()
         .unwrap();
     let id = process.id();
-    let status = process.wait().unwrap();
+    let output = process.wait_with_output().unwrap();
+    assert_success(&output);
     let found: Value = serde_json::from_slice(&std::fs::read(&report).unwrap()).unwrap();
     std::fs::remove_file(&report).unwrap();
-    assert!(status.success(), "{:#}", found["broken_rules"]);
     assert_eq!(found["broken_rules"], Value::Array(Vec::new()));
     assert_eq!(found["controllers_ended"], 0);
     for figure in ["starts", "jobs_done", "workers"] {
@@ -88,9 +97,9 @@
     let report = std::env::temp_dir().join(format!("badgerdrift-small-burst-{}.json", std::process::id()));
     let small = scenario("small-burst.hcl");
     let output = run(&["burst", small.to_str().unwrap(), "--seed", "5", "--report", report.to_str().unwrap()]);
+    assert_success(&output);
     let found: Value = serde_json::from_slice(&std::fs::read(&report).unwrap()).unwrap();
     std::fs::remove_file(&report).unwrap();
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     for row in found["rows"].as_array().unwrap() {
         assert_eq!((&row["answered"], &row["broken_rules"]), (&Value::from(100), &Value::Array(Vec::new())), "{row:#}");
         let (attached, billed) = (row["result"]["attached"].as_u64().unwrap(), &row["result"]["billed"]);
@@ -113,9 +122,9 @@
     let report = std::env::temp_dir().join(format!("badgerdrift-small-borrowing-{}.json", std::process::id()));
     let small = scenario("small-borrowing.hcl");
     let output = run(&["borrow", small.to_str().unwrap(), "--seed", "5", "--report", report.to_str().unwrap()]);
+    assert_success(&output);
     let found: Value = serde_json::from_slice(&std::fs::read(&report).unwrap()).unwrap();
     std::fs::remove_file(&report).unwrap();
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let runs = found["runs"].as_array().unwrap();
     assert_eq!(runs.len(), 6);
     for run in runs {
--- a/crates/stand-ins/src/ground.rs
+++ b/crates/stand-ins/src/ground.rs
@@ -28,6 +28,11 @@
         self.world.lock().unwrap().log(what);
     }
 
+    /// Records that a simulated service could not bind its address.
+    pub fn fail_bind(&self, at: SocketAddr, error: &std::io::Error) {
+        self.world.lock().unwrap().fail_service(format!("{at} cannot be bound: {error}"));
+    }
+
     /// Begins or ends an outage of the state service.
     pub fn state_down(&self, down: bool) {
         self.log(format!("state service down: {down}"));
@@ -40,14 +45,17 @@
         self.world.lock().unwrap().refused[node] = refused;
     }
 
-    /// Serves HTTP at an address with `handler`.
+    /// Serves HTTP at an address with `handler`. An address that cannot be bound fails the simulation.
     pub fn serve<F>(&self, at: SocketAddr, handler: impl Fn(SimulationContext, Request) -> F + Send + Sync + 'static)
     where
         F: Future<Output = Response> + Send + 'static,
     {
         let (context, net) = (self.clone(), self.process(at.ip()).0);
         tokio::spawn(async move {
-            let listener = net.bind(at).await.unwrap();
+            let listener = match net.bind(at).await {
+                Ok(listener) => listener,
+                Err(error) => return context.fail_bind(at, &error),
+            };
             http::serve(listener, 500, REQUEST_TIMEOUT, move |req| handler(context.clone(), req)).await;
         });
     }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -264,13 +264,13 @@
         }
     }
 
-    /// Panics with the recent history if a rule is broken.
+    /// Panics with the recent history if a rule is broken or a simulated service failed.
     pub fn check(&self) {
         if let Some(broken) = self.context.network.broken() {
             self.context.world.lock().unwrap().fail(broken);
         }
         let world = self.context.world.lock().unwrap();
-        if let Some(rule) = world.broken.clone() {
+        if let Some(rule) = world.service_failure.clone().or_else(|| world.broken.clone()) {
             let text = format!("seed {}: {rule}\n{}", self.context.seed, world.recent(&rule));
             drop(world);
             panic!("{text}");
--- a/crates/stand-ins/src/machines.rs
+++ b/crates/stand-ins/src/machines.rs
@@ -34,7 +34,12 @@
             return;
         }
         context.log(format!("{id} is up"));
-        let Ok(listener) = net.bind(addr).await else { return };
+        let listener = match net.bind(addr).await {
+            Ok(listener) => listener,
+            // A machine that was removed meanwhile has no address any more.
+            Err(_) if !exists(&context, &id) => return,
+            Err(error) => return context.fail_bind(addr, &error),
+        };
         let (command_context, command_id) = (context.clone(), id.clone());
         tokio::spawn(http::serve(listener, 100, REQUEST_TIMEOUT, move |req| {
             direct(command_context.clone(), command_id.clone(), req)
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -92,6 +92,9 @@
     pub history: VecDeque<String>,
     /// First rule that was broken.
     pub broken: Option<String>,
+    /// First failure of a simulated service itself, such as an address that cannot be bound. It ends the
+    /// simulation without a verdict on the rules.
+    pub service_failure: Option<String>,
 }
 
 /// Wait of a task from the first attempt to submit its job until its image was fetched.
@@ -159,6 +162,7 @@
             lost_work: Vec::new(),
             history: VecDeque::new(),
             broken: None,
+            service_failure: None,
         }
     }
 
@@ -177,6 +181,12 @@
         self.broken.get_or_insert(what);
     }
 
+    /// Records a failure of a simulated service itself. The first one ends the simulation.
+    pub fn fail_service(&mut self, what: String) {
+        self.log(format!("failure of a simulated service: {what}"));
+        self.service_failure.get_or_insert(what);
+    }
+
     /// Returns the latest events, preceded by earlier ones about the job that `about` names.
     pub fn recent(&self, about: &str) -> String {
         if std::env::var_os("BADGERDRIFT_HISTORY").is_some() {
