Election: learns of lost leadership also while its queue is full

Cause: leadership_lost told the election by try_send, so that with a full queue it kept and renewed the lease while nothing was placed or answered from memory. Change: a task waits for room, the leader's actor does not; as the message may come late, it names the lease that it is about. Result: the_election_learns_of_lost_leadership_also_while_its_mailbox_is_full failed with try_send and passes.

--- a/src/control/membership/actor.rs
+++ b/src/control/membership/actor.rs
@@ -200,8 +200,8 @@
             ElectionMessage::PledgeNotReceived => {}
             ElectionMessage::ReleasePledge { fencing_token } => election.release_pledge(now_ms, fencing_token),
             ElectionMessage::YieldLeadership => self.yield_leadership(election, now_ms).await,
-            ElectionMessage::LeadershipLost => {
-                if election.is_leader() {
+            ElectionMessage::LeadershipLost { lease_id } => {
+                if election.leader().is_some_and(|leader| leader.lease_id == lease_id) {
                     self.step_down(election, "superseded").await;
                 }
             }
--- a/src/control/membership/messages.rs
+++ b/src/control/membership/messages.rs
@@ -64,8 +64,12 @@
         /// Fencing token that the pledge was given for.
         fencing_token: FencingToken,
     },
-    /// The partition's actor has found that the partition's key no longer belongs to this node.
-    LeadershipLost,
+    /// The partition's actor has found that the partition's key no longer belongs to this node. The message
+    /// may arrive late, so that it concerns only the leadership with this lease.
+    LeadershipLost {
+        /// Id of the lease that the partition's key was attached to.
+        lease_id: u64,
+    },
     /// The partition's actor receives no heartbeats. Another node may still receive them.
     YieldLeadership,
     /// The records of the previous leader have been read after the start.
--- a/src/control/partition_leader/commits.rs
+++ b/src/control/partition_leader/commits.rs
@@ -111,9 +111,11 @@
     pub(super) fn leadership_lost(&self, leadership: &mut Leadership) {
         leadership.loaded = false;
         self.leader_lease.set_valid_until(0);
-        // If its mailbox is full, the election actor steps down once a renewal shows that the lease has
-        // ended.
-        let _ = self.election.try_send(membership::ElectionMessage::LeadershipLost);
+        let lost = membership::ElectionMessage::LeadershipLost { lease_id: leadership.lease_id };
+        let election = self.election.clone();
+        // This actor does not wait for room in the election actor's mailbox. Sending fails only while the node
+        // stops.
+        task::spawn(async move { election.send(lost).await });
     }
 }
 
--- a/src/control/partition_leader/mod.rs
+++ b/src/control/partition_leader/mod.rs
@@ -25,3 +25,6 @@
 pub use leader::PartitionLeader;
 pub use messages::{BackgroundEvent, HeartbeatReply, PartitionMessage};
 pub use stored_records::{INSTANCE_TYPES_KEY, StoredRecords, stored_instance_types};
+
+#[cfg(test)]
+mod tests;
