Failover: a record that cannot be read is never taken for absent

A machine whose record was unreadable was left out of reconciliation, and its task was placed a second time; a node whose partition record or token counter was unreadable held itself free of pledges from before its restart. Cause: values that cannot be parsed were read like keys that do not exist. Change: such a machine may hold any task of an earlier leader until it reports under this leader's token, its lease has certainly expired, or it is terminated; pledges bind; watches report no value that they cannot parse; new metric unreadable_records, log lines with the key.

--- a/src/control/membership/actor.rs
+++ b/src/control/membership/actor.rs
@@ -188,6 +188,7 @@
                 // binds this node.
                 let _ = reply.send(given);
             }
+            ElectionMessage::RecordUnreadable => self.metrics.count("unreadable_records", "leader"),
             ElectionMessage::StartupRead(earlier_pledges) => self.startup_read(election, now_ms, earlier_pledges),
             ElectionMessage::RecordObserved(record) => self.record_observed(election, now_ms, record),
             ElectionMessage::LeaseRenewalEnded { lease_id, sent_ms, result: Ok(()) } => {
--- a/src/control/membership/campaign.rs
+++ b/src/control/membership/campaign.rs
@@ -2,7 +2,7 @@
 //! token of a leader.
 
 use super::messages::{AcquiredLeadership, EarlierPledges, ElectionMessage};
-use super::records::{FENCING_TOKEN_KEY, FencingTokenRecord, PartitionRecord, partition_key};
+use super::records::{FENCING_TOKEN_KEY, FencingTokenRecord, PartitionRecord, StoredRecord, partition_key};
 use crate::clients::{RequestError, StateStore};
 use crate::control::partition::CommitOutcome;
 use crate::model::FencingToken;
@@ -88,38 +88,47 @@
     let CampaignParameters { partition, node, leader_lease_ttl_ms } = parameters;
     let retry_delay = Duration::from_millis(leader_lease_ttl_ms / 5);
     let (record, counter) = read_partition_and_counter(&state, partition, retry_delay).await;
-    let none_binding = match (&record, counter) {
+    let none_binding = match (&record, &counter) {
         // This node led before its restart: it has stopped acting, and no leader relied on its pledges.
-        (Some(record), _) if record.leader == node => {
+        (StoredRecord::Found(record), _) if record.leader == node => {
             tracing::info!(fencing_token = %record.fencing_token, "revoking the lease from before the restart");
             state.revoke_lease(record.lease_id).await.is_ok()
         }
-        (None, Some(counter)) => counter.leaders.get(&partition).is_none_or(|leader| *leader == node),
-        (None, None) => true,
-        (Some(_), _) => false,
+        (StoredRecord::Absent, StoredRecord::Found(counter)) => {
+            counter.leaders.get(&partition).is_none_or(|leader| *leader == node)
+        }
+        (StoredRecord::Absent, StoredRecord::Absent) => true,
+        (StoredRecord::Found(_) | StoredRecord::Unreadable, _) | (_, StoredRecord::Unreadable) => false,
+    };
+    if record == StoredRecord::Unreadable || counter == StoredRecord::Unreadable {
+        // Sending fails only while the node stops.
+        let _ = election.send(ElectionMessage::RecordUnreadable).await;
+    }
+    let earlier_pledges = match record {
+        _ if none_binding => EarlierPledges::NoneBinding,
+        StoredRecord::Found(record) => EarlierPledges::MayBind { record: Some(record) },
+        StoredRecord::Absent | StoredRecord::Unreadable => EarlierPledges::MayBind { record: None },
     };
-    let earlier_pledges = if none_binding { EarlierPledges::NoneBinding } else { EarlierPledges::MayBind { record } };
     // Sending fails only while the node stops.
     let _ = election.send(ElectionMessage::StartupRead(earlier_pledges)).await;
 }
 
 /// Reads the partition's record and the counter of fencing tokens, and retries until both reads
-/// succeed. A value that does not exist or cannot be parsed is returned as `None`.
+/// succeed.
 async fn read_partition_and_counter(
     state: &StateStore,
     partition: u32,
     retry_delay: Duration,
-) -> (Option<PartitionRecord>, Option<FencingTokenRecord>) {
+) -> (StoredRecord<PartitionRecord>, StoredRecord<FencingTokenRecord>) {
     let key = partition_key(partition);
-    let (partition, counter) = loop {
+    loop {
         match (state.get(&key).await, state.get(FENCING_TOKEN_KEY).await) {
-            (Ok((partition, _)), Ok((counter, _))) => break (partition, counter),
+            (Ok((partition, _)), Ok((counter, _))) => {
+                return (StoredRecord::parse(partition), StoredRecord::parse(counter));
+            }
             _ => tokio::time::sleep(retry_delay).await,
         }
-    };
-    let record = partition.and_then(|item| serde_json::from_value(item.value).ok());
-    let counter = counter.and_then(|item| serde_json::from_value(item.value).ok());
-    (record, counter)
+    }
 }
 
 /// Tries to acquire the leadership of a partition that has no leader, and reports the outcome.
--- a/src/control/membership/messages.rs
+++ b/src/control/membership/messages.rs
@@ -44,7 +44,7 @@
     NoneBinding,
     /// Such pledges may bind this node until they expire.
     MayBind {
-        /// Record of the partition; `None` if no node leads it.
+        /// Record of the partition; `None` if no node leads it or the record cannot be parsed.
         record: Option<PartitionRecord>,
     },
 }
@@ -72,6 +72,8 @@
     },
     /// The partition's actor receives no heartbeats. Another node may still receive them.
     YieldLeadership,
+    /// A record of the partition's leader cannot be parsed.
+    RecordUnreadable,
     /// The records of the previous leader have been read after the start.
     StartupRead(EarlierPledges),
     /// The partition's record was read from the state service; `None` if no node leads the partition.
--- a/src/control/membership/partition_watch.rs
+++ b/src/control/membership/partition_watch.rs
@@ -3,7 +3,7 @@
 //! Both tasks run until the election actor has ended, and thus as long as the node.
 
 use super::messages::ElectionMessage;
-use super::records::{PartitionRecord, partition_key};
+use super::records::{StoredRecord, partition_key};
 use crate::clients::StateStore;
 use crate::runtime::task;
 use crate::wire::{Change, KeyValue};
@@ -37,7 +37,7 @@
             Ok(changes) => {
                 // The watch is by prefix: a watch of "part/1" also reports changes of "part/10".
                 for change in changes.events.into_iter().filter(|change| change.key() == key) {
-                    if election.send(ElectionMessage::RecordObserved(record_after_change(change))).await.is_err() {
+                    if election.send(observation(item_after_change(change))).await.is_err() {
                         return;
                     }
                 }
@@ -56,7 +56,7 @@
     loop {
         tokio::time::sleep(period).await;
         if let Ok((item, _)) = state.get(&key).await
-            && election.send(ElectionMessage::RecordObserved(parse_record(item))).await.is_err()
+            && election.send(observation(item)).await.is_err()
         {
             return;
         }
@@ -67,16 +67,25 @@
 async fn report_current_record(state: &StateStore, key: &str, election: &mpsc::Sender<ElectionMessage>) -> Option<u64> {
     let (item, revision) = state.get(key).await.ok()?;
     // If the actor has ended, the next report ends this task.
-    let _ = election.send(ElectionMessage::RecordObserved(parse_record(item))).await;
+    let _ = election.send(observation(item)).await;
     Some(revision)
 }
 
-/// Returns the record after a change; `None` if it was deleted or cannot be parsed.
-fn record_after_change(change: Change) -> Option<PartitionRecord> {
-    if change.is_deletion() { None } else { change.value.and_then(|value| serde_json::from_value(value).ok()) }
+/// Returns the item after a change; `None` if it was deleted.
+fn item_after_change(change: Change) -> Option<KeyValue> {
+    if change.is_deletion() {
+        return None;
+    }
+    let (key, version) = (change.key().to_string(), change.version);
+    Some(KeyValue { key, value: change.value.unwrap_or_default(), version })
 }
 
-/// Parses the record of an item; `None` if there is no item or it cannot be parsed.
-fn parse_record(item: Option<KeyValue>) -> Option<PartitionRecord> {
-    item.and_then(|item| serde_json::from_value(item.value).ok())
+/// Returns the message about a read of the partition's record. A record that cannot be parsed does not mean that
+/// no node leads.
+fn observation(item: Option<KeyValue>) -> ElectionMessage {
+    match StoredRecord::parse(item) {
+        StoredRecord::Found(record) => ElectionMessage::RecordObserved(Some(record)),
+        StoredRecord::Absent => ElectionMessage::RecordObserved(None),
+        StoredRecord::Unreadable => ElectionMessage::RecordUnreadable,
+    }
 }
--- a/src/control/membership/records.rs
+++ b/src/control/membership/records.rs
@@ -4,6 +4,8 @@
 //! same records.
 
 use crate::model::FencingToken;
+use crate::wire::KeyValue;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -31,6 +33,31 @@
     pub lease_id: u64,
 }
 
+/// Value of a key in the state service. A value that cannot be parsed is never taken for absent.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum StoredRecord<T> {
+    /// The key does not exist.
+    Absent,
+    /// The key has this value.
+    Found(T),
+    /// The key has a value that this version cannot parse.
+    Unreadable,
+}
+
+impl<T: DeserializeOwned> StoredRecord<T> {
+    /// Parses the value of an item; logs an error if that is impossible.
+    pub(super) fn parse(item: Option<KeyValue>) -> StoredRecord<T> {
+        let Some(KeyValue { key, value, .. }) = item else { return StoredRecord::Absent };
+        match serde_json::from_value(value) {
+            Ok(record) => StoredRecord::Found(record),
+            Err(error) => {
+                tracing::error!(key, %error, "failed to decode the record of a leader");
+                StoredRecord::Unreadable
+            }
+        }
+    }
+}
+
 /// Value of [`FENCING_TOKEN_KEY`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FencingTokenRecord {
--- a/src/control/membership/tests.rs
+++ b/src/control/membership/tests.rs
@@ -1,12 +1,18 @@
+use super::campaign::{CampaignParameters, check_earlier_pledges};
 use super::{
-    AcquiredLeadership, Election, FailoverOrder, FencingTokenRecord, LeaderLease, PartitionRecord, PledgeRequest,
-    partition_key,
+    AcquiredLeadership, EarlierPledges, Election, ElectionMessage, FailoverOrder, FencingTokenRecord, LeaderLease,
+    PartitionRecord, PledgeRequest, partition_key,
 };
+use crate::clients::StateStore;
 use crate::model::FencingToken;
-use crate::runtime::clock;
+use crate::runtime::{clock, task};
+use crate::settings::tests::settings;
+use crate::transport::http::{self, Request, Response};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 const LEASE_TTL_MS: u64 = 2500;
 
@@ -216,3 +222,55 @@
     }
     assert_eq!(order_of("a").nodes_before("unknown"), 0);
 }
+
+/// Answers of a state service in which these keys have these values.
+async fn state_service(values: &'static [(&'static str, &'static str)]) -> StateStore {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut settings = settings();
+    settings.endpoints.state = listener.local_addr().unwrap();
+    let answer = move |request: Request| {
+        let key = request.path.strip_prefix("/store/").unwrap_or_default();
+        match values.iter().find(|(known, _)| *known == key) {
+            Some((_, value)) => {
+                let body = format!(r#"{{"path": "{key}", "data": {value}, "stamp": 3}}"#);
+                Response { body: body.into_bytes(), ..Response::json(200, &0) }
+            }
+            None => Response::json(404, &json!({"epoch": 9})),
+        }
+    };
+    task::spawn(http::serve(listener, 10, Duration::from_secs(5), move |request| {
+        let response = answer(request);
+        async move { response }
+    }));
+    StateStore::new(&settings)
+}
+
+/// Returns what a node finds after its start about pledges from before.
+async fn earlier_pledges(values: &'static [(&'static str, &'static str)]) -> EarlierPledges {
+    let (election, mut messages) = mpsc::channel(8);
+    let parameters = CampaignParameters { partition: 0, node: "a".into(), leader_lease_ttl_ms: LEASE_TTL_MS };
+    check_earlier_pledges(state_service(values).await, parameters, election).await;
+    loop {
+        if let ElectionMessage::StartupRead(earlier_pledges) = messages.recv().await.unwrap() {
+            return earlier_pledges;
+        }
+    }
+}
+
+// Guards against a node that considers itself free of its pledges, and may so depose a leader that relies on them,
+// because a record that it cannot read counts as absent.
+#[tokio::test]
+async fn a_record_that_cannot_be_read_does_not_release_earlier_pledges() {
+    let damaged: [&'static [(&str, &str)]; 3] = [
+        &[("part/0", r#"{"holder": 3}"#)],
+        &[("part/0", r#"{"holder": 3}"#), ("term", r#"{"n": 4, "start_ms": 1, "holders": {"0": "a"}}"#)],
+        &[("term", r#"{"n": "four"}"#)],
+    ];
+    for values in damaged {
+        let found = earlier_pledges(values).await;
+        assert!(matches!(found, EarlierPledges::MayBind { record: None }), "{values:?}: {found:?}");
+    }
+    for absent in [&[][..], &[("term", r#"{"n": 4, "start_ms": 1, "holders": {"0": "a"}}"#)][..]] {
+        assert!(matches!(earlier_pledges(absent).await, EarlierPledges::NoneBinding), "{absent:?}");
+    }
+}
--- a/src/control/partition/failover.rs
+++ b/src/control/partition/failover.rs
@@ -44,11 +44,15 @@
                     self.cluster.add_job(record.into_job(item.version, now));
                 }
             }
-            Err(error) => tracing::error!(key = item.key, %error, "failed to decode job record"),
+            Err(error) => {
+                tracing::error!(key = item.key, %error, "failed to decode job record");
+                self.metrics.count("unreadable_records", "job");
+            }
         }
     }
 
-    /// Loads a host from its record, as one of this partition or of another.
+    /// Loads a host from its record, as one of this partition or of another. A record that cannot be read is
+    /// never taken for absent: its host may hold tasks of this partition.
     fn load_host(&mut self, item: KeyValue, now: u64) {
         let Some(id) = item.key.strip_prefix(HOST_PREFIX) else { return };
         match serde_json::from_value::<HostRecord>(item.value) {
@@ -58,7 +62,11 @@
             Ok(record) => {
                 self.host_directory.assign(id.to_string(), record.partition);
             }
-            Err(error) => tracing::error!(key = item.key, %error, "failed to decode host record"),
+            Err(error) => {
+                tracing::error!(key = item.key, %error, "failed to decode host record");
+                self.metrics.count("unreadable_records", "host");
+                self.reconciliation.add_unreadable_host(id.to_string());
+            }
         }
     }
 
--- a/src/control/partition/failure_detector.rs
+++ b/src/control/partition/failure_detector.rs
@@ -151,9 +151,13 @@
 /// Only here are tasks released without confirmation by the cloud: after the full lease by the slowest
 /// clock, counted from the last instant at which any controller may have renewed it.
 fn is_lease_expired(host: &Host, policy: &Policy, now: u64, leases_renewable_until_ms: u64) -> bool {
-    let expired_after_ms = (policy.lease_ms as f64 * (1.0 + MAX_CLOCK_DRIFT)) as u64 + policy.react_ms;
     let may_hold_tasks = !host.attempts.is_empty() || !host.reconciled;
-    may_hold_tasks && now > host.lease_renewed_ms.max(leases_renewable_until_ms) + expired_after_ms
+    may_hold_tasks && now > host.lease_renewed_ms.max(leases_renewable_until_ms) + lease_expiry_ms(policy)
+}
+
+/// Returns the time, in milliseconds, after which a worker's lease has expired by the slowest clock.
+fn lease_expiry_ms(policy: &Policy) -> u64 {
+    (policy.lease_ms as f64 * (1.0 + MAX_CLOCK_DRIFT)) as u64 + policy.react_ms
 }
 
 /// Returns whether orders no longer reach the host. This can also hold for a host that sends heartbeats.
@@ -175,6 +179,9 @@
         self.failure_detector.exclude_own_pause(&mut self.cluster, self.policy.react_ms, now);
         self.running_counts.refresh(&self.cluster);
         let classification = classify_hosts(&self.cluster, &self.policy, now, leases_renewable_until_ms);
+        if now > self.epoch.begun_ms().max(leases_renewable_until_ms) + lease_expiry_ms(&self.policy) {
+            self.reconciliation.expire_unreadable_hosts();
+        }
         self.expire_leases(classification.expired);
         let to_terminate = self.terminate_unreachable(classification.unreachable, &classification.partitioned_zones);
         DetectedFailures { to_terminate, to_probe: classification.to_probe }
@@ -241,7 +248,11 @@
     /// Removes a host, and all attempts on it, whose termination the cloud has confirmed.
     pub fn host_terminated(&mut self, id: &str) {
         self.host_directory.mark_terminated(id);
-        let Some(&host_index) = self.cluster.host_index.get(id) else { return };
+        self.reconciliation.host_terminated(id);
+        let Some(&host_index) = self.cluster.host_index.get(id) else {
+            self.recount_unreconciled();
+            return;
+        };
         self.remove_all_attempts(host_index);
         self.commit_queue.unmark_host(host_index);
         if self.cluster.remove_host(host_index).is_some_and(|host| host.registered) {
--- a/src/control/partition/tests/failover.rs
+++ b/src/control/partition/tests/failover.rs
@@ -183,3 +183,43 @@
     assert!(partition.cluster.jobs[1].tasks[0].place != Place::Idle);
     assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
 }
+
+// Guards against a machine that is left out of reconciliation because its record cannot be read, while its task is
+// started a second time elsewhere.
+#[test]
+fn a_machine_whose_record_cannot_be_read_may_hold_every_task_until_it_is_accounted_for() {
+    type Accounts = fn(&mut Partition, u64);
+    let reports: Accounts = |partition, attempt| {
+        let tasks = vec![task_status("run-000001/0", attempt, "running", None)];
+        partition.heartbeat(&heartbeat("h1", 1, 8, 5, tasks), StatusSource::Heartbeat, 1300);
+    };
+    let lease_expires: Accounts = |partition, _| {
+        partition.detect_failures(1000 + LEASE_MS, 0);
+        assert!(!partition.cluster.all_reconciled, "its lease may still be valid");
+        partition.detect_failures(1000 + LEASE_MS + 1100, 0);
+    };
+    let terminated: Accounts = |partition, _| partition.host_terminated("h1");
+    for (accounts, runs_on_h1) in [(reports, true), (lease_expires, false), (terminated, false)] {
+        let mut old = partition_with_running_job("service", 1);
+        let attempt = attempt_number(&old, 0);
+        let (jobs, mut hosts) = stored_records(&mut old);
+        let damaged = hosts.iter_mut().find(|item| item.key == host_key("h1")).unwrap();
+        damaged.value = json!({"flavor": 3});
+        let mut partition = partition_with_records(5, jobs, hosts);
+        partition.heartbeat(&heartbeat("h2", 1, 1, 5, vec![]), StatusSource::Heartbeat, 1100);
+        complete_next_commit(&mut partition, 1100, 101);
+        partition.schedule(1200, 1200);
+        assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle, "the task may run on h1");
+        assert!(!partition.cluster.all_reconciled);
+        // A report that shows an older token may be a late copy and accounts for nothing.
+        partition.heartbeat(&heartbeat("h1", 1, 7, 1, vec![]), StatusSource::Heartbeat, 1250);
+        partition.recount_unreconciled();
+        assert!(!partition.cluster.all_reconciled);
+        accounts(&mut partition, attempt);
+        partition.recount_unreconciled();
+        assert!(partition.cluster.all_reconciled);
+        partition.schedule(20_000, 20_000);
+        let placed = partition.cluster.jobs[0].tasks[0].place;
+        assert!(matches!(placed, Place::OnHost(_, placed) if (placed == attempt) == runs_on_h1), "{placed:?}");
+    }
+}
--- a/src/control/partition_leader/load.rs
+++ b/src/control/partition_leader/load.rs
@@ -73,8 +73,13 @@
         let (state, sender) = (self.state.clone(), self.sender(leadership_epoch));
         task::spawn(async move {
             if let Ok((item, _)) = state.get(&partition::host_key(&host)).await {
-                let record = item.and_then(|i| serde_json::from_value(i.value).ok());
-                sender.send(BackgroundEvent::HostRecordRead { host, record }).await;
+                match item.map(|item| serde_json::from_value(item.value)).transpose() {
+                    Ok(record) => _ = sender.send(BackgroundEvent::HostRecordRead { host, record }).await,
+                    // The machine stays without an answer: the record may assign it to any partition.
+                    Err(error) => {
+                        tracing::error!(key = partition::host_key(&host), %error, "failed to decode host record");
+                    }
+                }
             }
         });
     }
--- a/src/control/partition_leader/tests.rs
+++ b/src/control/partition_leader/tests.rs
@@ -54,8 +54,7 @@
     let limits = leader.settings.write_limits();
     let policy = Policy::new(&leader.settings, &leader.operator, 0);
     let teams = leader.settings.partitions_of_teams(leader.operator.partitions);
-    let acquired =
-        AcquiredLeadership { lease_id: LEASE_ID, fencing_token: FencingToken(3), version: 5, start_ms: 0 };
+    let acquired = AcquiredLeadership { lease_id: LEASE_ID, fencing_token: FencingToken(3), version: 5, start_ms: 0 };
     let mut leadership = Leadership::new(
         NewLeadership {
             partition: Partition::new(policy, leader.id, teams, limits),
--- a/src/model/cluster.rs
+++ b/src/model/cluster.rs
@@ -79,6 +79,8 @@
     pub unreconciled: Demand,
     /// Offerings of the unreconciled machines, without duplicates.
     pub unreconciled_offerings: Vec<HostOffering>,
+    /// True while a machine is unreconciled whose offering is not known, so that it may hold any task.
+    pub unknown_host_unreconciled: bool,
     /// True once every machine of the previous leader is reconciled.
     pub all_reconciled: bool,
 }
--- a/src/scheduling/task_locations.rs
+++ b/src/scheduling/task_locations.rs
@@ -39,7 +39,8 @@
                 && spec.allows_zone(&offering.zone)
                 && (spec.spot || !offering.spot)
         };
-        self.all_reconciled || job.unknown_to_earlier_leaders || !self.unreconciled_offerings.iter().any(may_hold)
+        let may_be_held = self.unknown_host_unreconciled || self.unreconciled_offerings.iter().any(may_hold);
+        self.all_reconciled || job.unknown_to_earlier_leaders || !may_be_held
     }
 
     /// Returns which idle tasks of a job may be placed.
