Warm pools: no transition without a change; orders for slots keep to the limit

Cause: create_slot noted a transition before it looked whether the slot exists; orders for slots were not counted against MAX_ORDERS_PER_REPLY, and the orders of a reply were not cut. Change: a slot that exists is returned first; orders for slots and those of a reply are cut at the limit, and found due again later.

--- a/crates/warm-pools/src/pools/lifecycle.rs
+++ b/crates/warm-pools/src/pools/lifecycle.rs
@@ -66,6 +66,9 @@
     pub fn create_slot(&mut self, id: SlotId, pool: &str, place: SlotPlace, now: ClockReading) -> Option<&Slot> {
         let declared = self.settings.pools.get(pool)?;
         let model = self.settings.models.get(&declared.model)?;
+        if self.slots.contains_key(&id) {
+            return self.slots.get(&id);
+        }
         let warm = place.has_image && declared.keep == HoldKind::Image;
         let slot = Slot {
             id,
--- a/crates/warm-pools/tests/slots.rs
+++ b/crates/warm-pools/tests/slots.rs
@@ -374,3 +374,17 @@
     assert!(!store.records.contains_key(&RecordKey::Slot(1)));
     assert_eq!(charged(&store, "red").0, 1000);
 }
+
+// Guards against a transition that is noted for a slot that existed before and did not change.
+#[test]
+fn creating_a_slot_whose_id_is_in_use_changes_nothing() {
+    let (mut pools, _, _) = warm_pools(1);
+    pools.take_transitions();
+    let before = state(&pools, 1);
+    let found = pools.create_slot(1, "counter", place("h2"), at(1000)).unwrap();
+    assert_eq!(found.host, "h1");
+    assert_eq!(state(&pools, 1), before);
+    assert_eq!(pools.take_transitions().len(), 0);
+    pools.create_slot(2, "counter", place("h2"), at(1000)).unwrap();
+    assert_eq!(pools.take_transitions().len(), 1);
+}
--- a/src/control/partition/direct_commands.rs
+++ b/src/control/partition/direct_commands.rs
@@ -40,14 +40,14 @@
         let probe = probe || !host.token_confirmed();
         let mut orders = slot_orders;
         for attempt in host.attempts.iter_mut().filter(|_| host.reconciled) {
+            if orders.len() >= MAX_ORDERS_PER_REPLY {
+                break;
+            }
             let id = &self.cluster.jobs[attempt.key.job].spec.id;
             if let Some(order) = task_orders::start_or_stop(id, attempt) {
                 attempt.in_flight |= matches!(order, Order::Run { .. });
                 orders.push(order);
             }
-            if orders.len() >= MAX_ORDERS_PER_REPLY {
-                break;
-            }
         }
         if orders.is_empty() && !probe {
             return None;
--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -9,7 +9,7 @@
 use crate::wire::{Heartbeat, Order, TaskStatus};
 
 /// Maximum number of orders in one reply, which keeps a line under 64 KiB.
-pub(super) const MAX_ORDERS_PER_REPLY: usize = 400;
+pub(in crate::control::partition) const MAX_ORDERS_PER_REPLY: usize = 400;
 
 /// Position of a heartbeat in the order in which its host sent them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,6 +73,8 @@
         if source == StatusSource::Heartbeat {
             orders.extend(self.slot_orders(host_index));
             self.pending_orders(host_index, &mut orders);
+            // The others are found due again with the next heartbeat.
+            orders.truncate(MAX_ORDERS_PER_REPLY);
         }
         if let Some(host) = self.cluster.host_mut(host_index).filter(|host| !host.attempts.is_empty()) {
             host.last_busy_ms = now;
--- a/src/control/partition/tests/warm_pools/machines.rs
+++ b/src/control/partition/tests/warm_pools/machines.rs
@@ -1,6 +1,7 @@
 //! Tests of slots on machines that fail or are preempted, and of capacity that other jobs need.
 
 use super::*;
+use crate::control::partition::heartbeats::MAX_ORDERS_PER_REPLY;
 use std::collections::BTreeSet;
 
 #[test]
@@ -153,3 +154,27 @@
     assert_eq!(after.len(), POOL_SIZE);
     assert!(after.iter().all(|(id, agent_epoch)| !before.contains(id) && *agent_epoch == 2), "{before:?}, {after:?}");
 }
+
+// Guards against a command with more orders than a worker must accept, since the slots of its machine alone reach the
+// limit.
+#[test]
+fn orders_for_slots_count_against_the_limit_of_orders() {
+    const SLOTS: usize = 450;
+    let mut harness = Harness::cold(1, "loaded");
+    harness.pools = serde_json::from_value(json!({
+        "model": {"notes": {"version": 3, "image": "notes-3", "size_gb": 1.0, "names": ["notes"]}},
+        "pool": {"counter": {"model": "notes", "payer": "red", "keep": "loaded", "count": SLOTS,
+                             "loads_at_a_time": SLOTS, "cores": 0.001, "mem_gb": 0.001}}}))
+    .unwrap();
+    harness.fail_over();
+    harness.rounds(3);
+    // The orders to load are not followed from now on.
+    harness.workers.get_mut("h0").unwrap().silent = true;
+    harness.rounds(80);
+    let later = harness.now + 60_000;
+    let command = harness.partition.take_direct_command(0, later, false).unwrap();
+    assert_eq!(command.orders.len(), MAX_ORDERS_PER_REPLY);
+    let worker = harness.workers.get_mut("h0").unwrap();
+    let heartbeat = worker.heartbeat("h0");
+    assert_eq!(harness.partition.heartbeat(&heartbeat, StatusSource::Heartbeat, later).len(), MAX_ORDERS_PER_REPLY);
+}
--- a/src/control/partition/warm_pools/slot_statuses.rs
+++ b/src/control/partition/warm_pools/slot_statuses.rs
@@ -1,6 +1,7 @@
 //! Slot statuses in heartbeats, and orders to load and unload slots.
 
 use crate::control::partition::Partition;
+use crate::control::partition::heartbeats::MAX_ORDERS_PER_REPLY;
 use crate::model::HostIndex;
 use crate::wire::{Heartbeat, Order};
 use badgerdrift_warm_pools::{EndCause, HoldKind, Slot, SlotId, SlotState};
@@ -79,7 +80,7 @@
     }
 
     /// Returns the orders for slots that the machine's worker has not carried out yet: loading recorded slots and
-    /// unloading draining ones.
+    /// unloading draining ones. There are no more than one reply may have; the others follow with a later one.
     pub(in crate::control::partition) fn slot_orders(&self, host_index: HostIndex) -> Vec<Order> {
         let Some(warm_pools) = &self.warm_pools else { return Vec::new() };
         let Some(host) = self.cluster.host(host_index).filter(|host| host.can_load_models && host.reconciled) else {
@@ -92,6 +93,7 @@
                 SlotState::Draining(_) => Some(Order::Unload { slot: slot.id }),
                 _ => None,
             })
+            .take(MAX_ORDERS_PER_REPLY)
             .collect()
     }
 
