Load balancer: a test that fails, since all controllers leave it in an outage of all of them

The users' errors were no_node. By the protocol the load balancer skips a node whose GET /ready fails, for 3 s, and for twice as long after each further removal within two minutes, up to 60 s.

The test plays that load balancer in simulated time.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 pub mod ground;
 mod jobs;
+pub mod load_balancer;
 pub mod machines;
 pub mod net;
 pub mod pause;
--- a/crates/stand-ins/src/users.rs
+++ b/crates/stand-ins/src/users.rs
@@ -35,6 +35,11 @@
     }
 }
 
+/// Polls a job at a node; returns whether the poll was answered.
+pub async fn poll(context: &SimulationContext, id: &str, node: usize) -> bool {
+    matches!(ask(context, id, node, "poll").await.0, 200 | 404)
+}
+
 /// Polls a job at every node, a millisecond from now.
 pub fn ask_all(context: &SimulationContext, id: &str) {
     at_every_node(context, id, "poll");
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -12,6 +12,7 @@
 mod guests;
 mod leaders;
 mod limits;
+mod load_balancer;
 mod mistakes;
 mod paused_controllers;
 mod pipelines;
