Instruments: the test of a node's metrics expects the new lines

It compares the whole text as before, with the lines of the polls by source and of the requests to the state service.

--- a/src/api/tests/answers.rs
+++ b/src/api/tests/answers.rs
@@ -78,8 +78,12 @@
     let text = call(&api, "GET", "/metrics".to_string(), Vec::new()).await.body;
     let expected = "\
         badgerdrift_refusals_total{reason=\"too_many_reads\",status=\"429\"} 1\n\
+        badgerdrift_poll_answers_total{of=\"record\"} 2\n\
+        badgerdrift_poll_answers_total{of=\"remembered_end\"} 1\n\
+        badgerdrift_poll_answers_total{of=\"refused\"} 1\n\
         badgerdrift_polls_from_remembered_ends_total 1\n\
         badgerdrift_shared_reads_total 1\n\
+        badgerdrift_state_requests_total{kind=\"read\",outcome=\"answered\"} 2\n\
         badgerdrift_silent_peers 0\n\
         badgerdrift_peers{version=\"current\"} 0\n\
         badgerdrift_peers{version=\"old\"} 0\n\
