Readiness: what all controllers lack does not make each of them leave the load balancer

Callers saw: no controller could be reached for up to a minute after all faults had ended, while a leader worked and the state service answered.

Cause: GET /ready was 503 whenever the state service had been silent for a leader lease or nobody led. Both hold for all controllers at once. The load balancer then skipped all of them, for twice as long after each further removal within two minutes, up to 60 s. Class: an action (to leave) on knowledge about others that was not looked at (that they are no better off), in each node by itself.

Change: a controller is unready only if it is isolated: no right to act, no state service, no other controller. During an outage polls are answered by the leader under the pledges. The health of a peer knows whether it could be reached last.

New: the same with the leader ended in each outage, an isolated controller leaves within 12 s and returns, one that the state service alone refuses stays and serves.

--- a/src/api/node_status.rs
+++ b/src/api/node_status.rs
@@ -9,21 +9,26 @@
 use tokio::sync::oneshot;
 
 impl Api {
-    /// Answers whether this node can serve requests: the state service has answered within the
-    /// duration of a leader lease, and every partition has a leader.
+    /// Answers whether this node can take requests: unless it is isolated.
+    ///
+    /// What every controller lacks, as the state service in an outage or a leader during a failover, does not make a
+    /// node unready. The load balancer would skip all controllers, and go on to skip them for up to a minute
+    /// afterwards; until then each request is refused with its reason.
     pub(super) fn ready(&self) -> Response {
-        let now = clock::now_ms();
-        let last_answer_ms = self.state.last_answer_ms();
-        let state_ok = last_answer_ms > 0 && now.saturating_sub(last_answer_ms) < self.router.leader_lease_ttl_ms;
-        let every_partition_has_leader = self.router.partitions.iter().all(|partition| {
-            let leader_status = partition.leader_status.borrow();
-            if leader_status.is_local { partition.leader_lease.holds(now) } else { leader_status.leader.is_some() }
-        });
-        if state_ok && every_partition_has_leader {
-            Response::json(200, &serde_json::json!({ "ready": true }))
-        } else {
-            RefusalReason::NotReady.response()
+        if self.is_isolated(clock::now_ms()) {
+            return RefusalReason::NotReady.response();
         }
+        Response::json(200, &serde_json::json!({ "ready": true }))
+    }
+
+    /// Returns whether this node can neither act itself nor reach what other controllers rely on: it may not act
+    /// for any partition, the state service has not answered it within the duration of a leader lease, and it reaches
+    /// no other controller.
+    fn is_isolated(&self, now_ms: u64) -> bool {
+        let last_answer_ms = self.state.last_answer_ms();
+        let state_answers =
+            last_answer_ms > 0 && now_ms.saturating_sub(last_answer_ms) < self.router.leader_lease_ttl_ms;
+        !state_answers && !self.router.holds_any_lease(now_ms) && !self.router.reaches_any_peer()
     }
 
     /// Answers with the metrics of this node and of the partitions that it leads, in the Prometheus
--- a/src/control/router.rs
+++ b/src/control/router.rs
@@ -120,6 +120,16 @@
         }
     }
 
+    /// Returns whether this node may act for a partition that it leads.
+    pub fn holds_any_lease(&self, now_ms: u64) -> bool {
+        self.partitions.iter().any(|partition| partition.leader_lease.holds(now_ms))
+    }
+
+    /// Returns whether any of the other controllers can be reached.
+    pub fn reaches_any_peer(&self) -> bool {
+        self.peers.iter().any(|peer| peer.health.is_reachable())
+    }
+
     /// Returns the number of other controllers that are unresponsive.
     pub fn unresponsive_peers(&self) -> usize {
         self.peers.iter().filter(|peer| peer.health.is_unresponsive()).count()
--- a/src/transport/peer/client.rs
+++ b/src/transport/peer/client.rs
@@ -109,7 +109,10 @@
         match outcome {
             Some(Ok(response)) => return Some(response),
             // The request failed at once, or its connection was closed.
-            Some(Err(_)) if started.elapsed() < self.connect_timeout => return None,
+            Some(Err(_)) if started.elapsed() < self.connect_timeout => {
+                self.health.record_not_sent();
+                return None;
+            }
             Some(Err(_)) => {}
             None => {
                 // If the queue is full, a later cancellation message has the same effect.
--- a/src/transport/peer_health.rs
+++ b/src/transport/peer_health.rs
@@ -49,17 +49,20 @@
     /// Instant, in milliseconds of the steady clock, at which the peer became unresponsive or was last
     /// probed; `None` while it is responsive.
     last_probe_ms: Option<u64>,
+    /// Whether a message was received from the peer since the last request to it that failed.
+    reachable: bool,
 }
 
 impl PeerHealth {
     /// Creates the health of a peer that is considered responsive.
     pub fn new(limits: HealthLimits) -> PeerHealth {
-        PeerHealth { limits, unanswered: 0, last_received_ms: None, last_probe_ms: None }
+        PeerHealth { limits, unanswered: 0, last_received_ms: None, last_probe_ms: None, reachable: false }
     }
 
     /// Records at `now_ms` that a response or a request was received from the peer.
     pub fn record_received(&mut self, now_ms: u64) -> HealthChange {
         self.unanswered = 0;
+        self.reachable = true;
         self.last_received_ms = Some(now_ms);
         match self.last_probe_ms.take() {
             Some(_) => HealthChange::Recovered,
@@ -73,6 +76,7 @@
         if self.last_received_ms.is_some_and(|received_ms| received_ms >= sent_ms) {
             return HealthChange::Unchanged;
         }
+        self.reachable = false;
         self.unanswered = self.unanswered.saturating_add(1);
         let is_overdue =
             self.last_received_ms.is_none_or(|received_ms| now_ms >= received_ms + self.limits.receive_timeout_ms);
@@ -83,6 +87,16 @@
         HealthChange::BecameUnresponsive
     }
 
+    /// Records that a request could not be sent, as the peer refused the connection or closed it.
+    pub fn record_not_sent(&mut self) {
+        self.reachable = false;
+    }
+
+    /// Returns whether the peer could be reached when a message was last exchanged with it.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
     /// Returns whether a user's request may be sent at `now_ms`. For an unresponsive peer this allows one
     /// request, the probe, per probe interval.
     pub fn may_send_user_request(&mut self, now_ms: u64) -> bool {
@@ -127,6 +141,16 @@
         self.log(change);
     }
 
+    /// Records that a request could not be sent; see [`PeerHealth::record_not_sent`].
+    pub fn record_not_sent(&self) {
+        self.lock().record_not_sent();
+    }
+
+    /// Returns whether the peer could be reached when a message was last exchanged with it.
+    pub fn is_reachable(&self) -> bool {
+        self.lock().is_reachable()
+    }
+
     /// Returns whether a user's request may be sent now; see [`PeerHealth::may_send_user_request`].
     pub fn may_send_user_request(&self) -> bool {
         self.lock().may_send_user_request(clock::now_ms())
--- a/src/transport/peer_health/tests.rs
+++ b/src/transport/peer_health/tests.rs
@@ -64,3 +64,19 @@
     assert!(health.may_send_user_request(1200) && health.may_send_user_request(1200));
     assert_eq!(health.record_received(1300), HealthChange::Unchanged);
 }
+
+#[test]
+fn a_peer_is_reachable_from_a_received_message_until_a_request_fails() {
+    let mut health = PeerHealth::new(LIMITS);
+    assert!(!health.is_reachable(), "nothing was received yet");
+    health.record_received(1000);
+    assert!(health.is_reachable());
+    // A request that was sent before the message shows nothing about the time after it.
+    health.record_unanswered(900, 1100);
+    assert!(health.is_reachable());
+    health.record_unanswered(1050, 1200);
+    assert!(!health.is_reachable());
+    health.record_received(1300);
+    health.record_not_sent();
+    assert!(!health.is_reachable());
+}
--- a/tests/fault_combinations/load_balancer.rs
+++ b/tests/fault_combinations/load_balancer.rs
@@ -1,8 +1,9 @@
 //! Users who reach the controllers through a load balancer that skips nodes which are not ready.
 
-use crate::scenario::{run_with_seeds, seconds, submit_long_jobs};
+use crate::scenario::{others, run_with_seeds, seconds, submit_long_jobs};
 use badgerdrift_stand_ins::load_balancer::{LoadBalancer, NodeHealth};
-use badgerdrift_stand_ins::{NODES, Sim};
+use badgerdrift_stand_ins::net::Cut;
+use badgerdrift_stand_ins::{NODES, Sim, controller, state_of, users};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -16,6 +17,15 @@
 /// Duration of an outage.
 const OUTAGE: Duration = Duration::from_secs(7);
 
+/// Time within which the load balancer no longer chooses an isolated controller.
+const ISOLATION_LIMIT: Duration = Duration::from_secs(12);
+
+/// Cuts a controller off from the state service and from the other controllers, or reconnects it.
+fn isolate(sim: &Sim, node: usize, cut: Option<Cut>) {
+    sim.cut(controller(node), state_of(node), cut);
+    others(node).into_iter().for_each(|other| sim.cut(controller(node), controller(other), cut));
+}
+
 /// Interrupts the state service repeatedly, with `during` halfway in each outage, and asserts that the users of all
 /// jobs are answered soon after the last outage.
 async fn repeat_outages(sim: &mut Sim, mut during: impl FnMut(&mut Sim)) {
@@ -77,3 +87,54 @@
 fn repeated_outages_of_the_state_service_do_not_shut_users_out_afterwards() {
     run_with_seeds(async |sim| repeat_outages(sim, |_| {}).await);
 }
+
+// Guards against the same while nobody leads: each outage also ends the leader.
+#[test]
+fn repeated_outages_with_an_ended_leader_do_not_shut_users_out_afterwards() {
+    run_with_seeds(async |sim| {
+        let mut outages = 0;
+        repeat_outages(sim, |sim| {
+            let node = outages % NODES;
+            outages += 1;
+            sim.kill(node);
+            sim.start(node);
+        })
+        .await;
+    });
+}
+
+// Guards against users who are sent to a controller that can do nothing for them: it reaches neither the state service
+// nor another controller.
+#[test]
+fn an_isolated_controller_leaves_the_load_balancer_and_returns() {
+    run_with_seeds(async |sim| {
+        let balancer = LoadBalancer::start(&sim.context);
+        sim.run(seconds(10)).await;
+        for (node, cut) in [(0, Cut::Hold), (1, Cut::Refuse), (2, Cut::Hold)] {
+            isolate(sim, node, Some(cut));
+            sim.run(ISOLATION_LIMIT).await;
+            assert_eq!(balancer.healthy_nodes(), others(node), "seed {}: {cut:?}", sim.context.seed);
+            isolate(sim, node, None);
+            sim.run(seconds(15)).await;
+            assert_eq!(balancer.healthy_nodes().len(), NODES, "seed {}: after {cut:?}", sim.context.seed);
+        }
+    });
+}
+
+// Guards against a controller that leaves although it serves users through the leader: the state service refuses it alone.
+#[test]
+fn a_controller_that_the_state_service_refuses_alone_stays_and_serves_users() {
+    run_with_seeds(async |sim| {
+        let ids = submit_long_jobs(sim, 60.0).await;
+        let balancer = LoadBalancer::start(&sim.context);
+        let refused = others(sim.leader().expect("there is a leader"))[0];
+        sim.run(seconds(5)).await;
+        sim.refuse_state(refused, true);
+        sim.run(ISOLATION_LIMIT).await;
+        assert_eq!(balancer.healthy_nodes().len(), NODES, "seed {}", sim.context.seed);
+        for id in &ids {
+            assert!(users::poll(&sim.context, id, refused).await, "seed {}: {id}", sim.context.seed);
+        }
+        sim.refuse_state(refused, false);
+    });
+}
