Scheduling: a cycle ends within the leader lease; preemption goes on in the next one

Cause: planning what to stop examines each machine for each job that finds no capacity, with no bound on a cycle. One thread carries the cycle, the renewals, the pledges and the answers. Class: a right that lapses while its holder is busy with work that has no limit.

The jobs that are left keep their place; those that had their turn wait until all have had it, so that jobs that no preemption helps do not keep the others from theirs. Placement itself and the room for the leading gang are as before. cycles_interrupted counts it.

New: each urgent job behind 60 that no preemption helps gets its capacity in interrupted cycles.

--- a/src/control/partition/scheduling.rs
+++ b/src/control/partition/scheduling.rs
@@ -41,11 +41,16 @@
             least = ?min_urgency,
             hosts_examined = decisions.hosts_examined,
             preemption_plans = decisions.preemption_plans,
+            interrupted = decisions.interrupted,
             starts = decisions.starts.len(),
             stops = decisions.stops.len(),
             pending_jobs = decisions.pending_jobs.len(),
             "scheduling cycle"
         );
+        if decisions.interrupted {
+            self.metrics.count("cycles_interrupted", "preemption_plans");
+            self.scheduling_triggers.request_cycle();
+        }
         self.update_pending_jobs(min_urgency, decisions);
     }
 
--- a/src/model/cluster.rs
+++ b/src/model/cluster.rs
@@ -1,7 +1,7 @@
 //! State of one partition: its jobs, machines and instance types.
 
 use super::{BorrowingState, Demand, Host, HostIndex, InstanceType, Job, JobIndex, Reservation, WarmReservation};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Capacity that future jobs of a class are expected to need.
 #[derive(Debug, Clone, PartialEq)]
@@ -73,6 +73,9 @@
     pub exhausted_instance_types: Vec<usize>,
     /// True if the last cycle found no capacity for a job that uses accelerators and may not wait long.
     pub accelerators_insufficient: bool,
+    /// Jobs for which cycles have planned preemption since all pending jobs last had their turn. It is empty unless a
+    /// cycle was interrupted.
+    pub preemption_turns: HashSet<JobIndex>,
     /// Steady time, in milliseconds, of the last scheduling cycle that left a job pending.
     pub last_pending_ms: u64,
     /// Total capacity of the unreconciled machines.
--- a/src/scheduling/cycle/free_capacity.rs
+++ b/src/scheduling/cycle/free_capacity.rs
@@ -140,9 +140,15 @@
         counts: &mut ZoneCounts,
         mut remaining: usize,
     ) {
+        let tasks = remaining;
         while remaining > 0
             && let Some(Candidate { host, .. }) = costs.pop()
         {
+            // At least one task per cycle, so that a job always gets on.
+            if remaining < tasks && self.preemption_limit_reached() {
+                self.return_preemption_turn(request.job_index);
+                return;
+            }
             if !request.requirements.accepts(&self.index.hosts[host], counts) {
                 continue;
             }
--- a/src/scheduling/cycle/mod.rs
+++ b/src/scheduling/cycle/mod.rs
@@ -19,6 +19,7 @@
 mod planned_stops;
 mod preemption_eligibility;
 mod preemption_orders;
+mod preemption_turns;
 mod queue;
 mod request;
 mod reservations;
@@ -107,6 +108,8 @@
     /// Number of those examinations that planned what to stop on a machine. They take most of the time of a long
     /// cycle.
     pub preemption_plans: u64,
+    /// Whether the limit of preemption plans left pending jobs to the next cycles.
+    pub interrupted: bool,
 }
 
 /// Working state of one scheduling cycle.
@@ -133,6 +136,8 @@
     expected_releases: Option<Vec<ExpectedReleases>>,
     hosts_examined: Cell<u64>,
     preemption_plans: Cell<u64>,
+    /// Jobs for which this cycle has planned preemption.
+    preemption_turns: HashSet<JobIndex>,
     /// State of lending between teams.
     borrowing: BorrowingDecisions,
     decisions: CycleDecisions,
@@ -178,6 +183,7 @@
     expire_reservations(cluster, now);
     let mut cycle = SchedulingCycle::new(cluster, policy, now, wall);
     cycle.place_all(min_urgency, &mut next_attempt);
+    cycle.end_preemption_turns(min_urgency);
     cycle.finish()
 }
 
@@ -207,6 +213,7 @@
             expected_releases: None,
             hosts_examined: Cell::new(0),
             preemption_plans: Cell::new(0),
+            preemption_turns: HashSet::new(),
             borrowing: BorrowingDecisions::new(TeamTable::new(cluster, policy, &index)),
             decisions: CycleDecisions::default(),
             index,
@@ -257,6 +264,8 @@
             if gang && !leading_gang_found {
                 leading_gang_found = true;
                 self.reserve_for_gang(&request);
+            } else if !self.take_preemption_turn(job_index) {
+                continue;
             } else if gang {
                 self.free_capacity_for_gang(&request);
             } else {
--- a/src/scheduling/cycle/tasks.rs
+++ b/src/scheduling/cycle/tasks.rs
@@ -138,7 +138,7 @@
     /// Frees capacity on a machine where the image is ready, or ready sooner, if stopping work there costs
     /// at most `max_cost`. Returns whether the task waits for that capacity.
     fn wait_for_better_host(&mut self, request: &PlacementRequest, counts: &ZoneCounts, max_cost: f64) -> bool {
-        if !self.may_wait_for_image(request) {
+        if self.preemption_limit_reached() || !self.may_wait_for_image(request) {
             return false;
         }
         if self.index.reservations_of(request.job_index) > 0 {
--- a/src/scheduling/policy.rs
+++ b/src/scheduling/policy.rs
@@ -38,6 +38,8 @@
     pub writes_per_s: f64,
     /// Bounds on the number of attempts that a leader can track.
     pub attempt_bounds: AttemptBounds,
+    /// Number of preemption plans in a scheduling cycle; further ones are left to the next cycles.
+    pub preemption_plans_per_cycle: u64,
     /// Number of attempts on machines from which on no work of the lowest urgency is started. Each attempt
     /// is listed in heartbeats, which cost the leader processor time and memory.
     pub max_attempts: usize,
@@ -101,7 +103,8 @@
             };
             (team.name.clone(), rule)
         });
-        let attempt_bounds = Bounds::new(settings).attempts;
+        let bounds = Bounds::new(settings);
+        let attempt_bounds = bounds.attempts;
         let guarantee = params.objectives.iter().find(|objective| objective.kind == "guarantee");
         let start_objectives = params.objectives.iter().filter(|objective| objective.kind == "wait");
         let start_objectives = start_objectives.filter_map(|objective| {
@@ -122,6 +125,7 @@
             react_ms: settings.react_ms(),
             writes_per_s: settings.write_limits().changes_per_s,
             attempt_bounds,
+            preemption_plans_per_cycle: bounds.preemption_plans_per_cycle,
             max_attempts: attempt_bounds.max_attempts(MAX_ENTRIES_PER_S),
             start_ms,
         }
--- a/src/scheduling/tests/cycle_duration.rs
+++ b/src/scheduling/tests/cycle_duration.rs
@@ -53,3 +53,47 @@
     assert!(plans <= max_plans, "{plans} preemption plans, at most {max_plans}");
     assert!(!decisions.stops.is_empty());
 }
+
+// Guards against urgent work that an interrupted cycle forgets, and against jobs that no preemption helps and that keep
+// the others from their turn.
+#[test]
+fn each_urgent_job_gets_its_turn_in_interrupted_cycles_also_behind_jobs_that_no_preemption_helps() {
+    let (settings, mut state) = (fleet_settings(), full_cluster(100));
+    let policy = Policy::new(&settings, &OperatorSettings::default(), 0);
+    let helpless: Vec<JobIndex> = (0..60).map(|number| add_job(&mut state, helpless_spec(number), 500)).collect();
+    let mut attempt = 0;
+    let mut cycles = 0;
+    let mut interrupted = true;
+    while interrupted {
+        cycles += 1;
+        assert!(cycles < 20, "the cycles never end");
+        let decisions = schedule(&mut state, &policy, 2000, 2000, Urgency::Low, || {
+            attempt += 1;
+            attempt
+        });
+        // The job that reaches the limit may still examine each machine once.
+        assert!(decisions.preemption_plans <= max_plans(&settings) + MACHINES as u64);
+        interrupted = decisions.interrupted;
+    }
+    assert!(cycles > 1, "a cycle was interrupted");
+    let reserved: BTreeMap<JobIndex, usize> =
+        state.each_host().flat_map(|(_, host)| &host.reservations).fold(BTreeMap::new(), |mut jobs, reservation| {
+            *jobs.entry(reservation.job).or_default() += 1;
+            jobs
+        });
+    let urgent = state.runnable_jobs.iter().filter(|job| state.jobs[**job].urgency == Urgency::High);
+    let without: Vec<&JobIndex> =
+        urgent.filter(|job| !helpless.contains(job) && reserved.get(job).copied().unwrap_or(0) < 4).collect();
+    assert!(without.is_empty(), "{} urgent jobs got no capacity in {cycles} cycles", without.len());
+    assert!(state.preemption_turns.is_empty(), "the next cycle begins anew");
+}
+
+/// Returns an urgent job that comes first and fits on no machine whatever is stopped, in a way of its own.
+fn helpless_spec(number: u32) -> Spec {
+    let mut helpless = spec(&format!("run-3{number:05}"), Shape::Service, 1, 8.0);
+    helpless.team = "blue".into();
+    helpless.urgency = Urgency::High;
+    helpless.demand.cpus = 32.0;
+    helpless.demand.mem = 129.0 + f64::from(number);
+    helpless
+}
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -56,6 +56,14 @@
 /// Minimum number of machines that may be probed per second.
 const MIN_PROBES_PER_S: f64 = 1.0;
 
+/// Number of preemption plans that a leader with a whole core makes per second.
+const PREEMPTION_PLANS_PER_S_PER_CORE: f64 = 350_000.0;
+/// Divisor of the duration of a leader lease that gives the time for the preemption plans of a scheduling cycle. The
+/// lease is renewed five times in its duration, and nothing else runs during a cycle.
+const CYCLE_LEASE_DIVISOR: f64 = 4.0;
+/// Number of milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+
 /// Upper bounds on what a controller stores and serves at a time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -72,6 +80,8 @@
     pub direct_commands: usize,
     /// Number of machines that may be probed per second; `None` if it is unlimited.
     pub probes_per_s: Option<f64>,
+    /// Number of preemption plans in a scheduling cycle; further ones are left to the next cycles.
+    pub preemption_plans_per_cycle: u64,
     /// Bounds on the number of attempts that a leader tracks.
     pub attempts: AttemptBounds,
 }
@@ -88,11 +98,19 @@
             worker_connections: (sockets / WORKER_POOL_DIVISOR).max(1),
             direct_commands: (sockets / DIRECT_COMMANDS_DIVISOR).max(1),
             probes_per_s: limits.core_share.map(|share| (share * PROBES_PER_S_PER_CORE).max(MIN_PROBES_PER_S)),
+            preemption_plans_per_cycle: preemption_plans_per_cycle(settings),
             attempts: AttemptBounds::new(limits),
         }
     }
 }
 
+/// Returns the number of preemption plans that a leader can make within its share of the time of a scheduling cycle.
+fn preemption_plans_per_cycle(settings: &Settings) -> u64 {
+    let cycle_s = settings.leader_lease_ttl_ms() as f64 / MS_PER_S / CYCLE_LEASE_DIVISOR;
+    let core_share = settings.params.limits.core_share.unwrap_or(1.0);
+    (cycle_s * core_share * PREEMPTION_PLANS_PER_S_PER_CORE) as u64
+}
+
 /// Returns the number of entries of `entry_bytes` bytes that fit into `share` of the memory of the process.
 fn entries_in_memory_share(limits: &Limits, share: f64, entry_bytes: f64) -> usize {
     let memory_mb = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
