--- a/crates/scale/src/addresses.rs
+++ b/crates/scale/src/addresses.rs
@@ -17,6 +17,12 @@
 const FIRST_NETWORKS: Range<u8> = 16..200;
 /// Third byte of the relay addresses that the first region connects to.
 const FIRST_RELAYS: u8 = 10;
+/// Third byte of the addresses of the relays through which the first controller reaches the others.
+const FIRST_PEER_LINKS: u8 = 100;
+/// Third byte of the addresses of the relays to the state service.
+const STATE_LINKS: u8 = 90;
+/// Third byte of the addresses of the relays from users and workers to the controllers.
+const DOOR_LINKS: u8 = 91;
 /// Number of networks of a region: one of its services and one of its machines.
 const NETWORKS_PER_REGION: usize = 2;
 
@@ -48,7 +54,10 @@
         };
         let machines = scenario.workers / scenario.regions;
         let services = (0..scenario.controllers_per_region).flat_map(of_controller);
-        services.chain((0..machines).map(|number| machine_address(self.machines(), number))).collect()
+        services
+            .chain(self.links(scenario))
+            .chain((0..machines).map(|number| machine_address(self.machines(), number)))
+            .collect()
     }
 
     fn address(self, part: u8, number: usize, port: u16) -> SocketAddr {
@@ -70,6 +79,31 @@
         self.address(1, controller, SERVICE_PORT)
     }
 
+    /// Returns the addresses of the relays within a region, which only soak runs have.
+    fn links(self, scenario: &Scenario) -> Vec<SocketAddr> {
+        let count = if scenario.soak.is_some() { scenario.controllers_per_region } else { 0 };
+        let of_controller = |from| {
+            let peers = (0..count).filter(move |to| *to != from).map(move |to| self.peer_link(from, to));
+            peers.chain([self.state_link(from), self.door_link(from)])
+        };
+        (0..count).flat_map(of_controller).collect()
+    }
+
+    /// Returns the address of the relay through which a controller reaches another one.
+    pub fn peer_link(self, from: usize, to: usize) -> SocketAddr {
+        self.address(FIRST_PEER_LINKS + from as u8, to, INTERNAL_PORT)
+    }
+
+    /// Returns the address of the relay through which a controller reaches the state service.
+    pub fn state_link(self, controller: usize) -> SocketAddr {
+        self.address(STATE_LINKS, controller, SERVICE_PORT)
+    }
+
+    /// Returns the address of the relay through which users and workers reach a controller.
+    pub fn door_link(self, controller: usize) -> SocketAddr {
+        self.address(DOOR_LINKS, controller, SERVICE_PORT)
+    }
+
     /// Returns the address at which a controller reaches the cloud.
     pub fn cloud(self, controller: usize) -> SocketAddr {
         self.address(2, controller, SERVICE_PORT)
--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -122,18 +122,20 @@
         networks.controller(number),
         networks.controller_internal(number)
     );
+    let linked = scenario.soak.is_some();
     for other in (0..scenario.controllers_per_region).filter(|other| *other != number) {
+        let endpoint = if linked { networks.peer_link(number, other) } else { networks.controller_internal(other) };
         text += &format!(
             "[[seeds]]\nnode = \"{}\"\nsite = {:?}\nendpoint = \"{}\"\n",
             controller_name(other),
             zones[other % zones.len()],
-            networks.controller_internal(other)
+            endpoint
         );
     }
+    let state = if linked { networks.state_link(number) } else { networks.state_service(number) };
     text += &format!(
-        "[endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\nzones = {zones:?}\n",
-        networks.cloud(number),
-        networks.state_service(number)
+        "[endpoints]\ncloud = \"{}\"\nstate = \"{state}\"\n[params]\nzones = {zones:?}\n",
+        networks.cloud(number)
     );
     let teams = &scenario.teams;
     for team in 0..teams.count {
--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -82,7 +82,7 @@
     }
 
     /// Stops up to `count` random machines that are up and whose zone `which` accepts.
-    fn stop_machines(&self, count: usize, which: impl Fn(&str) -> bool) {
+    pub fn stop_machines(&self, count: usize, which: impl Fn(&str) -> bool) {
         let stopped: Vec<String> = {
             let world = self.context.world.lock().unwrap();
             let now = Instant::now();
@@ -98,11 +98,11 @@
     }
 
     /// Returns the controller that owns the jobs according to the state service; the first one if none does.
-    fn leader(&self) -> usize {
+    pub fn leader(&self) -> usize {
         leader(&self.context).unwrap_or(0)
     }
 
-    async fn restart_controllers(&self, numbers: &[usize], after_s: f64) {
+    pub async fn restart_controllers(&self, numbers: &[usize], after_s: f64) {
         for number in numbers {
             report(self.controllers.lock().await.kill(*number).await);
         }
@@ -112,11 +112,24 @@
         }
     }
 
-    async fn pause_leader(&self, for_s: f64) {
-        let leader = self.leader();
-        report(self.controllers.lock().await.hold(leader, true));
+    pub async fn pause_leader(&self, for_s: f64) {
+        self.pause(self.leader(), for_s).await;
+    }
+
+    /// Suspends a controller for this many seconds.
+    pub async fn pause(&self, number: usize, for_s: f64) {
+        report(self.controllers.lock().await.hold(number, true));
         sleep(secs(for_s)).await;
-        report(self.controllers.lock().await.hold(leader, false));
+        report(self.controllers.lock().await.hold(number, false));
+    }
+
+    /// Resumes all suspended controllers and starts those that do not run.
+    pub async fn resume_all(&self) {
+        let mut controllers = self.controllers.lock().await;
+        for number in 0..controllers.count() {
+            report(controllers.hold(number, false));
+            report(controllers.start_one(number));
+        }
     }
 }
 
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -17,6 +17,7 @@
 mod counting;
 mod directory;
 mod faults;
+mod links;
 mod names;
 mod plan;
 mod prepared;
@@ -28,6 +29,9 @@
 mod run_report;
 mod samples;
 mod scenario;
+mod soak;
+mod soak_plan;
+mod soak_report;
 mod sweep;
 mod workload;
 
@@ -77,6 +81,14 @@
         #[arg(long, value_delimiter = ',', default_value = "0.1,0.2,0.3,0.4")]
         sizes: Vec<f64>,
     },
+    /// Runs a scenario with random faults, a quiet end and a check of all accepted jobs, once for each seed.
+    Soak {
+        #[command(flatten)]
+        run: RunArguments,
+        /// Which seeds are run, the last one excluded.
+        #[arg(long, value_name = "A..B")]
+        seeds: String,
+    },
     /// The stand-ins of one region and its controllers; started by `run`.
     #[command(hide = true)]
     Region,
@@ -127,6 +139,13 @@
             Ok(prepared) => outcome(runtime.block_on(borrow_report::compare(&prepared, seeds)), &run),
             Err(error) => refuse(&error),
         },
+        Command::Soak { run, seeds } => {
+            let checked = prepare(&run).and_then(|prepared| Ok((prepared, soak_report::parse_seeds(&seeds)?)));
+            match checked {
+                Ok((prepared, seeds)) => outcome(runtime.block_on(soak_report::soak(&prepared, seeds)), &run),
+                Err(error) => refuse(&error),
+            }
+        }
         Command::Sweep { run, sizes } => {
             match prepare(&run).and_then(|prepared| sweep::check(&sizes).map(|()| prepared)) {
                 Ok(prepared) => outcome(runtime.block_on(sweep::sweep(&prepared, &sizes)), &run),
--- a/crates/scale/src/region.rs
+++ b/crates/scale/src/region.rs
@@ -8,11 +8,13 @@
 use crate::controllers::{Controllers, LIST_LAG_S};
 use crate::counting::{Traffic, counting};
 use crate::faults::{self, FaultTargets};
+use crate::links::Links;
 use crate::names::{leak, team_name};
 use crate::plan::{RegionMessage, RegionPlan};
 use crate::relays::{self, Cuts};
 use crate::results::{RegionResult, Role, ServiceTraffic};
 use crate::samples::Sampler;
+use crate::soak::{self, SoakRun};
 use crate::workload;
 use badgerdrift::transport::http::Client;
 use badgerdrift_stand_ins::ground::SimulationContext;
@@ -20,6 +22,7 @@
 use badgerdrift_stand_ins::store::Limits;
 use badgerdrift_stand_ins::world::{Flavor, Parameters, SimulationState, TeamLimit};
 use badgerdrift_stand_ins::{cloud, state_service};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -88,15 +91,20 @@
     let controllers = Arc::new(Mutex::new(controllers));
     let cuts = Cuts::new(plan.scenario.regions);
     relays::start(&plan, &cuts).await?;
+    let links = match plan.scenario.soak {
+        Some(_) => Some(Links::start(&plan).await?),
+        None => None,
+    };
     workload::start(&context, &plan);
     // The relays end once all copies of `cuts` are dropped.
     let targets = FaultTargets { context: context.clone(), controllers: controllers.clone(), cuts };
     faults::start(&targets, &plan);
+    let soak = soak::start(&targets, links, &plan);
     let configuration = configuration::start(&context, &plan);
     let burst = burst::start(&context, &plan);
     let borrow = borrow::start(&context, &plan);
 
-    let mut measurement = Measurement::new(&plan, context, controllers.clone());
+    let mut measurement = Measurement::new(&plan, context, controllers.clone(), soak);
     let measured = tokio::select! {
         measured = measurement.take() => measured.map(Some),
         () = until_closed(&mut input) => Ok(None),
@@ -134,7 +142,7 @@
         world: Arc::new(std::sync::Mutex::new(world)),
         network: SimulatedNetwork::new(seed),
         user: Client::on(&user_network, USER_CONNECTIONS),
-        doors: (0..count).map(|number| plan.networks().controller(number)).collect(),
+        doors: (0..count).map(|number| door(plan, number)).collect(),
         real_network: Some(counting(traffic.workers.clone())),
     };
     let on =
@@ -151,6 +159,14 @@
     workers
 }
 
+/// Returns the address at which users and workers reach a controller.
+fn door(plan: &RegionPlan, controller: usize) -> SocketAddr {
+    match plan.scenario.soak {
+        Some(_) => plan.networks().door_link(controller),
+        None => plan.networks().controller(controller),
+    }
+}
+
 fn parameters(plan: &RegionPlan) -> Parameters {
     let (scenario, machine, worker) = (&plan.scenario, &plan.scenario.machine, &plan.scenario.worker);
     let limit = |most: f64| if most > 0.0 { plan.part(most) } else { f64::INFINITY };
@@ -193,12 +209,18 @@
     context: SimulationContext,
     controllers: Arc<Mutex<Controllers>>,
     sampler: Sampler,
+    soak: Option<SoakRun>,
     starts_before: u64,
     result: RegionResult,
 }
 
 impl Measurement {
-    fn new(plan: &RegionPlan, context: SimulationContext, controllers: Arc<Mutex<Controllers>>) -> Measurement {
+    fn new(
+        plan: &RegionPlan,
+        context: SimulationContext,
+        controllers: Arc<Mutex<Controllers>>,
+        soak: Option<SoakRun>,
+    ) -> Measurement {
         Measurement {
             began: Instant::now(),
             duration: Duration::from_secs_f64(plan.scenario.duration_s),
@@ -206,6 +228,7 @@
             context,
             controllers,
             sampler: Sampler::new(),
+            soak,
             starts_before: 0,
             result: RegionResult { region: plan.name(), ..RegionResult::default() },
         }
@@ -230,7 +253,8 @@
     }
 
     fn is_over(&self) -> bool {
-        self.began.elapsed() >= self.duration || self.context.world.lock().unwrap().broken.is_some()
+        let soaked = self.soak.as_ref().is_some_and(SoakRun::is_finished);
+        soaked || self.began.elapsed() >= self.duration || self.context.world.lock().unwrap().broken.is_some()
     }
 
     async fn sample(&mut self) -> Result<(), String> {
@@ -293,6 +317,7 @@
         self.sample_world();
         let world = self.context.world.lock().unwrap();
         let result = &mut self.result;
+        result.soak = self.soak.as_ref().map(SoakRun::result);
         result.elapsed_s = self.began.elapsed().as_secs_f64();
         result.starts = world.starts;
         result.stopped_tasks = world.stopped.len();
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,7 +1,9 @@
 //! Report of a run, over all regions together.
 
 use crate::prepared::Prepared;
-use crate::results::{BorrowResult, BurstResult, ChangeResult, RegionResult, Role, RoleUsage, ServiceTraffic};
+use crate::results::{
+    BorrowResult, BurstResult, ChangeResult, RegionResult, Role, RoleUsage, ServiceTraffic, SoakResult,
+};
 use crate::run_report::RunReport;
 use crate::scenario::Scenario;
 use comfy_table::Table;
@@ -40,6 +42,9 @@
     /// Result of the burst of serving in the first region that borrows.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub borrow: Option<BorrowResult>,
+    /// Result of the soak run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub soak: Option<SoakResult>,
     pub controllers_ended: usize,
     pub broken_rules: Vec<BrokenRule>,
 }
@@ -125,6 +130,7 @@
             controllers_ended: sum(|region| region.controllers_ended),
             burst: scenario.burst.is_some().then(|| regions.first().map(|region| region.burst.clone())).flatten(),
             borrow: scenario.borrowing.is_some().then(|| regions.first().map(|region| region.borrow.clone())).flatten(),
+            soak: regions.iter().find_map(|region| region.soak.clone()),
             broken_rules: broken_rules(scenario, regions),
         }
     }
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -75,6 +75,21 @@
     pub version: Option<u64>,
 }
 
+/// Result of a soak run.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct SoakResult {
+    /// Number of faults.
+    pub faults: usize,
+    /// Number of times that a controller took the partition.
+    pub leaderships: u64,
+    /// Number of jobs that were accepted before the last fault ended.
+    pub accepted: usize,
+    /// Number of those jobs without an answer within the limit.
+    pub unanswered: usize,
+    /// Seconds from the end of the last fault until each of those jobs was answered.
+    pub answered_after_s: f64,
+}
+
 /// Result of a burst of serving on borrowed accelerators in one region.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct BorrowResult {
@@ -132,6 +147,8 @@
     /// Result of the burst of serving; empty without borrowing.
     #[serde(default)]
     pub borrow: BorrowResult,
+    /// Result of the soak run; `None` without one.
+    pub soak: Option<SoakResult>,
     pub elapsed_s: f64,
     /// Number of machines that were up at the end.
     pub workers: usize,
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -33,6 +33,9 @@
     /// A burst of serving that borrows from night runs and fine-tuning; none if absent.
     #[serde(default)]
     pub borrowing: Option<Borrowing>,
+    /// Random faults and a quiet end, for `soak`; none if absent.
+    #[serde(default)]
+    pub soak: Option<Soak>,
     /// Changes of the shared configuration; the regions share none if absent.
     #[serde(default)]
     pub configuration: Option<Configuration>,
@@ -139,6 +142,21 @@
     pub mem_gb: f64,
 }
 
+/// Random faults, which begin after the warm-up.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Soak {
+    /// Seconds after which all faults are over.
+    pub faults_s: f64,
+    /// Longest duration of a fault in seconds.
+    pub longest_s: f64,
+    /// Least and most faults.
+    pub faults: (usize, usize),
+}
+
+/// Seconds after the last fault within which the protocol requires an answer about each accepted job.
+pub const ANSWER_LIMIT_S: f64 = 75.0;
+
 fn enabled() -> bool {
     true
 }
@@ -334,6 +352,7 @@
         ordered("worker.fetch_s", self.worker.fetch_s.0, self.worker.fetch_s.1)?;
         self.check_burst()?;
         self.check_borrowing()?;
+        self.check_soak()?;
         in_range("state.rps", self.state.rps, 1.0, f64::MAX)?;
         in_range("state.write_rps", self.state.write_rps, 1.0, f64::MAX)?;
         let last_team = (self.teams.count - 1) as f64;
@@ -373,6 +392,15 @@
         in_range("borrowing.return_after_s", borrowing.return_after_s, 0.0, f64::MAX)
     }
 
+    fn check_soak(&self) -> Result<(), String> {
+        let Some(soak) = &self.soak else { return Ok(()) };
+        in_range("regions", self.regions as f64, 1.0, 1.0)?;
+        in_range("controllers_per_region", self.controllers_per_region as f64, 2.0, MOST_CONTROLLERS as f64)?;
+        in_range("soak.faults_s", soak.faults_s, 1.0, self.duration_s - self.warm_up_s - ANSWER_LIMIT_S)?;
+        in_range("soak.longest_s", soak.longest_s, 0.5, soak.faults_s)?;
+        ordered("soak.faults", soak.faults.0 as f64, soak.faults.1 as f64)
+    }
+
     /// Returns the scenario with its workers, arrivals and failures multiplied by `size`.
     pub fn scaled(mut self, size: f64) -> Result<Scenario, String> {
         in_range("--size", size, 0.001, 100.0)?;
