Assertion at run time: no job is refused for longer than a worker's lease

The incident could not be told from a job that its leader refuses for good. While a node leads, its lease holds and the state service responds, each job must be answered within a worker's lease. One that is refused for longer is logged once with its reason and counted (jobs_refused_too_long); nothing is refused or answered because of it.

--- a/src/control/partition_leader/leadership.rs
+++ b/src/control/partition_leader/leadership.rs
@@ -4,6 +4,7 @@
 //! earlier one assumed. Times are milliseconds of the steady clock.
 
 use super::activity::Activity;
+use super::refused_jobs::RefusedJobs;
 use crate::clients::TokenBucket;
 use crate::configuration::AppliedConfiguration;
 use crate::control::membership::AcquiredLeadership;
@@ -43,6 +44,7 @@
     /// Machines on their way to this partition, as the provisioner has reported.
     pub(super) pending_machines: Vec<InstanceOffering>,
     pub(super) activity: Activity,
+    pub(super) refused_jobs: RefusedJobs,
     /// Instant at which the leadership began, in milliseconds of the steady clock.
     pub(super) began_ms: u64,
 }
@@ -78,6 +80,7 @@
             reading_indeterminate: false,
             pending_machines: Vec::new(),
             activity: Activity::default(),
+            refused_jobs: RefusedJobs::default(),
             began_ms: now,
         }
     }
--- a/src/control/partition_leader/mod.rs
+++ b/src/control/partition_leader/mod.rs
@@ -19,6 +19,7 @@
 mod load;
 mod messages;
 mod periodic_work;
+mod refused_jobs;
 mod requests;
 mod stored_records;
 mod warm_pools;
--- a/src/control/partition_leader/requests.rs
+++ b/src/control/partition_leader/requests.rs
@@ -84,13 +84,43 @@
                 leadership.partition.submit(&body, now, clock::wall_ms(), reply);
             }
             UserCall::Status(id) => {
-                let _ = reply.send(leadership.partition.status(&id));
+                let answer = leadership.partition.status(&id);
+                self.record_poll(leadership, &id, &answer, store_responsive, now);
+                let _ = reply.send(answer);
             }
             UserCall::Cancel(id) => leadership.partition.cancel(&id, now, store_responsive, reply),
         }
     }
 }
 
+impl PartitionLeader {
+    /// Checks that no job is refused for longer than a worker's lease while this node leads and the state service
+    /// responds. A job that is refused for longer is logged and counted.
+    fn record_poll(
+        &self,
+        leadership: &mut Leadership,
+        id: &str,
+        answer: &UserAnswer,
+        store_responsive: bool,
+        now: u64,
+    ) {
+        if !store_responsive {
+            leadership.refused_jobs.clear();
+            return;
+        }
+        let refusal = match answer {
+            UserAnswer::RetryLater(reason) => Some(*reason),
+            _ => None,
+        };
+        let Some(refused_ms) = leadership.refused_jobs.record(id, refusal, now, self.settings.lease_ms()) else {
+            return;
+        };
+        let reason = refusal.map(RefusalReason::label).unwrap_or_default();
+        tracing::error!(job = id, reason, refused_ms, "polls of the job are refused for too long");
+        leadership.partition.metrics_mut().count("jobs_refused_too_long", &reason);
+    }
+}
+
 /// Refuses a message while this node does not lead the partition. Requesters go to the leader or
 /// retry.
 pub(super) fn handle_while_follower(message: PartitionMessage) {
--- a/src/control/partition_leader/tests.rs
+++ b/src/control/partition_leader/tests.rs
@@ -2,6 +2,8 @@
 
 use super::leader::PartitionLeader;
 use super::leadership::{Leadership, NewLeadership};
+use super::refused_jobs::RefusedJobs;
+use crate::api::refusal::RefusalReason;
 use crate::clients::{Cloud, StateStore, TokenBucket, Worker};
 use crate::control::membership::{AcquiredLeadership, ElectionMessage, LeaderLease, PledgeStatus};
 use crate::control::partition::Partition;
@@ -70,6 +72,24 @@
     leadership
 }
 
+// Guards against a job that a leader refuses for good without a trace, and against alarms for short refusals.
+#[test]
+fn a_job_that_is_refused_for_longer_than_a_lease_is_reported_once_until_it_is_answered() {
+    const LIMIT_MS: u64 = 1000;
+    let refused = Some(RefusalReason::EndBeingRecorded);
+    let mut jobs = RefusedJobs::default();
+    assert_eq!(jobs.record("run-000001", refused, 0, LIMIT_MS), None);
+    assert_eq!(jobs.record("run-000001", refused, 1000, LIMIT_MS), None, "not longer than the limit");
+    assert_eq!(jobs.record("run-000002", refused, 1001, LIMIT_MS), None, "another job");
+    assert_eq!(jobs.record("run-000001", refused, 1001, LIMIT_MS), Some(1001));
+    assert_eq!(jobs.record("run-000001", refused, 2000, LIMIT_MS), None, "reported already");
+    assert_eq!(jobs.record("run-000001", None, 2100, LIMIT_MS), None, "answered");
+    assert_eq!(jobs.record("run-000001", refused, 3000, LIMIT_MS), None, "a new series");
+    assert_eq!(jobs.record("run-000001", refused, 4001, LIMIT_MS), Some(1001));
+    jobs.clear();
+    assert_eq!(jobs.record("run-000002", refused, 9000, LIMIT_MS), None, "an outage of the state service is no fault");
+}
+
 // Guards against an election that keeps its lease after the leadership was found lost, since its mailbox was full.
 #[tokio::test]
 async fn the_election_learns_of_lost_leadership_also_while_its_mailbox_is_full() {
