Review, case 1: one crash after ten hours of traffic ends all controllers for memory

A new leader parses the records of all jobs, the ended ones too, and exceeds 56 MB where the leader before it held 20.

--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -34,6 +34,8 @@
     pub teams: Vec<(&'static str, f64, f64)>,
     pub flavors: Value,
     pub boot_s: f64,
+    /// Changes a second that the state service takes.
+    pub write_rps: f64,
     /// Further arguments of `serve`, before `--config`.
     pub arguments: Vec<String>,
 }
@@ -45,8 +47,6 @@
     pub users: Vec<SocketAddr>,
     settings: Vec<PathBuf>,
     arguments: Vec<String>,
-    /// The operators' file, relative to the repository's root.
-    pub operator: Mutex<String>,
     root: PathBuf,
     dir: PathBuf,
     processes: Mutex<Vec<Option<Child>>>,
@@ -100,7 +100,7 @@
             let text = format!(
                 "node = \"{}\"\nsite = \"a\"\nserve_on = \"{}\"\ninternal_addr = \"{}\"\n{seeds}[endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n\
                  [params]\nnodes = 3\nzones = [\"a\"]\ntime_bound_ms = 25.0\n{teams}[params.workers]\nreport_s = {:.3}\nlease_s = {:.3}\n\
-                 gang_wait_s = {:.3}\ngang_peer_s = {:.3}\ncancel_s = {:.3}\n[params.state]\nrps = 100.0\nwrite_rps = 20.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
+                 gang_wait_s = {:.3}\ngang_peer_s = {:.3}\ncancel_s = {:.3}\n[params.state]\nrps = 100.0\nwrite_rps = {:.1}\nvalue_kb = 8.0\ntxn_ops = 12\n\
                  [params.cloud]\nrps = 5.0\nlist_lag_s = {:.3}\n[params.limits]\ncore_share = 0.12\nmemory_mb = 56.0\nmax_sockets = 800\n",
                 names[i],
                 users[i],
@@ -112,6 +112,7 @@
                 params.gang_wait_s,
                 params.gang_peer_s,
                 params.cancel_s,
+                params.write_rps,
                 params.list_lag_s,
             );
             let path = dir.join(format!("{}.toml", names[i]));
@@ -125,7 +126,6 @@
             users,
             settings,
             arguments: params.arguments.clone(),
-            operator: Mutex::new("deploy/operator.hcl".into()),
             root,
             dir,
             processes: Mutex::new(vec![None, None, None]),
@@ -150,7 +150,7 @@
         }
         let child = command
             .current_dir(&self.root)
-            .args(["serve", "--operator", &*self.operator.lock().unwrap()])
+            .args(["serve", "--operator", "deploy/operator.hcl"])
             .args(&self.arguments)
             .arg("--config")
             .arg(&self.settings[i])
@@ -338,3 +338,19 @@
     }
     let _ = (from.shutdown(std::net::Shutdown::Both), to.shutdown(std::net::Shutdown::Both));
 }
+
+impl Deployment {
+    /// What each controller holds in memory, in MB of 1,000,000 bytes, without the pages of files such as the program.
+    pub fn memory_mb(&self) -> Vec<f64> {
+        let processes = self.processes.lock().unwrap();
+        let of = |child: &Child| {
+            let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+            let kb = |name: &str| -> f64 {
+                let line = text.lines().find(|line| line.starts_with(name)).unwrap_or("");
+                line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0.0)
+            };
+            (kb("RssAnon:") + kb("RssShmem:")) * 1024.0 / 1e6
+        };
+        processes.iter().map(|child| child.as_ref().map_or(0.0, of)).collect()
+    }
+}
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -1,8 +1,8 @@
 //! The cases of the independent review. Usage: `review-stand CASE FOLDER`.
 
 mod deployment;
+mod history;
 mod http;
-mod partitions;
 mod stale_return;
 mod state;
 mod swarm;
@@ -17,7 +17,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     match case.as_str() {
         "swarm" => swarm::run(folder, trouble),
-        "partitions" => partitions::run(folder, trouble),
+        "history" => history::run(folder, trouble),
         "stale-return" => stale_return::run(folder, trouble),
         _ => std::process::exit(2),
     }
--- a/review/stand/src/stale_return.rs
+++ b/review/stand/src/stale_return.rs
@@ -23,6 +23,7 @@
             "fetch_gb_per_s": 4.6, "rate": 14.12, "low_price": 5.2, "startup_s": 15, "regions": ["a"]}]),
         boot_s: 9.0,
         arguments: Vec::new(),
+        write_rps: 20.0,
     };
     let deployment = Deployment::start(folder, &params);
     let d = &deployment;
--- a/review/stand/src/swarm.rs
+++ b/review/stand/src/swarm.rs
@@ -23,6 +23,7 @@
             "fetch_gb_per_s": 9.0, "rate": 22.21, "low_price": 9.7, "startup_s": 45, "regions": ["a"]}]),
         boot_s: 27.0,
         arguments: Vec::new(),
+        write_rps: 20.0,
     };
     let deployment = Deployment::start(folder, &params);
     let d = &deployment;
