Instruments: refused commands, discarded attempts, attempts that appear again

The logs of the leader could not show it: 409 and 200 were not told apart, an order to discard an attempt left no trace, and an attempt that showed up again after its removal was taken for one of an earlier leader.

Adds commands_refused_total (by reason), attempts_reappeared_total and the log line "an attempt appeared again after its removal" with host, task, attempt, agent epoch and both tokens (at most ten between two summaries), and reaps, refused commands and reappeared attempts in the leader summary. Each discard and each refusal is logged at debug. No behaviour changes.

--- a/src/clients/worker.rs
+++ b/src/clients/worker.rs
@@ -55,8 +55,9 @@
     pub async fn send_direct_command(&self, addr: SocketAddr, body: &[u8]) -> DirectCommandOutcome {
         let Ok(_permit) = self.in_flight.acquire().await else { return DirectCommandOutcome::NotSent };
         match self.http.call(addr, "POST", wire::DIRECT_COMMAND_PATH, Some(body), self.timeout).await {
-            Ok((200 | 409, answer)) => match serde_json::from_slice(&answer) {
-                Ok(heartbeat) => DirectCommandOutcome::Answered(Box::new(heartbeat)),
+            Ok((status @ (200 | 409), answer)) => match serde_json::from_slice(&answer) {
+                Ok(heartbeat) if status == 200 => DirectCommandOutcome::Answered(Box::new(heartbeat)),
+                Ok(heartbeat) => DirectCommandOutcome::Refused(Box::new(heartbeat)),
                 Err(_) => DirectCommandOutcome::Indeterminate,
             },
             Ok(_) | Err(CallError::Indeterminate) => DirectCommandOutcome::Indeterminate,
--- a/src/control/partition/direct_commands.rs
+++ b/src/control/partition/direct_commands.rs
@@ -76,16 +76,21 @@
                     Some(attempt.indeterminate_order_token.unwrap_or_default().max(command.fencing_token));
             }
         }
+        if let DirectCommandOutcome::Refused(heartbeat) = &result {
+            self.record_refused_command(command, heartbeat);
+        }
         match result {
-            DirectCommandOutcome::Answered(heartbeat) => {
+            DirectCommandOutcome::Answered(heartbeat) | DirectCommandOutcome::Refused(heartbeat) => {
                 if heartbeat.host == command.id {
                     self.heartbeat(&heartbeat, StatusSource::DirectCommandReply, now);
                 }
                 self.queue_follow_up_command(command.host, now);
             }
             DirectCommandOutcome::NotSent | DirectCommandOutcome::Indeterminate => {
-                host.next_command_ms = retry_at_ms;
-                host.unanswered_commands = host.unanswered_commands.saturating_add(1);
+                if let Some(host) = self.cluster.host_mut(command.host) {
+                    host.next_command_ms = retry_at_ms;
+                    host.unanswered_commands = host.unanswered_commands.saturating_add(1);
+                }
             }
         }
     }
--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -75,6 +75,7 @@
             self.pending_orders(host_index, &mut orders);
             // The others are found due again with the next heartbeat.
             orders.truncate(MAX_ORDERS_PER_REPLY);
+            self.record_reaps(heartbeat, &orders);
         }
         if let Some(host) = self.cluster.host_mut(host_index).filter(|host| !host.attempts.is_empty()) {
             host.last_busy_ms = now;
@@ -220,11 +221,13 @@
                 self.cluster.job_index.get(job).filter(|job_index| task < self.cluster.jobs[**job_index].spec.tasks);
             match known {
                 Some(&job) => {
-                    position = self.apply_task_status(host_index, TaskKey { job, task }, status, position, now) + 1;
+                    let key = TaskKey { job, task };
+                    position = self.apply_task_status(host_index, key, heartbeat, status, position, now) + 1;
                     self.mark_listed(host_index, position - 1, heartbeat.sequence);
                 }
                 None => {
                     has_unknown_tasks = true;
+                    self.check_not_removed_before(host_index, heartbeat, status);
                     orders.push(order_for_unknown_task(status));
                 }
             }
@@ -243,6 +246,7 @@
         &mut self,
         host_index: HostIndex,
         key: TaskKey,
+        heartbeat: &Heartbeat,
         status: &TaskStatus,
         expected: usize,
         now: u64,
@@ -251,6 +255,7 @@
         let host = hosts[host_index].as_mut();
         let position = host.as_ref().and_then(|host| host.attempt_position(key, status.attempt, expected));
         let (Some(host), Some(position)) = (host, position) else {
+            self.check_not_removed_before(host_index, heartbeat, status);
             self.add_reported_attempt(host_index, key, status.attempt, status.phase(), now);
             self.apply_phase(host_index, key, status.attempt, TaskPhase::Sent, status.phase(), now);
             return self.cluster.host(host_index).map_or(0, |host| host.attempts.len().saturating_sub(1));
--- a/src/control/partition/leadership_epoch.rs
+++ b/src/control/partition/leadership_epoch.rs
@@ -92,6 +92,11 @@
         self.last_number + 1
     }
 
+    /// Returns whether this leader has assigned the number under its present fencing token.
+    pub(super) fn has_assigned(&self, number: u64) -> bool {
+        number > self.fencing_token.0 << SEQUENCE_BITS && number <= self.last_number
+    }
+
     /// Returns a number for an attempt, a warm slot, a loan or a commit. Numbers are unique across
     /// leaders: each is above all numbers assigned under lower fencing tokens.
     pub(super) fn next_number(&mut self) -> u64 {
--- a/src/control/partition/mod.rs
+++ b/src/control/partition/mod.rs
@@ -32,6 +32,7 @@
 mod keys;
 mod leadership_epoch;
 mod next_commit;
+mod order_audit;
 mod reconciliation;
 mod running_counts;
 mod scheduling;
@@ -102,6 +103,8 @@
     warm_pools: Option<warm_pools::PartitionWarmPools>,
     /// Loans between teams; `None` without borrowing.
     borrowing: Option<borrowing::PartitionBorrowing>,
+    /// Orders since the last summary in the log.
+    order_counts: order_audit::OrderCounts,
     /// Time of day of the last scheduling cycle, in milliseconds.
     wall_ms: u64,
 }
@@ -132,6 +135,7 @@
             heartbeat_load,
             warm_pools: None,
             borrowing: None,
+            order_counts: Default::default(),
             wall_ms: 0,
         }
     }
--- a/src/control/partition/types.rs
+++ b/src/control/partition/types.rs
@@ -36,8 +36,10 @@
 /// Outcome of a direct command.
 #[derive(Debug)]
 pub enum DirectCommandOutcome {
-    /// The worker answered with 200 or 409 and its status.
+    /// The worker carried the command out (200) and answered with its status.
     Answered(Box<Heartbeat>),
+    /// The worker refused the command for its fencing token or agent epoch (409) and answered with its status.
+    Refused(Box<Heartbeat>),
     /// The worker cannot have received the command.
     NotSent,
     /// The worker may have received the command, or may still receive it.
--- a/src/control/partition_leader/activity.rs
+++ b/src/control/partition_leader/activity.rs
@@ -138,6 +138,7 @@
         }
         let next_summary_ms = now + self.settings.lease_ms();
         let activity = std::mem::replace(&mut leadership.activity, Activity { next_summary_ms, ..Activity::default() });
+        let orders = leadership.partition.take_order_counts();
         let (longest_step, longest_step_ms) =
             activity.longest_step.map_or(("none", 0), |(step, elapsed_ms)| (step.label(), elapsed_ms));
         tracing::info!(
@@ -151,6 +152,9 @@
             max_wait_ms = activity.max_wait_ms,
             longest_step,
             longest_step_ms,
+            reaps = orders.reaps,
+            refused_commands = orders.refused_commands,
+            reappeared_attempts = orders.reappeared,
             "leader summary"
         );
     }
