--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -110,6 +110,7 @@
         for number in numbers {
             report(self.controllers.lock().await.start_one(*number));
         }
+        machines::repeat_answered_commands(&self.context, None);
     }
 
     pub async fn pause_leader(&self, for_s: f64) {
--- a/crates/scale/src/soak.rs
+++ b/crates/scale/src/soak.rs
@@ -127,6 +127,9 @@
             SoakFaultKind::LateCommands(share) => {
                 self.with_share(*share, duration, |world, share| world.late_commands = share).await;
             }
+            SoakFaultKind::RepeatedCommands(share) => {
+                self.with_share(*share, duration, |world, share| world.repeated_commands = share).await;
+            }
             SoakFaultKind::Hang(share) => {
                 self.for_machines(number, *share, |machine, until| machine.hang = until, fault);
             }
@@ -164,7 +167,8 @@
         self.targets.context.state_down(false);
         self.with_world(|world| {
             world.refused.fill(false);
-            (world.late_writes, world.lost_answers, world.late_reports, world.late_commands) = (0.0, 0.0, 0.0, 0.0);
+            (world.late_writes, world.lost_answers, world.late_reports) = (0.0, 0.0, 0.0);
+            (world.late_commands, world.repeated_commands) = (0.0, 0.0);
         });
         self.targets.resume_all().await;
         self.log("all faults are over".into());
--- a/crates/scale/src/soak_plan.rs
+++ b/crates/scale/src/soak_plan.rs
@@ -43,6 +43,8 @@
     LateReports(f64),
     /// This share of direct commands is carried out late.
     LateCommands(f64),
+    /// This share of direct commands arrives once more after they were carried out and answered.
+    RepeatedCommands(f64),
     /// This share of the machines hangs.
     Hang(f64),
     /// Answers and commands to this share of the machines are lost.
@@ -74,6 +76,9 @@
             faults.push(SoakFault { at_s, for_s, kind: kind(&mut rng, controllers) });
         }
     }
+    // Drawn last, so that recorded seeds repeat their other faults.
+    let kind = SoakFaultKind::RepeatedCommands(rng.random_range(0.2..0.9));
+    faults.push(SoakFault { at_s: begin_s, for_s: soak.faults_s, kind });
     faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     faults
 }
--- a/crates/stand-ins/src/faults.rs
+++ b/crates/stand-ins/src/faults.rs
@@ -1,7 +1,7 @@
 //! Randomised fault injection: jobs arrive while faults overlap.
 
 use super::net::Cut;
-use super::world::{BootFaults, GUEST, LEASE_S, secs};
+use super::world::{AgentMemory, BootFaults, GUEST, LEASE_S, secs};
 use super::{NEXT_LIMITS, NODES, Sim, cloud_of, controller, machines, state_of, users};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 /// Options of a randomised run.
+#[derive(Debug, Clone, Copy, Default)]
 pub struct RandomDay {
     /// Duration in seconds.
     pub day_s: f64,
@@ -20,6 +21,9 @@
     pub pipelines: usize,
     /// Whether the controllers are upgraded in turn, with pipelines submitted afterwards.
     pub rollout: bool,
+    /// Share of direct commands that are repeated after their answer. If it is above 0, controllers and agents also
+    /// come back within a second.
+    pub repeated_commands: f64,
 }
 
 /// Action that a randomised run carries out at a set time.
@@ -50,6 +54,7 @@
     SubmitPipeline,
     LimitState,
     Upgrade(usize),
+    RestartAgents(f64),
 }
 
 /// Draws a fault of the original kinds that begins at `at`, in seconds, and returns its actions.
@@ -116,6 +121,20 @@
     }
 }
 
+/// Restarts within a second of a day whose commands are repeated.
+const QUICK_RESTARTS: usize = 4;
+
+/// Draws a controller or machines that come back within a second.
+fn quick_restart(rng: &mut StdRng, day_s: f64) -> Vec<(f64, FaultAction)> {
+    let at = rng.random_range(4.0..day_s * 0.7);
+    if rng.random_bool(0.5) {
+        let node = rng.random_range(0..NODES);
+        vec![(at, FaultAction::Kill(node)), (at + rng.random_range(0.1..0.9), FaultAction::Start(node))]
+    } else {
+        vec![(at, FaultAction::RestartAgents(rng.random_range(0.1..0.6)))]
+    }
+}
+
 impl Sim {
     /// Runs `day_s` seconds with jobs and `faults` overlapping faults.
     pub async fn random_day(&mut self, day_s: f64, faults: usize) {
@@ -125,12 +144,13 @@
     /// Runs [`Sim::random_day`] with `later` further faults of the kinds added later. These are drawn
     /// last, so that recorded seeds reproduce their runs.
     pub async fn random_day_with(&mut self, day_s: f64, faults: usize, later: usize) {
-        self.random_day_of(RandomDay { day_s, faults, later, pipelines: 0, rollout: false }).await;
+        let day = RandomDay { day_s, faults, later, ..RandomDay::default() };
+        self.random_day_of(day).await;
     }
 
     /// Runs `day` with pipelines; if the state service has limits, they shrink during the run.
     pub async fn random_day_of(&mut self, day: RandomDay) {
-        let RandomDay { day_s, faults, later, pipelines, rollout } = day;
+        let RandomDay { day_s, faults, later, pipelines, rollout, repeated_commands } = day;
         let mut rng = StdRng::seed_from_u64(self.context.seed.wrapping_mul(0x9e37_79b9));
         self.context.world.lock().unwrap().faulty = 0.04;
         tokio::spawn(users::poll_unknown_jobs(self.context.clone(), rng.random()));
@@ -171,6 +191,10 @@
             fault_actions
                 .push((rng.random_range(if rollout { earliest } else { 0.0 }..day_s), FaultAction::LimitState));
         }
+        if repeated_commands > 0.0 {
+            self.repeated_commands(repeated_commands);
+            fault_actions.extend((0..QUICK_RESTARTS).flat_map(|_| quick_restart(&mut rng, day_s)));
+        }
         fault_actions.sort_by(|a, b| a.0.total_cmp(&b.0));
         let began = Instant::now();
         for (at, action) in fault_actions {
@@ -221,6 +245,7 @@
                 self.submit_pipeline(jobs);
             }
             FaultAction::Upgrade(node) => self.kill_to_upgrade(node),
+            FaultAction::RestartAgents(share) => self.restart_agents(rng, share, AgentMemory::Stored),
             FaultAction::LimitState => self.limit_state(NEXT_LIMITS),
             FaultAction::LateReports(share) => self.late_reports(share),
             FaultAction::LateWrites(share) => self.late_writes(share),
@@ -258,6 +283,14 @@
         }
     }
 
+    /// Starts the agents of a share of the machines again; copies of the commands that they had answered follow.
+    fn restart_agents(&self, rng: &mut StdRng, share: f64, memory: AgentMemory) {
+        let ids: Vec<String> = self.context.world.lock().unwrap().machines.keys().cloned().collect();
+        for id in ids.iter().filter(|_| rng.random_bool(share)) {
+            machines::restart_agent(&self.context, id, memory);
+        }
+    }
+
     /// Reclaims spot machines, with or without notice.
     fn take_spot_machines(&mut self, count: usize, noticed: bool, rng: &mut StdRng) {
         for id in self.random_machines(rng, count, |spot| spot) {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -175,6 +175,7 @@
                 node::run_on(net, settings, self.operator.clone(), self.subsystems.clone())
             };
             tokio::spawn(task::run_gated(self.pauses[node].clone(), controller));
+            machines::repeat_answered_commands(&self.context, None);
         }
     }
 
@@ -240,6 +241,12 @@
         self.context.world.lock().unwrap().late_reports = share;
     }
 
+    /// Sets the share of direct commands that arrive once more after they were carried out and answered. While it is
+    /// above 0, the answered commands of all machines are also repeated when a controller starts.
+    pub fn repeated_commands(&self, share: f64) {
+        self.context.world.lock().unwrap().repeated_commands = share;
+    }
+
     /// Keeps copies of all reports and delivers them to every controller when the next leader begins.
     pub fn keep_reports(&self) {
         self.context.world.lock().unwrap().keeping = true;
--- a/crates/stand-ins/src/machines.rs
+++ b/crates/stand-ins/src/machines.rs
@@ -2,7 +2,7 @@
 
 use super::deployment::REQUEST_TIMEOUT;
 use super::ground::SimulationContext;
-use super::world::secs;
+use super::world::{AgentMemory, secs};
 use badgerdrift::transport::http::{self, Client, Response};
 use rand::RngExt;
 use serde_json::Value;
@@ -109,9 +109,36 @@
         return Response::error(400, "fence or tenure is missing");
     }
     let done = world.direct(&id, &body);
+    if done && let Some(after) = world.note_answered_command(&id, &body) {
+        repeat_command(&context, id.clone(), body, after);
+    }
     Response::json(if done { 200 } else { 409 }, &world.report(&id))
 }
 
+/// Delivers a copy of a command that was carried out and answered after this time.
+fn repeat_command(context: &SimulationContext, id: String, command: Value, after: Duration) {
+    let context = context.clone();
+    tokio::spawn(async move {
+        sleep(after).await;
+        context.world.lock().unwrap().repeat_command(&id, &command);
+    });
+}
+
+/// Delivers copies of the answered commands of a machine, or of all machines, during the next second.
+pub fn repeat_answered_commands(context: &SimulationContext, id: Option<&str>) {
+    for (id, command) in context.world.lock().unwrap().answered_commands(id) {
+        for ms in [20, 300, 900] {
+            repeat_command(context, id.clone(), command.clone(), Duration::from_millis(ms));
+        }
+    }
+}
+
+/// Starts the agent of a machine again within a second. Copies of commands that it had answered follow.
+pub fn restart_agent(context: &SimulationContext, id: &str, memory: AgentMemory) {
+    context.world.lock().unwrap().restart_agent(id, memory);
+    repeat_answered_commands(context, Some(id));
+}
+
 /// Returns whether a direct command is delayed. A delayed command is carried out later if its token and
 /// session still match.
 fn delay_command(context: &SimulationContext, id: &str, req: &http::Request) -> bool {
--- a/crates/stand-ins/src/settle.rs
+++ b/crates/stand-ins/src/settle.rs
@@ -46,7 +46,7 @@
             let mut world = self.context.world.lock().unwrap();
             (world.poll_rate, world.boot_faults) = (1.0, BootFaults::default());
             (world.late_writes, world.lost_answers, world.late_reports, world.cloud_down) = (0.0, 0.0, 0.0, false);
-            world.late_commands = 0.0;
+            (world.late_commands, world.repeated_commands) = (0.0, 0.0);
         }
         self.context.network.mend();
     }
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod machine;
 mod parameters;
 mod rental;
+mod repeats;
 mod rules;
 mod slots;
 mod terms;
@@ -18,6 +19,7 @@
     TeamLimit, ZONES, secs,
 };
 pub use rental::{BootFaults, machine_address};
+pub use repeats::AgentMemory;
 pub use slots::SlotAccount;
 
 use crate::store::Store;
@@ -25,6 +27,7 @@
 use machine::Phase;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::Value;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
@@ -61,6 +64,12 @@
     pub lost_answers: f64,
     /// Share of direct commands that get no answer and are carried out 2 to 16 s late.
     pub late_commands: f64,
+    /// Share of direct commands that were carried out and answered and arrive once more, 1 to 150 s later.
+    pub repeated_commands: f64,
+    /// Latest commands that each machine carried out and answered while commands are repeated.
+    answered_commands: BTreeMap<String, VecDeque<Value>>,
+    /// Attempts that each machine was told to discard. None of them may start there again.
+    discarded: HashSet<(String, (String, u64))>,
     pub cloud_down: bool,
     /// Share of machines on which every task fails.
     pub faulty: f64,
@@ -143,6 +152,9 @@
             late_writes: 0.0,
             lost_answers: 0.0,
             late_commands: 0.0,
+            repeated_commands: 0.0,
+            answered_commands: BTreeMap::new(),
+            discarded: HashSet::new(),
             cloud_down: false,
             faulty: 0.0,
             boot_faults: BootFaults::default(),
--- a/crates/stand-ins/src/world/terms.rs
+++ b/crates/stand-ins/src/world/terms.rs
@@ -29,7 +29,8 @@
     pub(super) fn check_term_of_orders(&mut self, worker: &str, message: &Value) {
         let orders = message["orders"].as_array().is_some_and(|orders| !orders.is_empty());
         let (true, true, Some(token)) = (self.check_terms, orders, message["fence"].as_u64()) else { return };
-        let Some(at) = self.terms.iter().position(|term| term.number == token) else { return };
+        // A record names the highest token of a leadership, which owns all tokens since the record before it.
+        let Some(at) = self.terms.iter().position(|term| term.number >= token) else { return };
         let owner = &self.terms[at].owner;
         let Some(next) = self.terms[at..].iter().find(|term| term.owner != *owner) else { return };
         if next.since + secs(IN_FLIGHT_S) < Instant::now() {
--- a/crates/stand-ins/src/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -104,6 +104,7 @@
                     if machine.copies.get(&key).is_some_and(|attempt| attempt.phase == Phase::Ended) {
                         machine.copies.remove(&key);
                         machine.changed = true;
+                        self.discarded.insert((id.to_string(), key));
                     }
                 }
                 other => self.fail(format!(
@@ -118,6 +119,9 @@
         if self.machines[id].copies.contains_key(&key) {
             return;
         }
+        if self.discarded.contains(&(id.to_string(), key.clone())) {
+            self.fail(format!("started_again: {} try {} is started on {id}, which had discarded it", key.0, key.1));
+        }
         let (job_id, n) = key.0.rsplit_once('/').unwrap();
         let n: u32 = n.parse().unwrap();
         let job = self.jobs.get(job_id).filter(|job| job.submitted && n < job.shards);
--- /dev/null
+++ b/src/control/partition/tests/late_copies.rs
@@ -0,0 +1,213 @@
+//! Tests in which copies of direct commands that were carried out and answered reach a worker again.
+
+use super::*;
+use std::collections::BTreeMap;
+
+/// Job whose tasks the tests follow.
+const JOB: &str = "run-000001";
+
+/// Scripted worker that follows the protocol, and the commands that it has answered.
+struct Agent {
+    host: &'static str,
+    agent_epoch: u64,
+    sequence: u64,
+    seen_token: u64,
+    /// Tasks with their attempts, and the reason of their end if they have ended.
+    tasks: BTreeMap<(String, u64), Option<&'static str>>,
+    answered: Vec<(u64, u64, Vec<Order>)>,
+}
+
+impl Agent {
+    fn new(host: &'static str) -> Agent {
+        Agent { host, agent_epoch: 1, sequence: 0, seen_token: 0, tasks: BTreeMap::new(), answered: Vec::new() }
+    }
+
+    fn status(&mut self) -> Heartbeat {
+        self.sequence += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), ended)| match ended {
+            Some(reason) => task_status(task, *attempt, "ended", Some(reason)),
+            None => task_status(task, *attempt, "running", None),
+        });
+        heartbeat(self.host, self.agent_epoch, self.sequence, self.seen_token, tasks.collect())
+    }
+
+    fn carry_out(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Run { task, attempt } => _ = self.tasks.entry((task.clone(), *attempt)).or_insert(None),
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(ended) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                        ended.get_or_insert("halted");
+                    }
+                }
+                Order::Reap { task, attempt } => _ = self.tasks.remove(&(task.clone(), *attempt)),
+                Order::Load { .. } | Order::Unload { .. } | Order::Attach { .. } => {
+                    unreachable!("no worker here loads models")
+                }
+            }
+        }
+    }
+
+    /// Carries a direct command out unless the worker refuses it. Returns whether it was carried out.
+    fn direct(&mut self, fencing_token: u64, agent_epoch: u64, orders: &[Order]) -> bool {
+        let accepted = fencing_token >= self.seen_token && agent_epoch == self.agent_epoch;
+        if accepted {
+            self.seen_token = fencing_token;
+            self.carry_out(orders);
+        }
+        accepted
+    }
+
+    /// Sends the leader a heartbeat and carries out the reply.
+    fn report(&mut self, partition: &mut Partition, now: u64) {
+        let status = self.status();
+        let orders = partition.heartbeat(&status, StatusSource::Heartbeat, now);
+        let token = partition.fencing_token().0;
+        if token >= self.seen_token {
+            self.seen_token = token;
+            self.carry_out(&orders);
+        }
+    }
+
+    /// Receives the direct command that is due, and answers it.
+    fn receive(&mut self, partition: &mut Partition, now: u64) {
+        let host_index = partition.cluster.host_index[self.host];
+        let Some(command) = partition.take_direct_command(host_index, now, false) else { return };
+        let accepted = self.direct(command.fencing_token.0, command.agent_epoch, &command.orders);
+        let answer = Box::new(self.status());
+        let outcome = if accepted {
+            self.answered.push((command.fencing_token.0, command.agent_epoch, command.orders.clone()));
+            DirectCommandOutcome::Answered(answer)
+        } else {
+            DirectCommandOutcome::Refused(answer)
+        };
+        partition.apply_direct_command_outcome(&command, outcome, now);
+    }
+
+    /// Reports and receives commands until nothing changes any more.
+    fn settle(&mut self, partition: &mut Partition, now: u64) {
+        for step in 0..6 {
+            self.report(partition, now + step * 1000);
+            complete_all_commits(partition, now + step * 1000, 200 + now + step);
+            self.receive(partition, now + step * 1000);
+        }
+    }
+
+    /// Lets copies of all answered commands arrive. Returns the attempts that they start.
+    fn receive_copies(&mut self) -> Vec<(String, u64)> {
+        let mut started = Vec::new();
+        for (fencing_token, agent_epoch, orders) in self.answered.clone() {
+            let before = self.tasks.clone();
+            self.direct(fencing_token, agent_epoch, &orders);
+            started.extend(self.tasks.keys().filter(|key| !before.contains_key(key)).cloned());
+        }
+        started
+    }
+
+    /// Ends all tasks that run, for this reason.
+    fn end_tasks(&mut self, reason: &'static str) {
+        self.tasks.values_mut().for_each(|ended| _ = ended.get_or_insert(reason));
+    }
+}
+
+/// Returns a partition with a job, and the worker that runs its tasks after a direct command.
+fn started_by_direct_command(shape: &str, tasks: u32) -> (Partition, Agent) {
+    let mut partition = partition();
+    let mut agent = Agent::new("h1");
+    agent.seen_token = partition.fencing_token().0;
+    agent.report(&mut partition, 1000);
+    let _rx = submit_job(&mut partition, &job_submission(JOB, shape, tasks), 1000);
+    complete_all_commits(&mut partition, 1000, 100);
+    partition.schedule(1001, 1001);
+    agent.receive(&mut partition, 1001);
+    agent.report(&mut partition, 1500);
+    assert_eq!((agent.tasks.len(), agent.answered.len()), (tasks as usize, 1));
+    (partition, agent)
+}
+
+/// Checks that the worker has discarded all attempts and that no copy starts one of them again.
+fn assert_copies_start_nothing(agent: &mut Agent) {
+    assert!(agent.tasks.is_empty(), "not discarded: {:?}", agent.tasks);
+    assert_eq!(agent.receive_copies(), vec![]);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_failed_and_moved_task_again() {
+    let (mut partition, mut agent) = started_by_direct_command("service", 1);
+    agent.end_tasks("error");
+    agent.settle(&mut partition, 2000);
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_preempted_task_again() {
+    let (mut partition, mut agent) = started_by_direct_command("batch", 1);
+    partition.cluster.host_mut(0).unwrap().attempts[0].stop = Some(0.0);
+    agent.settle(&mut partition, 2000);
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_task_of_a_cancelled_job_again() {
+    let (mut partition, mut agent) = started_by_direct_command("service", 2);
+    let mut cancelled = request_cancellation(&mut partition, JOB, 2000, true);
+    agent.settle(&mut partition, 2000);
+    partition.schedule(9000, 9000);
+    complete_all_commits(&mut partition, 9000, 300);
+    assert!(matches!(cancelled.try_recv(), Ok(UserAnswer::Status { phase: JobPhase::Cancelled, .. })));
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_completed_task_again() {
+    let (mut partition, mut agent) = started_by_direct_command("batch", 2);
+    agent.end_tasks("done");
+    agent.settle(&mut partition, 2000);
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_gang_task_of_an_earlier_attempt_again() {
+    let (mut partition, mut agent) = started_by_direct_command("group", 2);
+    agent.end_tasks("mates_gone");
+    agent.report(&mut partition, 2000);
+    partition.schedule(2100, 2100);
+    agent.settle(&mut partition, 2200);
+    assert_eq!(agent.tasks.values().filter(|ended| ended.is_none()).count(), 2, "the next attempt runs");
+    assert_eq!(agent.receive_copies(), vec![]);
+}
+
+#[test]
+fn a_copied_start_of_the_former_leader_starts_nothing_under_its_successor() {
+    let (mut partition, mut agent) = started_by_direct_command("service", 1);
+    let (jobs, hosts) = stored_records(&mut partition);
+    let mut successor = partition_with_records(5000, jobs, hosts);
+    agent.end_tasks("error");
+    agent.settle(&mut successor, 2000);
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_task_of_a_job_that_the_leader_does_not_hold() {
+    let (mut partition, mut agent) = started_by_direct_command("service", 1);
+    agent.end_tasks("error");
+    agent.settle(&mut partition, 2000);
+    // The attempt of a job without a record is discarded by the same leader that has started others directly.
+    agent.answered.push((agent.seen_token, 1, vec![Order::Run { task: "run-000077/0".into(), attempt: 9 }]));
+    agent.tasks.insert(("run-000077/0".into(), 9), Some("error"));
+    agent.settle(&mut partition, 12_000);
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_copied_start_does_not_run_a_moved_task_after_its_machine_came_back() {
+    let (mut partition, mut agent) = started_by_direct_command("service", 1);
+    partition.heartbeat(&heartbeat("h2", 1, 1, 1, vec![]), StatusSource::Heartbeat, 1600);
+    complete_all_commits(&mut partition, 1600, 101);
+    agent.tasks.clear();
+    agent.settle(&mut partition, 2000);
+    let place = partition.cluster.jobs[0].tasks[0].place;
+    partition.schedule(9000, 9000);
+    assert_eq!(place, Place::Idle, "the machine has shown that the task is gone");
+    assert_eq!(agent.receive_copies(), vec![]);
+}
--- a/src/control/partition/tests/mod.rs
+++ b/src/control/partition/tests/mod.rs
@@ -10,6 +10,7 @@
 mod failures;
 mod fault_combinations;
 mod fleet;
+mod late_copies;
 mod limits;
 mod orders;
 mod propagated_cancellations;
--- a/tests/fault_combinations/borrowing/faults.rs
+++ b/tests/fault_combinations/borrowing/faults.rs
@@ -165,7 +165,7 @@
         let setup = Setup { capacity: None, ..setup() };
         simulate_with(setup, seed, async |mut sim| {
             let faults = 2 + (seed % 4) as usize;
-            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 0, rollout: false };
+            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, ..RandomDay::default() };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
--- a/tests/fault_combinations/main.rs
+++ b/tests/fault_combinations/main.rs
@@ -18,6 +18,7 @@
 mod pipelines;
 mod poll_storms;
 mod random_days;
+mod repeated_commands;
 mod rollouts;
 mod scenario;
 mod simulation;
--- a/tests/fault_combinations/random_days.rs
+++ b/tests/fault_combinations/random_days.rs
@@ -7,7 +7,7 @@
 const FAULTY_MACHINE_OF_TWO: u64 = 497;
 
 /// Runs a scenario for each of the seeds on four threads, and fails with those seeds that failed.
-fn run_all(seeds: &[u64], scenario: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
+pub fn run_all(seeds: &[u64], scenario: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
     let failed = std::sync::Mutex::new(Vec::new());
     let next = std::sync::atomic::AtomicUsize::new(0);
     std::thread::scope(|scope| {
@@ -62,7 +62,8 @@
     run_all(&seeds(1..=16), |seed| {
         simulate(seed, async |mut sim| {
             let faults = 2 + (seed % 4) as usize;
-            let day = RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 6, rollout: false };
+            let day =
+                RandomDay { day_s: 90.0, faults, later: (seed % 3) as usize, pipelines: 6, ..RandomDay::default() };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
@@ -76,7 +77,14 @@
         let setup = Setup { production: true, ..Setup::default() };
         simulate_with(setup, seed, async |mut sim| {
             let faults = 2 + (seed % 4) as usize;
-            let day = RandomDay { day_s: 110.0, faults, later: (seed % 3) as usize, pipelines: 3, rollout: true };
+            let day = RandomDay {
+                day_s: 110.0,
+                faults,
+                later: (seed % 3) as usize,
+                pipelines: 3,
+                rollout: true,
+                ..RandomDay::default()
+            };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
@@ -90,7 +98,8 @@
         let mut setup = Setup::default();
         setup.operator.partitions = 3;
         simulate_with(setup, seed, async |mut sim| {
-            let day = RandomDay { day_s: 90.0, faults: (seed % 4) as usize, later: 0, pipelines: 5, rollout: false };
+            let day =
+                RandomDay { day_s: 90.0, faults: (seed % 4) as usize, later: 0, pipelines: 5, ..RandomDay::default() };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
--- a/tests/outputs/metrics.rs
+++ b/tests/outputs/metrics.rs
@@ -93,7 +93,7 @@
     for seed in seeds {
         collect_names(setup(), seed, names, async |mut sim: Sim| {
             let faults = 2 + (seed % 4) as usize;
-            let day = RandomDay { day_s: 90.0, faults, later: 1, pipelines: 2, rollout: false };
+            let day = RandomDay { day_s: 90.0, faults, later: 1, pipelines: 2, ..RandomDay::default() };
             sim.random_day_of(day).await;
             sim.settle().await;
         });
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -257,6 +257,21 @@
     fleet.assert_no_broken_rules();
 }
 
+#[tokio::test]
+async fn copied_starts_of_a_cancelled_job_run_none_of_its_tasks_again() {
+    let fleet = Fleet::start(2, 1).await;
+    fleet.until(0, "GET", "/ready", "", |status, _| status == 200).await;
+    fleet.world.lock().unwrap().repeat_commands = true;
+    for id in ["run-000001", "run-000002"] {
+        fleet.submit(0, id, "service", 3).await;
+        fleet.until(0, "GET", &format!("/v1/jobs/{id}"), "", |_, job| job["running"] == 3).await;
+        let path = format!("/v1/jobs/{id}/withdraw");
+        fleet.until(1, "POST", &path, "", |status, job| status == 200 && job["phase"] == "cancelled").await;
+    }
+    tokio::time::sleep(HEARTBEAT_INTERVAL * 4).await;
+    fleet.assert_no_broken_rules();
+}
+
 #[tokio::test]
 async fn running_tasks_survive_an_outage_of_the_state_service() {
     let fleet = Fleet::start(3, 1).await;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -4,7 +4,7 @@
 use badgerdrift::transport::http::{self, Client, Request, Response};
 use badgerdrift_stand_ins::store::{Store, query};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,6 +44,8 @@
     pub broken_rules: Vec<String>,
     /// Whether running tasks end with success.
     pub finish: bool,
+    /// Whether copies of answered direct commands arrive after each reply to a heartbeat.
+    pub repeat_commands: bool,
 }
 
 /// Shared state of the stand-ins.
@@ -131,9 +133,27 @@
     lease_start: Instant,
     /// State and exit reason of each attempt, by task and attempt number.
     tasks: BTreeMap<(String, u64), (&'static str, Option<&'static str>)>,
+    /// Direct commands that were carried out and answered.
+    answered: Vec<Value>,
+    /// Attempts that the worker was told to discard.
+    discarded: BTreeSet<(String, u64)>,
 }
 
 impl Worker {
+    /// Returns a worker that has no tasks and has seen no token.
+    fn new(id: String) -> Worker {
+        Worker {
+            id,
+            serial: 0,
+            tenure: 1,
+            seen_token: 0,
+            lease_start: Instant::now(),
+            tasks: BTreeMap::new(),
+            answered: Vec::new(),
+            discarded: BTreeSet::new(),
+        }
+    }
+
     /// Builds the next heartbeat.
     fn report(&mut self, world: &SimulationState) -> Value {
         self.serial += 1;
@@ -157,6 +177,9 @@
             let key = (task.clone(), order["try_no"].as_u64().unwrap());
             match order["verb"].as_str().unwrap() {
                 "run" if !self.tasks.contains_key(&key) => {
+                    if self.discarded.contains(&key) {
+                        world.broken_rules.push(format!("{task} is started again on {}", self.id));
+                    }
                     if world.running_tasks.keys().any(|(running, _)| *running == task) {
                         world.broken_rules.push(format!("{task} runs twice"));
                     }
@@ -171,12 +194,31 @@
                 }
                 "reap" => {
                     self.tasks.remove(&key);
+                    self.discarded.insert(key);
                 }
                 _ => {}
             }
         }
     }
 
+    /// Carries a direct command out if its token and session match. Returns whether it does.
+    fn direct(&mut self, world: &mut SimulationState, command: &Value) -> bool {
+        let seen_token = command["fence"].as_u64().unwrap();
+        let accepted = seen_token >= self.seen_token && command["tenure"].as_u64() == Some(self.tenure);
+        if accepted {
+            self.seen_token = seen_token;
+            self.execute(world, &command["orders"]);
+        }
+        accepted
+    }
+
+    /// Receives copies of all commands that were carried out and answered.
+    fn receive_copies(&mut self, world: &mut SimulationState) {
+        for command in self.answered.clone() {
+            self.direct(world, &command);
+        }
+    }
+
     /// Ends all tasks, as the lease has expired, and begins a new session.
     fn end_all(&mut self, world: &mut SimulationState) {
         self.tasks.clear();
@@ -188,7 +230,7 @@
 
 /// Starts a worker, which receives direct commands and sends heartbeats to one of the nodes.
 fn worker(world: Shared, id: String, listener: TcpListener, nodes: Vec<SocketAddr>) {
-    let state = Worker { id, serial: 0, tenure: 1, seen_token: 0, lease_start: Instant::now(), tasks: BTreeMap::new() };
+    let state = Worker::new(id);
     let state = Arc::new(Mutex::new(state));
     let (command_world, command_state) = (world.clone(), state.clone());
     tokio::spawn(http::serve(listener, 100, Duration::from_secs(5), move |request| {
@@ -199,11 +241,9 @@
             if !world.machines.contains_key(&state.id) {
                 return Response::error(503, "gone");
             }
-            let seen_token = body["fence"].as_u64().unwrap();
-            let accepted = seen_token >= state.seen_token && body["tenure"].as_u64() == Some(state.tenure);
+            let accepted = state.direct(&mut world, &body);
             if accepted {
-                state.seen_token = seen_token;
-                state.execute(&mut world, &body["orders"]);
+                state.answered.push(body);
             }
             Response::json(if accepted { 200 } else { 409 }, &state.report(&world))
         }
@@ -241,6 +281,9 @@
                         state.seen_token = seen_token;
                         state.lease_start = sent;
                         state.execute(&mut world, &reply["orders"]);
+                        if world.repeat_commands {
+                            state.receive_copies(&mut world);
+                        }
                     }
                 }
                 _ => node = (node + 1) % nodes.len(),
