Fencing: a copy of an answered start starts nothing after its attempt was discarded

Cause: a start was taken as used up once it was answered, while its receiver fences by token and agent epoch only. may_reap waited for commands in flight or without an answer, and nothing was kept of an answered one. The reap made the copy dangerous. The same right outlived its use where a machine had lost the task by itself (remove_unlisted_attempts), and orders to discard attempts of unknown jobs were not checked at all.

Now an attempt is discarded on a machine only when every direct command that could start it would be refused there. A leadership takes a range of 1,024 tokens with its commit (term goes up by 1,024, records name the last one, formats unchanged). The reply that discards carries a token above that of each direct command with a start to that machine, so that the machine sees it before the reap; no write, nothing waits. fence_discards is the one place that all discards pass. An attempt that a machine does not list is forgotten under the same condition. Unanswered starts are settled in the same way instead of by a raise for all machines.

The test of a job that the leader does not hold had a copy of a command that was never sent; it is now part of the command that was. Partition tests that count tokens use a range of one token (single_token) and are unchanged otherwise. New rule in the stand-ins: no token reaches a worker that the counter has not issued.

--- a/crates/stand-ins/src/world/terms.rs
+++ b/crates/stand-ins/src/world/terms.rs
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Checks a token that a worker sees for the first time: the counter must have issued it.
+    pub(super) fn check_token_was_issued(&mut self, worker: &str, token: u64) {
+        let last_issued = self.store.value("term")["n"].as_u64().unwrap_or_default();
+        if token > last_issued {
+            self.fail(format!("token {token} reaches {worker}, but the counter has issued no more than {last_issued}"));
+        }
+    }
+
     /// Checks orders that reach a worker: their sender must not have been superseded by another leader.
     pub(super) fn check_term_of_orders(&mut self, worker: &str, message: &Value) {
         let orders = message["orders"].as_array().is_some_and(|orders| !orders.is_empty());
--- a/crates/stand-ins/src/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -68,8 +68,9 @@
     pub(super) fn see_fence(&mut self, id: &str, fence: u64) {
         let now = Instant::now();
         let lease_s = self.parameters.lease_s;
-        let machine = self.machines.get_mut(id).unwrap();
-        if fence > machine.fence {
+        if fence > self.machines[id].fence {
+            self.check_token_was_issued(id, fence);
+            let machine = self.machines.get_mut(id).unwrap();
             machine.fence = fence;
             if machine.reported_token_at + secs(lease_s / 2.0) <= now {
                 machine.reported_token_at = now;
--- a/examples/pass_cost.rs
+++ b/examples/pass_cost.rs
@@ -6,7 +6,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a measurement: a wrong assumption ends it")]
 
 use badgerdrift::control::partition::Partition;
-use badgerdrift::model::{Demand, FencingToken, Host, InstanceType, Job, Shape, Spec, Urgency};
+use badgerdrift::model::{Demand, FencingToken, FencingTokenRange, Host, InstanceType, Job, Shape, Spec, Urgency};
 use badgerdrift::scheduling::{Policy, TeamRule};
 use badgerdrift::settings::{OperatorSettings, Settings};
 use badgerdrift_borrowing::BorrowingSettings;
@@ -91,7 +91,14 @@
         boot_s: 30.0,
         zones: vec!["a".into()],
     };
-    partition.begin_leadership(FencingToken(1), 1, Vec::new(), Vec::new(), vec![instance_type], 0);
+    partition.begin_leadership(
+        FencingTokenRange::following(FencingToken::NONE),
+        1,
+        Vec::new(),
+        Vec::new(),
+        vec![instance_type],
+        0,
+    );
     for number in 0..machines {
         let mut host = Host::new(format!("host-{number:06}"), "a".into(), false, Some(0), 0);
         (host.registered, host.reconciled) = (true, true);
--- a/src/control/membership/actor.rs
+++ b/src/control/membership/actor.rs
@@ -308,12 +308,17 @@
 
     /// Begins the leadership that a campaign has acquired.
     async fn leadership_acquired(&self, election: &mut Election, acquired: AcquiredLeadership, sent_ms: u64) {
-        let AcquiredLeadership { lease_id, fencing_token, .. } = acquired;
-        tracing::info!(partition = self.partition, %fencing_token, "leadership acquired");
+        let AcquiredLeadership { lease_id, tokens, .. } = acquired;
+        tracing::info!(
+            partition = self.partition,
+            fencing_token = %tokens.first,
+            last_token = %tokens.last,
+            "leadership acquired"
+        );
         self.metrics.count("partitions_taken", &self.partition.to_string());
         self.led_partitions.fetch_add(1, Ordering::Relaxed);
         election.begin_leadership(&acquired, sent_ms);
-        election.record = Some(PartitionRecord { leader: election.node.clone(), fencing_token, lease_id });
+        election.record = Some(PartitionRecord { leader: election.node.clone(), fencing_token: tokens.last, lease_id });
         // Sending fails only while the node stops.
         let _ = self.leadership_changes.send(LeadershipChange::Begin(acquired)).await;
     }
--- a/src/control/membership/campaign.rs
+++ b/src/control/membership/campaign.rs
@@ -5,7 +5,7 @@
 use super::records::{FENCING_TOKEN_KEY, FencingTokenRecord, PartitionRecord, StoredRecord, partition_key};
 use crate::clients::{RequestError, StateStore};
 use crate::control::partition::CommitOutcome;
-use crate::model::FencingToken;
+use crate::model::{FencingToken, FencingTokenRange};
 use crate::runtime::clock;
 use crate::wire;
 use serde_json::Value;
@@ -25,11 +25,11 @@
     pub(super) leader_lease_ttl_ms: u64,
 }
 
-/// New fencing token that a leader has acquired, and the version of the partition's key after that.
+/// New fencing tokens that a leader has acquired, and the version of the partition's key after that.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RaisedFencingToken {
-    /// New fencing token.
-    pub fencing_token: FencingToken,
+    /// New fencing tokens.
+    pub tokens: FencingTokenRange,
     /// Version of the partition's key.
     pub version: u64,
 }
@@ -161,7 +161,7 @@
     });
     let lease_id = state.create_lease(parameters.leader_lease_ttl_ms).await.map_err(AcquireError::CreateLease)?;
     let update = PartitionKeyUpdate { partition: parameters.partition, node: &parameters.node, version: 0, lease_id };
-    let acquired = commit_next_token(state, &update, counter).await;
+    let acquired = commit_next_tokens(state, &update, counter).await;
     if acquired.is_err() {
         // Also if the outcome of the commit is unknown: if it is applied later, it fails because its
         // lease no longer exists. A lease that cannot be revoked expires.
@@ -170,7 +170,7 @@
     acquired
 }
 
-/// Acquires a new fencing token for a partition that this node leads. Workers refuse lower tokens
+/// Acquires new fencing tokens for a partition that this node leads. Workers refuse lower tokens
 /// once they have seen it.
 ///
 /// # Errors
@@ -182,8 +182,8 @@
     update: &PartitionKeyUpdate<'_>,
 ) -> Result<RaisedFencingToken, AcquireError> {
     let counter = read_counter(state).await?.ok_or(AcquireError::NoCounter)?;
-    let acquired = commit_next_token(state, update, counter).await?;
-    Ok(RaisedFencingToken { fencing_token: acquired.fencing_token, version: acquired.version })
+    let acquired = commit_next_tokens(state, update, counter).await?;
+    Ok(RaisedFencingToken { tokens: acquired.tokens, version: acquired.version })
 }
 
 /// Reads the counter of fencing tokens; `None` if it does not exist yet.
@@ -194,20 +194,20 @@
     Ok(Some(TokenCounter { record, version: item.version }))
 }
 
-/// Commits the next fencing token and records the leader of the partition with it. Both keys change
-/// in one commit, on the condition that neither has changed since it was read, so that no token is
-/// issued twice.
-async fn commit_next_token(
+/// Commits the next range of fencing tokens and records the leader of the partition with its last token. Both
+/// keys change in one commit, on the condition that neither has changed since it was read, so that no token
+/// is issued twice.
+async fn commit_next_tokens(
     state: &StateStore,
     update: &PartitionKeyUpdate<'_>,
     counter: TokenCounter,
 ) -> Result<AcquiredLeadership, AcquireError> {
     let (lease_id, start_ms) = (update.lease_id, counter.record.start_ms);
-    let fencing_token = counter.record.last_token.successor();
-    let record = PartitionRecord { leader: update.node.to_string(), fencing_token, lease_id };
+    let tokens = FencingTokenRange::following(counter.record.last_token);
+    let record = PartitionRecord { leader: update.node.to_string(), fencing_token: tokens.last, lease_id };
     let mut leaders = counter.record.leaders;
     leaders.insert(update.partition, update.node.to_string());
-    let next_counter = FencingTokenRecord { last_token: fencing_token, start_ms, leaders };
+    let next_counter = FencingTokenRecord { last_token: tokens.last, start_ms, leaders };
     let (record, next_counter) = (to_json(&record)?, to_json(&next_counter)?);
     let key = partition_key(update.partition);
     let conditions = [wire::condition(&key, update.version), wire::condition(FENCING_TOKEN_KEY, counter.version)];
@@ -221,7 +221,7 @@
         },
         other => return Err(AcquireError::Commit(other)),
     };
-    Ok(AcquiredLeadership { lease_id, fencing_token, version, start_ms })
+    Ok(AcquiredLeadership { lease_id, tokens, version, start_ms })
 }
 
 fn to_json(record: &impl serde::Serialize) -> Result<Value, AcquireError> {
--- a/src/control/membership/leader_state.rs
+++ b/src/control/membership/leader_state.rs
@@ -57,7 +57,7 @@
     ) -> LeaderState {
         LeaderState {
             lease_id: acquired.lease_id,
-            fencing_token: acquired.fencing_token,
+            fencing_token: acquired.tokens.last,
             leader_lease_ttl_ms,
             store_lease_until_ms: sent_ms + shortened_by_drift(leader_lease_ttl_ms),
             pledged_until_ms: vec![0; peer_count],
--- a/src/control/membership/messages.rs
+++ b/src/control/membership/messages.rs
@@ -2,7 +2,7 @@
 
 use super::records::PartitionRecord;
 use crate::clients::RequestError;
-use crate::model::FencingToken;
+use crate::model::{FencingToken, FencingTokenRange};
 use tokio::sync::oneshot;
 
 /// Leader of the partition, as published to the rest of the node.
@@ -110,8 +110,8 @@
 pub struct AcquiredLeadership {
     /// Id of the lease that the partition's key is attached to.
     pub lease_id: u64,
-    /// Fencing token of this leadership.
-    pub fencing_token: FencingToken,
+    /// Fencing tokens of this leadership.
+    pub tokens: FencingTokenRange,
     /// Version of the partition's key after the commit.
     pub version: u64,
     /// Wall-clock time of the first start of the deployment, in milliseconds.
--- a/src/control/membership/records.rs
+++ b/src/control/membership/records.rs
@@ -25,7 +25,7 @@
     /// Name of the node that leads the partition.
     #[serde(rename = "holder")]
     pub leader: String,
-    /// Fencing token of its leadership.
+    /// Highest fencing token of its leadership.
     #[serde(rename = "term")]
     pub fencing_token: FencingToken,
     /// Id of the lease that the key is attached to.
--- a/src/control/membership/tests.rs
+++ b/src/control/membership/tests.rs
@@ -4,7 +4,7 @@
     PartitionRecord, PledgeRequest, partition_key,
 };
 use crate::clients::StateStore;
-use crate::model::FencingToken;
+use crate::model::{FencingToken, FencingTokenRange};
 use crate::runtime::{clock, task};
 use crate::settings::tests::settings;
 use crate::transport::http::{self, Request, Response};
@@ -19,7 +19,12 @@
 /// The election on node `a`, which leads and has this many peers; its campaign began at 1000 ms.
 fn election_led_by_a(peers: usize) -> Election {
     let mut election = Election::new("a", LEASE_TTL_MS, peers, 0);
-    let acquired = AcquiredLeadership { lease_id: 1, fencing_token: FencingToken(7), version: 3, start_ms: 0 };
+    let acquired = AcquiredLeadership {
+        lease_id: 1,
+        tokens: FencingTokenRange::ending_at(FencingToken(7)),
+        version: 3,
+        start_ms: 0,
+    };
     election.begin_leadership(&acquired, 1000);
     election
 }
--- a/src/control/partition/direct_commands.rs
+++ b/src/control/partition/direct_commands.rs
@@ -1,14 +1,13 @@
 //! Direct commands: orders sent to a worker without waiting for its next heartbeat.
 //!
-//! A command without an answer may be carried out minutes later, until the worker has seen a higher
-//! fencing token, a new agent epoch has begun, or the host is terminated. Until then the attempts of the
-//! command keep the token under which they may still start (`indeterminate_order_token`).
+//! A command may be carried out minutes later, or once more after its answer. The attempts that it starts keep its
+//! token (`start_token`), and `fencing` decides when it can start them no more.
 //!
 //! The parameter `now` is steady time in milliseconds.
 
 use super::heartbeats::MAX_ORDERS_PER_REPLY;
-use super::{DirectCommand, DirectCommandOutcome, Partition, StatusSource, task_orders};
-use crate::model::{HostIndex, UNREACHABLE_AFTER_UNANSWERED};
+use super::{DirectCommand, DirectCommandOutcome, Partition, StatusSource, fencing, task_orders};
+use crate::model::{Host, HostIndex};
 use crate::wire::Order;
 
 /// Divisor of the reaction time that gives the pause after a command without an answer.
@@ -27,7 +26,6 @@
     /// without orders is due only if `probe` is true or the host has not confirmed this leader's token.
     /// Returns `None` if no command is due or may be sent now, or if the host or its address is unknown.
     pub fn take_direct_command(&mut self, host_index: HostIndex, now: u64, probe: bool) -> Option<DirectCommand> {
-        let fencing_token = self.epoch.fencing_token();
         // Slot orders come first: a task may need the capacity of a slot that is to be unloaded.
         let slot_orders = self.slot_orders(host_index);
         let host = self.cluster.hosts.get_mut(host_index)?.as_mut()?;
@@ -35,6 +33,12 @@
         if host.command_in_flight || now < host.next_command_ms {
             return None;
         }
+        let token = self.epoch.token_of(host);
+        if host.attempts.iter().any(|attempt| fencing::is_stop_of_unseen_start_due(attempt, token)) {
+            self.fence_earlier_starts(host_index);
+        }
+        let host = self.cluster.hosts.get_mut(host_index)?.as_mut()?;
+        let fencing_token = self.epoch.token_of(host);
         // A host that has not confirmed this leader's token is sent the token, and its tasks are read
         // from the answer. The answer also contains its agent epoch, which may not be known yet.
         let probe = probe || !host.token_confirmed();
@@ -45,7 +49,10 @@
             }
             let id = &self.cluster.jobs[attempt.key.job].spec.id;
             if let Some(order) = task_orders::start_or_stop(id, attempt) {
-                attempt.in_flight |= matches!(order, Order::Run { .. });
+                if matches!(order, Order::Run { .. }) {
+                    attempt.in_flight = true;
+                    host.start_token = fencing_token;
+                }
                 orders.push(order);
             }
         }
@@ -67,15 +74,7 @@
     pub fn apply_direct_command_outcome(&mut self, command: &DirectCommand, result: DirectCommandOutcome, now: u64) {
         let retry_at_ms = now + self.policy.react_ms / RETRY_DIVISOR;
         let Some(host) = self.cluster.host_mut(command.host).filter(|host| host.id == command.id) else { return };
-        host.command_in_flight = false;
-        for attempt in host.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
-            attempt.in_flight = false;
-            if matches!(result, DirectCommandOutcome::Indeterminate) {
-                // The order may be carried out minutes later.
-                attempt.indeterminate_order_token =
-                    Some(attempt.indeterminate_order_token.unwrap_or_default().max(command.fencing_token));
-            }
-        }
+        record_starts(host, command, &result);
         if let DirectCommandOutcome::Refused(heartbeat) = &result {
             self.record_refused_command(command, heartbeat);
         }
@@ -106,20 +105,24 @@
             self.dispatch_queue.insert(host_index);
         }
     }
+}
 
-    /// Returns whether this leader needs a higher fencing token: the transfer of a host is indeterminate, a
-    /// host has seen a higher token, or an unanswered command may still start an attempt that is to be
-    /// stopped or has ended.
-    pub fn needs_higher_token(&self) -> bool {
-        self.is_transfer_indeterminate()
-            || self.cluster.each_host().any(|(_, host)| host.seen_token > self.epoch.fencing_token())
-            || self.cluster.each_host().any(|(_, host)| {
-                // A host that answers nothing would not confirm the higher token either.
-                host.unanswered_commands < UNREACHABLE_AFTER_UNANSWERED
-                    && host.attempts.iter().any(|attempt| {
-                        attempt.indeterminate_order_token.is_some_and(|token| token >= self.epoch.fencing_token())
-                            && (attempt.stop.is_some() || attempt.ended())
-                    })
-            })
+/// Ends the flight of a direct command. If a copy of it may still be carried out, its token is recorded as that of its
+/// starts.
+fn record_starts(host: &mut Host, command: &DirectCommand, result: &DirectCommandOutcome) {
+    let may_arrive_again = match result {
+        DirectCommandOutcome::Answered(_) | DirectCommandOutcome::Indeterminate => true,
+        // A worker that refused the command refuses each copy of it.
+        DirectCommandOutcome::Refused(heartbeat) => {
+            heartbeat.seen_token <= command.fencing_token && heartbeat.agent_epoch <= command.agent_epoch
+        }
+        DirectCommandOutcome::NotSent => false,
+    };
+    host.command_in_flight = false;
+    for attempt in host.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
+        attempt.in_flight = false;
+        if may_arrive_again {
+            attempt.start_token = attempt.start_token.max(Some(command.fencing_token));
+        }
     }
 }
--- a/src/control/partition/failover.rs
+++ b/src/control/partition/failover.rs
@@ -3,24 +3,24 @@
 
 use super::Partition;
 use super::keys::{HOST_PREFIX, inbox_key};
-use crate::model::FencingToken;
+use crate::model::FencingTokenRange;
 use crate::model::{Host, HostIndex, HostRecord, InstanceType, JobRecord};
 use crate::wire::KeyValue;
 
 impl Partition {
-    /// Starts the leadership with this fencing token and the records of the state service. The state of
+    /// Starts the leadership with these fencing tokens and the records of the state service. The state of
     /// the hosts is unknown until they report under this token. Until then, nothing is placed that an
     /// unreconciled host may hold or may still start.
     pub fn begin_leadership(
         &mut self,
-        fencing_token: FencingToken,
+        tokens: FencingTokenRange,
         version: u64,
         jobs: Vec<KeyValue>,
         hosts: Vec<KeyValue>,
         instance_types: Vec<InstanceType>,
         now: u64,
     ) {
-        self.epoch.begin(fencing_token, version, now);
+        self.epoch.begin(tokens, version, now);
         self.failure_detector.begin(now);
         self.cluster.instance_types = instance_types;
         for item in jobs {
--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -1,8 +1,8 @@
 //! Handling of heartbeats, and the orders in reply.
 //!
 //! Heartbeats are ordered by agent epoch and sequence number: a late copy of an older one is ignored. A
-//! worker discards an ended attempt (`reap`) only once its outcome is recorded and no `run` order for it
-//! can still arrive.
+//! worker discards an ended attempt (`reap`) only once its outcome is recorded and no direct command can
+//! start it any more (`fencing`).
 
 use super::{Partition, StatusSource, task_orders};
 use crate::model::{ClusterState, Host, HostIndex, Shape, TaskKey, TaskPhase};
@@ -75,6 +75,7 @@
             self.pending_orders(host_index, &mut orders);
             // The others are found due again with the next heartbeat.
             orders.truncate(MAX_ORDERS_PER_REPLY);
+            self.fence_discards(host_index, &mut orders);
             self.record_reaps(heartbeat, &orders);
         }
         if let Some(host) = self.cluster.host_mut(host_index).filter(|host| !host.attempts.is_empty()) {
@@ -158,12 +159,6 @@
             host.preemption_notice = true;
             tracing::info!(host = host.id, "preemption notice received");
         }
-        // A worker that has seen a higher token refuses older direct commands.
-        for attempt in &mut host.attempts {
-            if attempt.indeterminate_order_token.is_some_and(|token| heartbeat.seen_token > token) {
-                attempt.indeterminate_order_token = None;
-            }
-        }
         Some(HostStatusChange { is_current, notice_s })
     }
 
@@ -277,7 +272,7 @@
         }
     }
 
-    /// Removes attempts that are known here but not listed in the heartbeat.
+    /// Removes attempts that are known here, are not listed in the heartbeat and can start no more.
     pub(super) fn remove_unlisted_attempts(
         &mut self,
         host_index: HostIndex,
@@ -289,20 +284,11 @@
             .attempts
             .iter()
             .filter(|attempt| {
-                if attempt.listed_sequence == heartbeat.sequence {
+                if attempt.listed_sequence == heartbeat.sequence || attempt.may_start_after(heartbeat.seen_token) {
                     return false;
                 }
-                match attempt.phase {
-                    // The `run` order may still arrive: from a direct command without an answer, or from
-                    // a reply that is still being sent.
-                    TaskPhase::Sent => {
-                        attempt.stop.is_some()
-                            && source == StatusSource::Heartbeat
-                            && attempt.indeterminate_order_token.is_none()
-                            && !attempt.in_flight
-                    }
-                    _ => true,
-                }
+                // The `run` order may still arrive with a reply that is being sent.
+                attempt.phase != TaskPhase::Sent || (attempt.stop.is_some() && source == StatusSource::Heartbeat)
             })
             .map(|attempt| (attempt.key, attempt.attempt))
             .collect();
@@ -321,7 +307,7 @@
             let job = &self.cluster.jobs[attempt.key.job];
             let order = match attempt.phase {
                 TaskPhase::Ended(reason) => {
-                    task_orders::may_reap(job, attempt, reason).then(|| Order::reap(&job.spec.id, attempt))
+                    task_orders::is_outcome_safe(job, attempt, reason).then(|| Order::reap(&job.spec.id, attempt))
                 }
                 _ => task_orders::start_or_stop(&job.spec.id, attempt),
             };
--- a/src/control/partition/host_routing.rs
+++ b/src/control/partition/host_routing.rs
@@ -15,14 +15,14 @@
             {
                 host.seen_token = host.seen_token.max(heartbeat.seen_token);
             }
-            return if heartbeat.seen_token > self.epoch.fencing_token() {
+            return if heartbeat.seen_token > self.epoch.last_token() {
                 HostRouting::AwaitsHigherToken
             } else {
                 HostRouting::Local
             };
         }
         if self.id() == 0 && self.host_directory.other_partition_of(&heartbeat.host).is_none() {
-            return if heartbeat.seen_token > self.epoch.fencing_token() {
+            return if heartbeat.seen_token > self.epoch.last_token() {
                 HostRouting::AwaitsHigherToken
             } else {
                 HostRouting::Local
--- a/src/control/partition/leadership_epoch.rs
+++ b/src/control/partition/leadership_epoch.rs
@@ -1,6 +1,6 @@
 //! Leadership epoch: the fencing tokens of one leader of the partition, and the numbers it assigns.
 
-use crate::model::FencingToken;
+use crate::model::{FencingToken, FencingTokenRange, Host};
 use crate::wire::{self, Condition};
 
 /// Number of low-order bits of a number that are below the fencing token it was assigned under.
@@ -9,11 +9,11 @@
 /// Identity under which the leader acts.
 ///
 /// Every commit is conditional on the version of the partition's key. That version changes with the
-/// leader and with its fencing token, so writes of a superseded leader are not carried out.
+/// leader and with its fencing tokens, so writes of a superseded leader are not carried out.
 #[derive(Debug)]
 pub(super) struct LeadershipEpoch {
-    /// Current fencing token; `NONE` before the records are read.
-    fencing_token: FencingToken,
+    /// Current fencing tokens; `NONE` before the records are read.
+    tokens: FencingTokenRange,
     /// Fencing token that the leader began with. It may have raised its token since.
     first_token: FencingToken,
     /// Key of the partition in the state service.
@@ -30,7 +30,7 @@
     /// Returns the state before the records are read: the leader has no fencing token.
     pub(super) fn new(partition_key: String) -> LeadershipEpoch {
         LeadershipEpoch {
-            fencing_token: FencingToken::NONE,
+            tokens: FencingTokenRange::NONE,
             first_token: FencingToken::NONE,
             partition_key,
             partition_version: 0,
@@ -39,26 +39,47 @@
         }
     }
 
-    /// Starts the leadership with this fencing token.
-    pub(super) fn begin(&mut self, fencing_token: FencingToken, partition_version: u64, now: u64) {
-        self.set_fencing_token(fencing_token, partition_version);
-        self.first_token = fencing_token;
+    /// Starts the leadership with these fencing tokens.
+    pub(super) fn begin(&mut self, tokens: FencingTokenRange, partition_version: u64, now: u64) {
+        self.set_tokens(tokens, partition_version);
+        self.first_token = tokens.first;
         self.begun_ms = now;
     }
 
-    /// Sets the fencing token and the current version of the partition's key. With a higher token,
-    /// numbers continue from that token; with the same token, the counter is unchanged.
-    pub(super) fn set_fencing_token(&mut self, fencing_token: FencingToken, partition_version: u64) {
-        if fencing_token > self.fencing_token {
-            self.last_number = fencing_token.0 << SEQUENCE_BITS;
+    /// Sets the fencing tokens and the current version of the partition's key. With higher tokens, numbers
+    /// continue from the first of them; with the same tokens, the counter is unchanged.
+    pub(super) fn set_tokens(&mut self, tokens: FencingTokenRange, partition_version: u64) {
+        if tokens.first > self.tokens.first {
+            self.last_number = tokens.first.0 << SEQUENCE_BITS;
         }
-        self.fencing_token = fencing_token;
+        self.tokens = tokens;
         self.partition_version = partition_version;
     }
 
-    /// Returns the fencing token that accompanies every order; `NONE` before the records are read.
+    /// Returns the fencing tokens.
+    pub(super) fn tokens(&self) -> FencingTokenRange {
+        self.tokens
+    }
+
+    /// Returns the lowest fencing token, with which orders to a worker begin; `NONE` before the records are read.
     pub(super) fn fencing_token(&self) -> FencingToken {
-        self.fencing_token
+        self.tokens.first
+    }
+
+    /// Returns the highest fencing token that orders may carry.
+    pub(super) fn last_token(&self) -> FencingToken {
+        self.tokens.last
+    }
+
+    /// Returns the fencing token of orders to this host. It is at least the one that the worker has seen, unless the
+    /// leader has to take higher tokens first.
+    pub(super) fn token_of(&self, host: &Host) -> FencingToken {
+        self.tokens.first.max(host.raised_token).max(host.seen_token.min(self.tokens.last))
+    }
+
+    /// Returns the token after this one; `None` if the leader has no higher one.
+    pub(super) fn token_after(&self, token: FencingToken) -> Option<FencingToken> {
+        (token < self.tokens.last).then(|| token.successor())
     }
 
     /// Returns the fencing token that the leader began with.
@@ -92,9 +113,9 @@
         self.last_number + 1
     }
 
-    /// Returns whether this leader has assigned the number under its present fencing token.
+    /// Returns whether this leader has assigned the number under its present fencing tokens.
     pub(super) fn has_assigned(&self, number: u64) -> bool {
-        number > self.fencing_token.0 << SEQUENCE_BITS && number <= self.last_number
+        number > self.tokens.first.0 << SEQUENCE_BITS && number <= self.last_number
     }
 
     /// Returns a number for an attempt, a warm slot, a loan or a commit. Numbers are unique across
--- a/src/control/partition/mod.rs
+++ b/src/control/partition/mod.rs
@@ -25,6 +25,7 @@
 mod external_dependencies;
 mod failover;
 mod failure_detector;
+mod fencing;
 mod heartbeat_load;
 mod heartbeats;
 mod host_directory;
@@ -56,7 +57,7 @@
 };
 
 use crate::clients::write_limits::WriteLimits;
-use crate::model::{ClusterState, FencingToken, HostIndex, JobIndex};
+use crate::model::{ClusterState, FencingToken, FencingTokenRange, HostIndex, JobIndex};
 use crate::runtime::metrics::Metrics;
 use crate::scheduling::Policy;
 use std::collections::{BTreeSet, HashMap};
@@ -145,14 +146,19 @@
         self.teams.partition()
     }
 
-    /// Returns the leader's fencing token; `NONE` before the records are read.
+    /// Returns the leader's lowest fencing token; `NONE` before the records are read.
     pub fn fencing_token(&self) -> FencingToken {
         self.epoch.fencing_token()
     }
 
-    /// Sets a new fencing token, or the same one with the current version of the partition's key.
-    pub fn set_fencing_token(&mut self, fencing_token: FencingToken, partition_version: u64) {
-        self.epoch.set_fencing_token(fencing_token, partition_version);
+    /// Returns the leader's fencing tokens.
+    pub fn fencing_tokens(&self) -> FencingTokenRange {
+        self.epoch.tokens()
+    }
+
+    /// Sets new fencing tokens, or the same ones with the current version of the partition's key.
+    pub fn set_fencing_tokens(&mut self, tokens: FencingTokenRange, partition_version: u64) {
+        self.epoch.set_tokens(tokens, partition_version);
     }
 
     /// Returns the jobs, hosts and instance types of the partition.
--- a/src/control/partition/task_orders.rs
+++ b/src/control/partition/task_orders.rs
@@ -29,14 +29,11 @@
     }
 }
 
-/// Returns whether the worker may discard (`reap`) an attempt that has ended with this reason.
-///
-/// It may do so only once the outcome cannot be lost, because the worker holds the only other copy, and
-/// only while no `run` order can still arrive, because that would start the attempt a second time.
-pub(super) fn may_reap(job: &Job, attempt: &TaskAttempt, reason: ExitReason) -> bool {
-    let outcome_is_safe = reason != ExitReason::Done
+/// Returns whether the outcome of an attempt that has ended with this reason cannot be lost, so that its worker, which
+/// holds the only other copy, may discard (`reap`) it.
+pub(super) fn is_outcome_safe(job: &Job, attempt: &TaskAttempt, reason: ExitReason) -> bool {
+    reason != ExitReason::Done
         || job.end.is_some()
         || job.recorded_as_done(attempt.key.task)
-        || (job.unsaved == UnsavedChange::Nothing && !job.saving);
-    outcome_is_safe && attempt.indeterminate_order_token.is_none() && !attempt.in_flight
+        || (job.unsaved == UnsavedChange::Nothing && !job.saving)
 }
--- a/src/control/partition/tests/components.rs
+++ b/src/control/partition/tests/components.rs
@@ -102,12 +102,12 @@
 fn numbers_of_a_later_fencing_token_exceed_all_earlier_ones() {
     let mut epoch = LeadershipEpoch::new("part/0".into());
     assert_eq!((epoch.partition_version(), epoch.fencing_token()), (0, FencingToken::NONE));
-    epoch.begin(FencingToken(3), 77, 1000);
+    epoch.begin(single_token(3), 77, 1000);
     let first = epoch.next_number();
     assert_eq!(epoch.peek_next_number(), first + 1);
-    epoch.set_fencing_token(FencingToken(3), 78);
+    epoch.set_tokens(single_token(3), 78);
     assert_eq!((epoch.next_number(), epoch.condition().version), (first + 1, 78));
-    epoch.set_fencing_token(FencingToken(4), 79);
+    epoch.set_tokens(single_token(4), 79);
     assert!(epoch.next_number() >= 4 << 32);
     assert_eq!((epoch.first_token(), epoch.begun_ms()), (FencingToken(3), 1000));
 }
--- a/src/control/partition/tests/dependencies.rs
+++ b/src/control/partition/tests/dependencies.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::api::refusal::RefusalReason;
-use crate::model::FencingToken;
 use crate::model::{JobEnd, JobPhase, JobRecord, UnsavedChange};
 use crate::settings::{OperatorSettings, tests::settings};
 use crate::wire::tests::task_status;
@@ -231,7 +230,7 @@
     let teams = [("red".to_string(), 0), ("blue".to_string(), 1)].into();
     let mut partition = Partition::new(policy, 0, teams, settings.write_limits());
     let instance_types = super::partition().cluster.instance_types;
-    partition.begin_leadership(FencingToken(1), 77, vec![], vec![], instance_types, 1000);
+    partition.begin_leadership(single_token(1), 77, vec![], vec![], instance_types, 1000);
     let _rx = submit_job(&mut partition, &waiting_body(SECOND, &[FIRST], json!({})), 1000);
     let lookup = partition.take_lookups().pop().unwrap();
     let found = record(FIRST, "batch", "blue", None, 50);
--- a/src/control/partition/tests/fault_combinations.rs
+++ b/src/control/partition/tests/fault_combinations.rs
@@ -1,7 +1,6 @@
 //! Tests of combinations of two faults in one partition.
 
 use super::*;
-use crate::model::FencingToken;
 use crate::model::{JobPhase, JobRecord, Place};
 use crate::wire::tests::task_status;
 use crate::wire::{self, KeyValue, Order};
@@ -252,7 +251,7 @@
         partition.apply_commit_outcome(CommitOutcome::Conflict { failed: vec!["part/0".into()] }),
         Err(Superseded)
     );
-    partition.set_fencing_token(FencingToken(2), 90);
+    partition.set_fencing_tokens(single_token(2), 90);
     let commit = partition.next_commit(1200, 32).unwrap();
     assert_eq!(commit.conditions[0], wire::condition("part/0", 90));
     partition.apply_commit_outcome(CommitOutcome::Done { revision: 101 }).unwrap();
@@ -323,7 +322,7 @@
         assert_eq!(partition.needs_higher_token(), partitions > 1);
         if partitions > 1 {
             assert!(!partition.transfer_host("h1", 1), "the first write may still be applied");
-            partition.set_fencing_token(FencingToken(2), 90);
+            partition.set_fencing_tokens(single_token(2), 90);
             partition.heartbeat(&heartbeat("h1", 1, 2, 2, vec![]), StatusSource::Heartbeat, 1200);
             assert!(!partition.needs_higher_token() && partition.transfer_host("h1", 1));
         }
--- a/src/control/partition/tests/fleet.rs
+++ b/src/control/partition/tests/fleet.rs
@@ -3,8 +3,8 @@
 
 use super::*;
 use crate::clients::RentResult;
-use crate::model::FencingToken;
 use crate::model::{Demand, InstanceType};
+use crate::model::{FencingToken, FencingTokenRange};
 use crate::provisioning::provisioner::{CloudRequest, Provisioner};
 use crate::settings::{Objective, OperatorSettings, tests::settings};
 use crate::wire::tests::task_status;
@@ -131,7 +131,14 @@
         });
         let policy = Policy::new(&settings, &OperatorSettings::default(), 0);
         let mut partition = Partition::new(policy, 0, settings.partitions_of_teams(1), settings.write_limits());
-        partition.begin_leadership(FencingToken(1), 77, vec![], vec![], instance_types(), 1000);
+        partition.begin_leadership(
+            FencingTokenRange::following(FencingToken::NONE),
+            77,
+            vec![],
+            vec![],
+            instance_types(),
+            1000,
+        );
         Fleet {
             partition,
             provisioner: Provisioner::new(10.0),
@@ -194,9 +201,10 @@
             machine.next_ms = now + HEARTBEAT_MS;
             let heartbeat = machine.heartbeat(id, now);
             let orders = self.partition.heartbeat(&heartbeat, StatusSource::Heartbeat, now);
-            if self.partition.fencing_token().0 > machine.seen_token {
+            let reply_token = self.partition.reply_token(&heartbeat).0;
+            if reply_token > machine.seen_token {
                 // A higher token is a change, which the machine reports before its next regular heartbeat.
-                machine.seen_token = self.partition.fencing_token().0;
+                machine.seen_token = reply_token;
                 machine.next_ms = now + MIN_HEARTBEAT_INTERVAL_MS;
             }
             machine.carry_out(&orders, now, 60_000);
@@ -212,6 +220,7 @@
                 self.partition.apply_direct_command_outcome(&command, DirectCommandOutcome::NotSent, now);
                 continue;
             }
+            machine.seen_token = machine.seen_token.max(command.fencing_token.0);
             machine.carry_out(&command.orders, now, 60_000);
             let outcome = DirectCommandOutcome::Answered(Box::new(machine.heartbeat(&command.id, now)));
             self.partition.apply_direct_command_outcome(&command, outcome, now);
@@ -263,7 +272,8 @@
     }
 
     /// Lets a new leader begin with the stored records.
-    fn fail_over(&mut self, fencing_token: u64) {
+    fn fail_over(&mut self) {
+        let tokens = FencingTokenRange::following(self.partition.fencing_tokens().last);
         let item = |(key, value): (&String, &Value)| KeyValue { key: key.clone(), value: value.clone(), version: 50 };
         let under = |prefix: &'static str| self.stored.iter().filter(move |(key, _)| key.starts_with(prefix));
         let (jobs, hosts) = (under("job/").map(item).collect(), under("host/").map(item).collect());
@@ -271,7 +281,7 @@
         let teams = self.partition.teams.clone();
         self.partition = Partition::new(policy, 0, HashMap::new(), settings().write_limits());
         self.partition.teams = teams;
-        self.partition.begin_leadership(FencingToken(fencing_token), 78, jobs, hosts, instance_types(), self.now);
+        self.partition.begin_leadership(tokens, 78, jobs, hosts, instance_types(), self.now);
     }
 }
 
@@ -330,7 +340,7 @@
             machine.next_ms = u64::MAX;
         }
     }
-    fleet.fail_over(2);
+    fleet.fail_over();
     for _ in 0..60 {
         fleet.step();
     }
--- a/src/control/partition/tests/late_copies.rs
+++ b/src/control/partition/tests/late_copies.rs
@@ -62,7 +62,7 @@
     fn report(&mut self, partition: &mut Partition, now: u64) {
         let status = self.status();
         let orders = partition.heartbeat(&status, StatusSource::Heartbeat, now);
-        let token = partition.fencing_token().0;
+        let token = partition.reply_token(&status).0;
         if token >= self.seen_token {
             self.seen_token = token;
             self.carry_out(&orders);
@@ -112,7 +112,7 @@
 
 /// Returns a partition with a job, and the worker that runs its tasks after a direct command.
 fn started_by_direct_command(shape: &str, tasks: u32) -> (Partition, Agent) {
-    let mut partition = partition();
+    let mut partition = partition_with_tokens(FencingTokenRange::following(FencingToken::NONE), vec![], vec![]);
     let mut agent = Agent::new("h1");
     agent.seen_token = partition.fencing_token().0;
     agent.report(&mut partition, 1000);
@@ -190,12 +190,11 @@
 #[test]
 fn a_copied_start_does_not_run_a_task_of_a_job_that_the_leader_does_not_hold() {
     let (mut partition, mut agent) = started_by_direct_command("service", 1);
+    // The same command started a task whose job the leader does not hold any more.
+    agent.answered[0].2.push(Order::Run { task: "run-000077/0".into(), attempt: 9 });
+    agent.tasks.insert(("run-000077/0".into(), 9), None);
     agent.end_tasks("error");
     agent.settle(&mut partition, 2000);
-    // The attempt of a job without a record is discarded by the same leader that has started others directly.
-    agent.answered.push((agent.seen_token, 1, vec![Order::Run { task: "run-000077/0".into(), attempt: 9 }]));
-    agent.tasks.insert(("run-000077/0".into(), 9), Some("error"));
-    agent.settle(&mut partition, 12_000);
     assert_copies_start_nothing(&mut agent);
 }
 
--- a/src/control/partition/tests/limits.rs
+++ b/src/control/partition/tests/limits.rs
@@ -1,7 +1,6 @@
 //! Tests of the limits of the state service and of the number of attempts that a leader can follow.
 
 use super::*;
-use crate::model::FencingToken;
 use crate::settings::NextStateLimits;
 
 #[test]
@@ -11,7 +10,7 @@
         Some(NextStateLimits { value_kb: Some(2.0), txn_ops: Some(4), ..NextStateLimits::default() });
     let policy = Policy::new(&settings, &OperatorSettings::default(), 0);
     let mut partition = Partition::new(policy, 0, settings.partitions_of_teams(1), settings.write_limits());
-    partition.begin_leadership(FencingToken(1), 77, vec![], vec![], super::partition().cluster.instance_types, 1000);
+    partition.begin_leadership(single_token(1), 77, vec![], vec![], super::partition().cluster.instance_types, 1000);
     let _waiters: Vec<_> = (1..10)
         .map(|number| submit_job(&mut partition, &job_submission(&format!("run-{number:06}"), "batch", 1), 1000))
         .collect();
@@ -74,7 +73,7 @@
         settings.partitions_of_teams(1),
         settings.write_limits(),
     );
-    partition.begin_leadership(FencingToken(1), 77, vec![], vec![], vec![instance_type()], 1000);
+    partition.begin_leadership(single_token(1), 77, vec![], vec![], vec![instance_type()], 1000);
     let mut submission: serde_json::Value =
         serde_json::from_slice(&job_submission("run-000001", "batch", 1000)).unwrap();
     submission["urgency"] = json!("best_effort");
--- a/src/control/partition/tests/mod.rs
+++ b/src/control/partition/tests/mod.rs
@@ -18,11 +18,11 @@
 mod warm_pools;
 
 use super::*;
-use crate::model::FencingToken;
 use crate::model::{
     Demand, Host, HostIndex, HostRecord, InstanceType, Job, JobPhase, JobRecord, Place, TaskAttempt,
     UNREACHABLE_AFTER_UNANSWERED,
 };
+use crate::model::{FencingToken, FencingTokenRange};
 use crate::scheduling;
 use crate::settings::{OperatorSettings, tests::settings};
 use crate::wire::tests::task_status;
@@ -51,15 +51,25 @@
     }
 }
 
-/// Returns a partition whose new leader has read these job and machine records.
+/// Returns a partition whose new leader has this token alone and has read these job and machine records.
 pub fn partition_with_records(fencing_token: u64, jobs: Vec<KeyValue>, hosts: Vec<KeyValue>) -> Partition {
+    partition_with_tokens(single_token(fencing_token), jobs, hosts)
+}
+
+/// Returns a partition whose new leader has read these job and machine records.
+pub(super) fn partition_with_tokens(tokens: FencingTokenRange, jobs: Vec<KeyValue>, hosts: Vec<KeyValue>) -> Partition {
     let settings = settings();
     let policy = Policy::new(&settings, &OperatorSettings::default(), 0);
     let mut partition = Partition::new(policy, 0, settings.partitions_of_teams(1), settings.write_limits());
-    partition.begin_leadership(FencingToken(fencing_token), 77, jobs, hosts, vec![instance_type()], 1000);
+    partition.begin_leadership(tokens, 77, jobs, hosts, vec![instance_type()], 1000);
     partition
 }
 
+/// Returns the range of a leader that has this token alone and cannot raise it by itself.
+pub(super) fn single_token(token: u64) -> FencingTokenRange {
+    FencingTokenRange { first: FencingToken(token), last: FencingToken(token) }
+}
+
 /// Returns a new partition without jobs and machines.
 pub fn partition() -> Partition {
     partition_with_records(1, vec![], vec![])
--- a/src/control/partition/tests/orders.rs
+++ b/src/control/partition/tests/orders.rs
@@ -1,7 +1,6 @@
 //! Tests of orders to machines and of the handling of their heartbeats.
 
 use super::*;
-use crate::model::FencingToken;
 
 #[test]
 fn a_cancellation_stops_all_attempts_and_is_answered_once_they_ended() {
@@ -52,7 +51,7 @@
     assert!(partition.needs_higher_token());
     partition.heartbeat(&heartbeat("h1", 1, 3, 1, vec![]), StatusSource::Heartbeat, 2300);
     assert_eq!(partition.cluster.host(0).unwrap().attempts.len(), 1);
-    partition.set_fencing_token(FencingToken(2), 78);
+    partition.set_fencing_tokens(single_token(2), 78);
     partition.heartbeat(&heartbeat("h1", 1, 4, 2, vec![]), StatusSource::Heartbeat, 2400);
     assert!(partition.cluster.host(0).unwrap().attempts.is_empty());
     complete_next_commit(&mut partition, 2500, 101);
@@ -71,7 +70,7 @@
     );
     partition.apply_direct_command_outcome(&command, DirectCommandOutcome::Indeterminate, 2000);
     assert_eq!(count_reaps(&partition.heartbeat(&heartbeat("h1", 1, 3, 1, ended()), StatusSource::Heartbeat, 2100)), 0);
-    partition.set_fencing_token(FencingToken(2), 78);
+    partition.set_fencing_tokens(single_token(2), 78);
     assert_eq!(count_reaps(&partition.heartbeat(&heartbeat("h1", 1, 4, 2, ended()), StatusSource::Heartbeat, 2200)), 1);
 }
 
@@ -95,9 +94,9 @@
     let mut partition = partition_with_running_job("batch", 3);
     let last = partition.cluster.host(0).unwrap().attempts.iter().map(|attempt| attempt.attempt).max().unwrap();
     let next = partition.epoch.peek_next_number();
-    partition.set_fencing_token(partition.fencing_token(), 78);
+    partition.set_fencing_tokens(partition.fencing_tokens(), 78);
     assert_eq!(partition.epoch.peek_next_number(), next, "rereading the key with an unchanged token changes no number");
-    partition.set_fencing_token(FencingToken(2), 79);
+    partition.set_fencing_tokens(single_token(2), 79);
     assert!(partition.epoch.peek_next_number() > last + 1);
 }
 
--- a/src/control/partition/tests/warm_pools/mod.rs
+++ b/src/control/partition/tests/warm_pools/mod.rs
@@ -6,7 +6,7 @@
 mod machines;
 
 use super::*;
-use crate::model::FencingToken;
+use crate::model::FencingTokenRange;
 use crate::settings::{OperatorSettings, Settings, tests::settings};
 use crate::wire::{KeyValue, Order, SlotStatus};
 use badgerdrift_warm_pools::{BillRecord, PoolSettings, RecordKey, SlotState};
@@ -94,7 +94,8 @@
     late: Vec<Commit>,
     workers: BTreeMap<String, Worker>,
     now: u64,
-    fencing_token: u64,
+    /// Number of leaders until now; the version of the partition's key.
+    leaders: u64,
     loads: usize,
     jobs: u32,
 }
@@ -132,7 +133,7 @@
             late: Vec::new(),
             workers: BTreeMap::new(),
             now: 1000,
-            fencing_token: 0,
+            leaders: 0,
             loads: 0,
             jobs: 0,
         };
@@ -145,7 +146,7 @@
 
     /// Lets a new leader begin with the stored records.
     fn fail_over(&mut self) {
-        self.fencing_token += 1;
+        self.leaders += 1;
         self.late.clear();
         let items = |prefix: &str| -> Vec<KeyValue> {
             let under = self.store.iter().filter(|(key, _)| key.starts_with(prefix));
@@ -158,8 +159,8 @@
         let mut partition = Partition::new(policy, 0, teams, self.settings.write_limits());
         partition.enable_pools(self.pools.clone(), self.now, INITIAL_WALL_MS + self.now);
         partition.begin_leadership(
-            FencingToken(self.fencing_token),
-            self.fencing_token,
+            FencingTokenRange::following(self.partition.fencing_tokens().last),
+            self.leaders,
             items("job/"),
             items("host/"),
             vec![instance_type()],
@@ -192,11 +193,13 @@
         if worker.silent {
             return;
         }
-        worker.seen_token = worker.seen_token.max(self.fencing_token);
+        worker.seen_token = worker.seen_token.max(self.partition.fencing_token().0);
         let heartbeat = worker.heartbeat(id);
         let orders = self.partition.heartbeat(&heartbeat, StatusSource::Heartbeat, self.now);
+        let reply_token = self.partition.reply_token(&heartbeat).0;
         self.loads += orders.iter().filter(|order| matches!(order, Order::Load { .. })).count();
         let worker = self.workers.get_mut(id).unwrap();
+        worker.seen_token = worker.seen_token.max(reply_token);
         // Slots that are loading now are ready in the next heartbeat.
         worker.slots.values_mut().for_each(|ready| *ready = true);
         worker.carry_out(&orders);
@@ -210,6 +213,7 @@
                 self.partition.apply_direct_command_outcome(&command, DirectCommandOutcome::NotSent, self.now);
                 continue;
             }
+            worker.seen_token = worker.seen_token.max(command.fencing_token.0);
             worker.carry_out(&command.orders);
             let heartbeat = worker.heartbeat(&command.id);
             self.partition.apply_direct_command_outcome(
--- a/src/control/partition_leader/actor.rs
+++ b/src/control/partition_leader/actor.rs
@@ -116,7 +116,7 @@
         let policy = Policy::new(&self.settings, &self.operator, acquired.start_ms);
         let teams = self.settings.partitions_of_teams(self.operator.partitions);
         let mut partition = Partition::new(policy, self.id, teams, limits);
-        partition.set_fencing_token(acquired.fencing_token, acquired.version);
+        partition.set_fencing_tokens(acquired.tokens, acquired.version);
         if let Some(pools) = &self.pools {
             partition.enable_pools(pools.as_ref().clone(), now, clock::wall_ms());
         }
@@ -253,9 +253,9 @@
         let took_ms = now.saturating_sub(leadership.began_ms);
         leadership.partition.metrics_mut().observe("record_load_ms", "all", took_ms);
         leadership.partition.metrics_mut().add("record_load_attempts", "all", u64::from(attempts));
-        let (fencing_token, version) = (leadership.partition.fencing_token(), leadership.key_version);
+        let (tokens, version) = (leadership.partition.fencing_tokens(), leadership.key_version);
         leadership.partition.begin_leadership(
-            fencing_token,
+            tokens,
             version,
             records.jobs,
             records.hosts,
@@ -266,7 +266,8 @@
         leadership.partition.restore_loans(records.loan_records);
         leadership.loaded = true;
         tracing::info!(
-            %fencing_token,
+            fencing_token = %tokens.first,
+            last_token = %tokens.last,
             jobs = leadership.partition.cluster().runnable_jobs.len(),
             hosts = leadership.partition.cluster().host_index.len(),
             attempts,
--- a/src/control/partition_leader/commits.rs
+++ b/src/control/partition_leader/commits.rs
@@ -6,6 +6,7 @@
 use crate::clients::{StateStore, TokenBucket};
 use crate::control::membership::{self, AcquireError, PartitionKeyUpdate, PartitionRecord, RaisedFencingToken};
 use crate::control::partition::{CommitOutcome, Superseded};
+use crate::model::FencingTokenRange;
 use crate::runtime::task;
 use tokio::time::sleep;
 
@@ -100,9 +101,9 @@
     /// Handles the outcome of a raise of the fencing token.
     pub(super) fn token_raise_ended(&self, leadership: &mut Leadership, raised: Option<RaisedFencingToken>, now: u64) {
         leadership.token_raise = TokenRaise::Idle { not_before_ms: now + self.settings.react_ms() };
-        if let Some(RaisedFencingToken { fencing_token, version }) = raised {
-            tracing::info!(%fencing_token, "fencing token raised");
-            leadership.partition.set_fencing_token(fencing_token, version);
+        if let Some(RaisedFencingToken { tokens, version }) = raised {
+            tracing::info!(fencing_token = %tokens.first, last_token = %tokens.last, "fencing token raised");
+            leadership.partition.set_fencing_tokens(tokens, version);
             leadership.key_version = version;
         }
     }
@@ -132,8 +133,8 @@
     };
     let own_key = found.and_then(|item| {
         let record: PartitionRecord = serde_json::from_value(item.value).ok()?;
-        (record.lease_id == lease_id)
-            .then_some(RaisedFencingToken { fencing_token: record.fencing_token, version: item.version })
+        let tokens = FencingTokenRange::ending_at(record.fencing_token);
+        (record.lease_id == lease_id).then_some(RaisedFencingToken { tokens, version: item.version })
     });
     own_key.map_or(BackgroundEvent::LeadershipLost, |raised| BackgroundEvent::TokenRaiseEnded(Some(raised)))
 }
--- a/src/control/partition_leader/requests.rs
+++ b/src/control/partition_leader/requests.rs
@@ -13,8 +13,8 @@
 impl PartitionLeader {
     /// Handles the heartbeat of a worker.
     pub(super) fn heartbeat(&self, leadership: &mut Leadership, heartbeat: &Heartbeat, now: u64) -> HeartbeatReply {
-        let fencing_token = leadership.partition.fencing_token();
         if !leadership.loaded {
+            let fencing_token = leadership.partition.fencing_token();
             // Replies without orders prolong the leases of workers while the records are read. Which
             // partition a machine belongs to is known then only if there is a single partition.
             let is_known = self.operator.partitions == 1 && heartbeat.seen_token <= fencing_token;
@@ -25,10 +25,10 @@
             };
         }
         match leadership.partition.route_heartbeat(heartbeat) {
-            HostRouting::Local => HeartbeatReply::Orders {
-                fencing_token,
-                orders: leadership.partition.heartbeat(heartbeat, StatusSource::Heartbeat, now),
-            },
+            HostRouting::Local => {
+                let orders = leadership.partition.heartbeat(heartbeat, StatusSource::Heartbeat, now);
+                HeartbeatReply::Orders { fencing_token: leadership.partition.reply_token(heartbeat), orders }
+            }
             HostRouting::AwaitsHigherToken => {
                 leadership.token_check_due = true;
                 HeartbeatReply::NotLeader
--- a/src/control/partition_leader/tests.rs
+++ b/src/control/partition_leader/tests.rs
@@ -8,7 +8,7 @@
 use crate::control::membership::{AcquiredLeadership, ElectionMessage, LeaderLease, PledgeStatus};
 use crate::control::partition::Partition;
 use crate::control::router::Router;
-use crate::model::FencingToken;
+use crate::model::{FencingToken, FencingTokenRange};
 use crate::provisioning::provisioner::Provisioner;
 use crate::scheduling::Policy;
 use crate::settings::{OperatorSettings, tests::settings};
@@ -56,7 +56,12 @@
     let limits = leader.settings.write_limits();
     let policy = Policy::new(&leader.settings, &leader.operator, 0);
     let teams = leader.settings.partitions_of_teams(leader.operator.partitions);
-    let acquired = AcquiredLeadership { lease_id: LEASE_ID, fencing_token: FencingToken(3), version: 5, start_ms: 0 };
+    let acquired = AcquiredLeadership {
+        lease_id: LEASE_ID,
+        tokens: FencingTokenRange::ending_at(FencingToken(3)),
+        version: 5,
+        start_ms: 0,
+    };
     let mut leadership = Leadership::new(
         NewLeadership {
             partition: Partition::new(policy, leader.id, teams, limits),
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -74,6 +74,10 @@
     /// First fencing token of this leader. Heartbeats count only once the worker has seen it: a heartbeat
     /// with a lower token may be a delayed copy from a machine that no longer exists.
     pub required_token: FencingToken,
+    /// Fencing token to which this leader has raised its orders to the machine; [`FencingToken::NONE`] if it has not.
+    pub raised_token: FencingToken,
+    /// Highest fencing token of a direct command with a `run` that was sent to the machine.
+    pub start_token: FencingToken,
     /// Partition to which the machine is being transferred; `None` if it is not being transferred.
     pub transferring_to: Option<u32>,
     /// Steady time, in milliseconds, from which the silence of the worker is counted: the last heartbeat or
@@ -142,6 +146,8 @@
             sequence: 0,
             seen_token: FencingToken::NONE,
             required_token: FencingToken::NONE,
+            raised_token: FencingToken::NONE,
+            start_token: FencingToken::NONE,
             transferring_to: None,
             last_heartbeat_ms: now,
             lease_renewed_ms: now,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -23,7 +23,7 @@
 pub use borrowing::BorrowingState;
 pub use cluster::{ClusterState, ExpectedDemand, HostOffering};
 pub use dependencies::Dependencies;
-pub use fencing_token::FencingToken;
+pub use fencing_token::{FencingToken, FencingTokenRange};
 pub use host::{Host, HostIndex, Reservation, UNREACHABLE_AFTER_UNANSWERED};
 pub use image_cache::CachedImage;
 pub use instance_type::{InstanceOffering, InstanceType};
--- a/src/model/task.rs
+++ b/src/model/task.rs
@@ -92,9 +92,9 @@
     pub since_ms: u64,
     /// Grace period, in seconds, of the stop that was decided; `None` if the attempt is not to be stopped.
     pub stop: Option<f64>,
-    /// Highest fencing token of an unanswered direct command with the `run` of this attempt; `None` if there
-    /// is none.
-    pub indeterminate_order_token: Option<FencingToken>,
+    /// Highest fencing token of a direct command with the `run` of this attempt, answered or not; `None` if there is
+    /// none. The command, or a copy of it, may start the attempt until the worker has seen a higher token.
+    pub start_token: Option<FencingToken>,
     /// True while a direct command with the `run` of this attempt is in flight.
     pub in_flight: bool,
     /// Sequence number of the machine's last heartbeat that listed the attempt; 0 if none did.
@@ -121,7 +121,7 @@
             phase,
             since_ms: now,
             stop: None,
-            indeterminate_order_token: None,
+            start_token: None,
             in_flight: false,
             listed_sequence: 0,
             start_awaits_record: false,
@@ -136,6 +136,11 @@
         self.stop.filter(|_| !self.stop_awaits_record)
     }
 
+    /// Returns whether a direct command may still start the attempt on a worker that has seen this token.
+    pub fn may_start_after(&self, seen_token: FencingToken) -> bool {
+        self.in_flight || self.start_token.is_some_and(|token| token >= seen_token)
+    }
+
     /// Returns whether the attempt has ended.
     pub fn ended(&self) -> bool {
         matches!(self.phase, TaskPhase::Ended(_))
