Fencing: an attach by a direct command counts as a start

Callers with warm pools: a replica that takes over a loaded model is started with attach instead of run. If the direct command had no answer and arrived late, or arrived once more, the attach was carried out: a task of a cancelled job ran, or a moved task ran twice.

Cause: a check in one path and not in another. take_direct_command marked orders of the variant Run as starts in flight and left Attach out, so that neither the guard against unanswered commands, which is older, nor the new fence knew of it.

Order::is_start names both.

--- a/src/control/partition/direct_commands.rs
+++ b/src/control/partition/direct_commands.rs
@@ -8,7 +8,6 @@
 use super::heartbeats::MAX_ORDERS_PER_REPLY;
 use super::{DirectCommand, DirectCommandOutcome, Partition, StatusSource, fencing, task_orders};
 use crate::model::{Host, HostIndex};
-use crate::wire::Order;
 
 /// Divisor of the reaction time that gives the pause after a command without an answer.
 const RETRY_DIVISOR: u64 = 4;
@@ -49,7 +48,7 @@
             }
             let id = &self.cluster.jobs[attempt.key.job].spec.id;
             if let Some(order) = task_orders::start_or_stop(id, attempt) {
-                if matches!(order, Order::Run { .. }) {
+                if order.is_start() {
                     attempt.in_flight = true;
                     host.start_token = fencing_token;
                 }
--- a/src/control/partition/tests/late_copies.rs
+++ b/src/control/partition/tests/late_copies.rs
@@ -34,16 +34,16 @@
     fn carry_out(&mut self, orders: &[Order]) {
         for order in orders {
             match order {
-                Order::Run { task, attempt } => _ = self.tasks.entry((task.clone(), *attempt)).or_insert(None),
+                Order::Run { task, attempt } | Order::Attach { task, attempt, .. } => {
+                    self.tasks.entry((task.clone(), *attempt)).or_insert(None);
+                }
                 Order::Stop { task, attempt, .. } => {
                     if let Some(ended) = self.tasks.get_mut(&(task.clone(), *attempt)) {
                         ended.get_or_insert("halted");
                     }
                 }
                 Order::Reap { task, attempt } => _ = self.tasks.remove(&(task.clone(), *attempt)),
-                Order::Load { .. } | Order::Unload { .. } | Order::Attach { .. } => {
-                    unreachable!("no worker here loads models")
-                }
+                Order::Load { .. } | Order::Unload { .. } => unreachable!("no worker here loads models"),
             }
         }
     }
@@ -110,8 +110,8 @@
     }
 }
 
-/// Returns a partition with a job, and the worker that runs its tasks after a direct command.
-fn started_by_direct_command(shape: &str, tasks: u32) -> (Partition, Agent) {
+/// Returns a partition with a job whose tasks are placed on the worker and not ordered yet.
+fn placed(shape: &str, tasks: u32) -> (Partition, Agent) {
     let mut partition = partition_with_tokens(FencingTokenRange::following(FencingToken::NONE), vec![], vec![]);
     let mut agent = Agent::new("h1");
     agent.seen_token = partition.fencing_token().0;
@@ -119,6 +119,12 @@
     let _rx = submit_job(&mut partition, &job_submission(JOB, shape, tasks), 1000);
     complete_all_commits(&mut partition, 1000, 100);
     partition.schedule(1001, 1001);
+    (partition, agent)
+}
+
+/// Returns a partition with a job, and the worker that runs its tasks after a direct command.
+fn started_by_direct_command(shape: &str, tasks: u32) -> (Partition, Agent) {
+    let (mut partition, mut agent) = placed(shape, tasks);
     agent.receive(&mut partition, 1001);
     agent.report(&mut partition, 1500);
     assert_eq!((agent.tasks.len(), agent.answered.len()), (tasks as usize, 1));
@@ -210,3 +216,32 @@
     assert_eq!(place, Place::Idle, "the machine has shown that the task is gone");
     assert_eq!(agent.receive_copies(), vec![]);
 }
+
+#[test]
+fn a_copied_attach_to_a_loaded_model_does_not_run_a_failed_task_again() {
+    let (mut partition, mut agent) = placed("service", 1);
+    partition.cluster.host_mut(0).unwrap().attempts[0].slot = Some(7);
+    agent.receive(&mut partition, 1001);
+    agent.end_tasks("error");
+    agent.settle(&mut partition, 2000);
+    assert!(matches!(agent.answered[0].2[..], [Order::Attach { .. }]));
+    assert_copies_start_nothing(&mut agent);
+}
+
+#[test]
+fn a_late_attach_to_a_loaded_model_does_not_run_a_task_of_a_cancelled_job() {
+    let (mut partition, mut agent) = placed("service", 1);
+    partition.cluster.host_mut(0).unwrap().attempts[0].slot = Some(7);
+    let late = partition.take_direct_command(0, 1001, false).unwrap();
+    partition.apply_direct_command_outcome(&late, DirectCommandOutcome::Indeterminate, 1100);
+    agent.answered.push((late.fencing_token.0, late.agent_epoch, late.orders));
+    let mut cancelled = request_cancellation(&mut partition, JOB, 1200, true);
+    agent.seen_token = partition.fencing_token().0;
+    for now in [2000, 3000, 4000] {
+        agent.report(&mut partition, now);
+        partition.schedule(now, now);
+        complete_all_commits(&mut partition, now, 200 + now);
+    }
+    assert!(cancelled.try_recv().is_ok(), "the worker has shown that the task cannot start");
+    assert_eq!(agent.receive_copies(), vec![]);
+}
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -218,6 +218,11 @@
         }
     }
 
+    /// Returns whether the order starts an attempt.
+    pub fn is_start(&self) -> bool {
+        matches!(self, Order::Run { .. } | Order::Attach { .. })
+    }
+
     /// Returns the order to stop an attempt of a task within `grace_s` seconds.
     pub fn stop(job: &str, attempt: &TaskAttempt, grace_s: f64) -> Order {
         Order::Stop { task: format!("{job}/{}", attempt.key.task), attempt: attempt.attempt, grace_s }
