Agents that come back without their memory: nothing is placed on or moved off their machines

The protocol has a worker store the highest token that it has seen. If its agent had sent few heartbeats before, the leader even took the new ones in, found the tasks missing and started them elsewhere, while a copy of their starts could be carried out there again.

An answer to a direct command whose number is not above that of the last heartbeat before the command, or a later heartbeat of the same agent epoch with a lower token, proves that the memory is lost. The machine then gets no tasks, its tasks are placed elsewhere only after the cloud has confirmed its termination, and it is counted (agents_without_memory_total) and logged.

--- a/src/control/partition/direct_commands.rs
+++ b/src/control/partition/direct_commands.rs
@@ -65,6 +65,7 @@
             addr,
             fencing_token,
             agent_epoch: host.agent_epoch,
+            last_sequence: host.sequence,
             orders,
         })
     }
@@ -80,6 +81,7 @@
         match result {
             DirectCommandOutcome::Answered(heartbeat) | DirectCommandOutcome::Refused(heartbeat) => {
                 if heartbeat.host == command.id {
+                    self.check_memory_of_answer(command, &heartbeat);
                     self.heartbeat(&heartbeat, StatusSource::DirectCommandReply, now);
                 }
                 self.queue_follow_up_command(command.host, now);
--- a/src/control/partition/failure_detector.rs
+++ b/src/control/partition/failure_detector.rs
@@ -160,14 +160,15 @@
     (policy.lease_ms as f64 * (1.0 + MAX_CLOCK_DRIFT)) as u64 + policy.react_ms
 }
 
-/// Returns whether orders no longer reach the host. This can also hold for a host that sends heartbeats.
+/// Returns whether orders no longer reach the host, or its agent may carry out outdated ones. This can also hold for a
+/// host that sends heartbeats.
 fn is_unreachable(host: &Host, policy: &Policy, now: u64) -> bool {
     let silent_ms = now.saturating_sub(host.last_heartbeat_ms);
     let unanswered_ms = u64::from(host.unanswered_commands) * policy.react_ms;
     let timeout_ms = HeartbeatTimeouts::of(policy).unreachable_after_ms;
     let unresponsive = host.unanswered_commands >= UNREACHABLE_AFTER_UNANSWERED
         && (silent_ms > timeout_ms || unanswered_ms > policy.lease_ms);
-    unresponsive || (host.addr.is_none() && silent_ms > policy.lease_ms)
+    host.lost_memory || unresponsive || (host.addr.is_none() && silent_ms > policy.lease_ms)
 }
 
 impl Partition {
--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -54,6 +54,9 @@
         if HeartbeatNumber::of(heartbeat) <= HeartbeatNumber::last_of(host) {
             return Vec::new();
         }
+        if self.has_lost_memory(host_index, heartbeat) {
+            return Vec::new();
+        }
         self.apply_agent_epoch(host_index, heartbeat, now);
         let Some(change) = self.apply_host_status(host_index, heartbeat, source, now) else { return Vec::new() };
         if !change.is_current {
@@ -147,6 +150,7 @@
         host.agent_epoch = heartbeat.agent_epoch;
         host.sequence = heartbeat.sequence;
         host.seen_token = host.seen_token.max(heartbeat.seen_token);
+        host.reported_token = heartbeat.seen_token;
         host.addr = Some(heartbeat.addr);
         host.can_load_models = heartbeat.slots.is_some();
         host.instance_type = instance_type;
--- a/src/control/partition/mod.rs
+++ b/src/control/partition/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! Times are in milliseconds: `now` is read from the monotonic clock, `wall` is the time of day.
 
+mod agent_memory;
 mod attempt_phases;
 mod attempts;
 mod borrowing;
--- a/src/control/partition/tests/late_copies.rs
+++ b/src/control/partition/tests/late_copies.rs
@@ -245,3 +245,36 @@
     assert!(cancelled.try_recv().is_ok(), "the worker has shown that the task cannot start");
     assert_eq!(agent.receive_copies(), vec![]);
 }
+
+#[test]
+fn nothing_is_placed_on_or_moved_off_a_machine_whose_agent_has_lost_its_memory() {
+    for reports_more_than_before in [false, true] {
+        let (mut partition, mut agent) = started_by_direct_command("service", 2);
+        partition.heartbeat(&heartbeat("h2", 1, 1, 1, vec![]), StatusSource::Heartbeat, 1600);
+        let places =
+            |partition: &Partition| partition.cluster.jobs[0].tasks.iter().map(|task| task.place).collect::<Vec<_>>();
+        let before = places(&partition);
+        agent.tasks.clear();
+        (agent.seen_token, agent.sequence) = (0, if reports_more_than_before { 1000 } else { 0 });
+        for now in [2000, 3000] {
+            agent.report(&mut partition, now);
+            let host_index = partition.cluster.host_index["h1"];
+            let command = partition.take_direct_command(host_index, now + 500, true).unwrap();
+            agent.direct(command.fencing_token.0, command.agent_epoch, &command.orders);
+            let outcome = DirectCommandOutcome::Answered(Box::new(agent.status()));
+            partition.apply_direct_command_outcome(&command, outcome, now + 500);
+            partition.schedule(now, now);
+        }
+        let _rx = submit_job(&mut partition, &job_submission("run-000002", "batch", 4), 3600);
+        complete_all_commits(&mut partition, 3600, 300);
+        partition.schedule(3700, 3700);
+        assert_eq!(places(&partition), before);
+        let others = &partition.cluster.jobs[1].tasks;
+        assert!(others.iter().all(|task| matches!(task.place, Place::OnHost(1, _))), "{others:?}");
+        assert_eq!(partition.detect_failures(4000, 0).to_terminate, ["h1"]);
+        assert!(partition.metrics_mut().text().contains("badgerdrift_agents_without_memory_total{of=\"all\"} 1"));
+        partition.host_terminated("h1");
+        partition.schedule(5000, 5000);
+        assert_ne!(places(&partition), before);
+    }
+}
--- a/src/control/partition/types.rs
+++ b/src/control/partition/types.rs
@@ -29,6 +29,8 @@
     pub fencing_token: FencingToken,
     /// Agent epoch of the worker that the command is meant for; 0 if not known yet.
     pub agent_epoch: u64,
+    /// Sequence number of the last heartbeat before the command was created; 0 if there was none.
+    pub last_sequence: u64,
     /// Orders for the worker; empty for a probe.
     pub orders: Vec<Order>,
 }
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -71,6 +71,11 @@
     pub sequence: u64,
     /// Highest fencing token that the worker is known to have seen; [`FencingToken::NONE`] if none is known.
     pub seen_token: FencingToken,
+    /// Fencing token that the worker showed in its last heartbeat.
+    pub reported_token: FencingToken,
+    /// True if the agent does not remember the token or the number of its last heartbeat. It may carry out commands that
+    /// it must refuse, and its heartbeats tell nothing about them, until the machine is terminated.
+    pub lost_memory: bool,
     /// First fencing token of this leader. Heartbeats count only once the worker has seen it: a heartbeat
     /// with a lower token may be a delayed copy from a machine that no longer exists.
     pub required_token: FencingToken,
@@ -145,6 +150,8 @@
             agent_epoch: 0,
             sequence: 0,
             seen_token: FencingToken::NONE,
+            reported_token: FencingToken::NONE,
+            lost_memory: false,
             required_token: FencingToken::NONE,
             raised_token: FencingToken::NONE,
             start_token: FencingToken::NONE,
--- a/src/scheduling/host_eligibility.rs
+++ b/src/scheduling/host_eligibility.rs
@@ -21,6 +21,7 @@
 pub fn is_usable(host: &Host, now: u64) -> bool {
     host.registered
         && !host.has_unknown_tasks
+        && !host.lost_memory
         && !host.preemption_notice
         && !host.terminating
         && !host.draining
--- a/tests/fault_combinations/repeated_commands.rs
+++ b/tests/fault_combinations/repeated_commands.rs
@@ -3,6 +3,7 @@
 use crate::random_days::run_all;
 use crate::scenario::{run_with_seeds, seconds, submit_long_jobs, submit_short_jobs};
 use crate::simulation::{seeds, simulate};
+use badgerdrift_stand_ins::world::AgentMemory;
 use badgerdrift_stand_ins::{NODES, RandomDay, machines};
 
 #[test]
@@ -46,3 +47,13 @@
         }
     });
 }
+
+#[test]
+fn tasks_continue_elsewhere_after_agents_came_back_without_their_memory() {
+    run_with_seeds(async |sim| {
+        submit_long_jobs(sim, 60.0).await;
+        let ids: Vec<String> = sim.context.world.lock().unwrap().machines.keys().cloned().collect();
+        ids.iter().step_by(2).for_each(|id| machines::restart_agent(&sim.context, id, AgentMemory::Lost));
+        sim.run(seconds(30)).await;
+    });
+}
