Stand-ins: late copies, history and counts in modules of their own

Replies that workers drop for a lower token and the size of the largest report are counted and printed at the end of a simulation.

--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -5,8 +5,8 @@
 use crate::relays::Cuts;
 use crate::scenario::{Fault, FaultKind};
 use badgerdrift_stand_ins::ground::SimulationContext;
-use badgerdrift_stand_ins::machines;
 use badgerdrift_stand_ins::world::secs;
+use badgerdrift_stand_ins::{late_copies, machines};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
@@ -110,7 +110,7 @@
         for number in numbers {
             report(self.controllers.lock().await.start_one(*number));
         }
-        machines::repeat_answered_commands(&self.context, None);
+        late_copies::repeat_answered_commands(&self.context, None);
     }
 
     pub async fn pause_leader(&self, for_s: f64) {
--- a/crates/stand-ins/src/faults.rs
+++ b/crates/stand-ins/src/faults.rs
@@ -2,7 +2,7 @@
 
 use super::net::Cut;
 use super::world::{AgentMemory, BootFaults, GUEST, LEASE_S, secs};
-use super::{NEXT_LIMITS, NODES, Sim, cloud_of, controller, machines, state_of, users};
+use super::{NEXT_LIMITS, NODES, Sim, cloud_of, controller, late_copies, machines, state_of, users};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::IpAddr;
@@ -287,7 +287,7 @@
     fn restart_agents(&self, rng: &mut StdRng, share: f64, memory: AgentMemory) {
         let ids: Vec<String> = self.context.world.lock().unwrap().machines.keys().cloned().collect();
         for id in ids.iter().filter(|_| rng.random_bool(share)) {
-            machines::restart_agent(&self.context, id, memory);
+            late_copies::restart_agent(&self.context, id, memory);
         }
     }
 
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 pub mod ground;
 mod jobs;
+pub mod late_copies;
 pub mod load_balancer;
 pub mod machines;
 pub mod net;
@@ -175,7 +176,7 @@
                 node::run_on(net, settings, self.operator.clone(), self.subsystems.clone())
             };
             tokio::spawn(task::run_gated(self.pauses[node].clone(), controller));
-            machines::repeat_answered_commands(&self.context, None);
+            late_copies::repeat_answered_commands(&self.context, None);
         }
     }
 
--- a/crates/stand-ins/src/state_service.rs
+++ b/crates/stand-ins/src/state_service.rs
@@ -2,7 +2,7 @@
 
 use super::deployment::REQUEST_TIMEOUT;
 use super::ground::SimulationContext;
-use super::machines;
+use super::late_copies;
 use super::versions::production_records;
 use super::world::secs;
 use badgerdrift::transport::http::{Request, Response};
@@ -117,7 +117,7 @@
     };
     if claimed {
         context.log(format!("n{node} becomes leader"));
-        machines::send_kept_reports(context);
+        late_copies::send_kept_reports(context);
     }
     response
 }
--- a/crates/stand-ins/src/world/mod.rs
+++ b/crates/stand-ins/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! which are checked at each event.
 
 mod gang;
+mod history;
 mod job;
 mod machine;
 mod parameters;
@@ -91,6 +92,10 @@
     pub jobs: BTreeMap<String, Job>,
     gangs: BTreeMap<(String, u64), Gang>,
     pub starts: u64,
+    /// Replies to reports that workers dropped for a token lower than the highest that they had seen.
+    replies_dropped: u64,
+    /// Size of the largest report of a worker, in bytes.
+    largest_report: usize,
     slot_account: SlotAccount,
     /// Tasks of arrays and gangs that were stopped, or whose gang did not become complete, although
     /// their jobs were not cancelled.
@@ -169,6 +174,8 @@
             jobs: BTreeMap::new(),
             gangs: BTreeMap::new(),
             starts: 0,
+            replies_dropped: 0,
+            largest_report: 0,
             slot_account: SlotAccount::default(),
             stopped: Vec::new(),
             lost_work: Vec::new(),
@@ -178,55 +185,6 @@
         }
     }
 
-    /// Adds a line to the history, which keeps the last 20,001 lines.
-    pub fn log(&mut self, what: String) {
-        let t = self.start.elapsed().as_secs_f64();
-        if self.history.len() > 20_000 {
-            self.history.pop_front();
-        }
-        self.history.push_back(format!("{t:8.3} {what}"));
-    }
-
-    /// Records a broken rule. The first one ends the simulation.
-    pub fn fail(&mut self, what: String) {
-        self.log(format!("broken rule: {what}"));
-        self.broken.get_or_insert(what);
-    }
-
-    /// Records a failure of a simulated service itself. The first one ends the simulation.
-    pub fn fail_service(&mut self, what: String) {
-        self.log(format!("failure of a simulated service: {what}"));
-        self.service_failure.get_or_insert(what);
-    }
-
-    /// Returns the latest events, preceded by earlier ones about the job that `about` names.
-    pub fn recent(&self, about: &str) -> String {
-        if std::env::var_os("BADGERDRIFT_HISTORY").is_some() {
-            return self.history.iter().map(|h| format!("{h}\n")).collect();
-        }
-        let last = self.history.len().saturating_sub(40);
-        let job = about.find("run-").map(|i| &about[i..(i + 10).min(about.len())]);
-        let of_job: Vec<&String> =
-            self.history.iter().take(last).filter(|h| job.is_some_and(|job| h.contains(job))).collect();
-        let of_job = of_job[of_job.len().saturating_sub(40)..].iter().copied();
-        of_job.chain(self.history.iter().skip(last)).map(|h| format!("{h}\n")).collect()
-    }
-
-    pub fn summary(&self) -> String {
-        let count = |what: fn(&&Job) -> bool| self.jobs.values().filter(what).count();
-        format!(
-            "{} jobs, {} accepted, {} done, {} cancelled; {} starts, {} machines, {} sessions, {} claims",
-            self.jobs.len(),
-            count(|job| job.accepted.is_some()),
-            count(|job| job.done_told.is_some()),
-            count(|job| job.cancelled.is_some()),
-            self.starts,
-            self.machines.len(),
-            self.machines.values().map(|machine| machine.tenure).sum::<u64>(),
-            self.store.claims
-        )
-    }
-
     /// Counts a request of a node to the state service. Returns false, and records a broken rule, if the rate
     /// is far beyond `state.rps`.
     pub fn may_ask(&mut self, node: usize) -> bool {
--- a/crates/stand-ins/src/world/worker.rs
+++ b/crates/stand-ins/src/world/worker.rs
@@ -43,7 +43,11 @@
         self.check_term_of_orders(id, message);
         let Some(fence) = message["fence"].as_u64() else { return };
         let machine = self.machines.get_mut(id).unwrap();
-        if machine.tenure != tenure || fence < machine.fence {
+        if fence < machine.fence {
+            self.replies_dropped += 1;
+            return;
+        }
+        if machine.tenure != tenure {
             return;
         }
         machine.lease_from = machine.lease_from.max(sent);
--- a/tests/fault_combinations/repeated_commands.rs
+++ b/tests/fault_combinations/repeated_commands.rs
@@ -4,7 +4,7 @@
 use crate::scenario::{run_with_seeds, seconds, submit_long_jobs, submit_short_jobs};
 use crate::simulation::{seeds, simulate};
 use badgerdrift_stand_ins::world::AgentMemory;
-use badgerdrift_stand_ins::{NODES, RandomDay, machines};
+use badgerdrift_stand_ins::{NODES, RandomDay, late_copies};
 
 #[test]
 fn copied_starts_run_no_task_again_on_random_days() {
@@ -25,7 +25,7 @@
         let ids = submit_long_jobs(sim, 60.0).await;
         ids.iter().for_each(|id| sim.cancel(id, &[0, 1, 2]));
         sim.run(seconds(5)).await;
-        machines::repeat_answered_commands(&sim.context, None);
+        late_copies::repeat_answered_commands(&sim.context, None);
         sim.run(seconds(5)).await;
     });
 }
@@ -53,7 +53,7 @@
     run_with_seeds(async |sim| {
         submit_long_jobs(sim, 60.0).await;
         let ids: Vec<String> = sim.context.world.lock().unwrap().machines.keys().cloned().collect();
-        ids.iter().step_by(2).for_each(|id| machines::restart_agent(&sim.context, id, AgentMemory::Lost));
+        ids.iter().step_by(2).for_each(|id| late_copies::restart_agent(&sim.context, id, AgentMemory::Lost));
         sim.run(seconds(30)).await;
     });
 }
