--- a/src/control/membership/tests.rs
+++ b/src/control/membership/tests.rs
@@ -279,3 +279,16 @@
         assert!(matches!(earlier_pledges(absent).await, EarlierPledges::NoneBinding), "{absent:?}");
     }
 }
+
+#[test]
+fn ranges_of_tokens_do_not_overlap_with_tokens_of_the_version_in_production() {
+    let first = FencingTokenRange::following(FencingToken::NONE);
+    let single = first.last.successor();
+    let next = FencingTokenRange::following(single);
+    assert_eq!(first.first, FencingToken::FIRST);
+    assert!(first.last < single && single < next.first && next.first < next.last);
+    for range in [first, next] {
+        assert_eq!(FencingTokenRange::ending_at(range.last), range);
+        assert!(range.first < range.renewal_threshold() && range.renewal_threshold() < range.last);
+    }
+}
