--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -2,10 +2,11 @@
 
 use crate::Scene;
 use crate::fleet::Flavor;
-use crate::platform::lanna;
+use crate::platform::{Deployment, lanna};
 use crate::users::job;
 use serde_json::{Value, json};
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Adds machines that are up at the start, as the brief says of this deployment.
@@ -33,9 +34,8 @@
 
 pub fn play(case: &str, folder: &Path) -> ! {
     match case {
-        "small-tasks" => small_tasks(folder),
         "arrays" => arrays(folder),
-        "day" => day(folder),
+        "late-return" => late_return(folder),
         _ => {
             eprintln!("no case {case}");
             std::process::exit(2)
@@ -92,7 +92,7 @@
     scene.record.say(&format!("{:.1} s: {name} was accepted", scene.record.seconds()));
     let mut last_poll = Instant::now();
     while accepted.elapsed() < LONGEST_WAIT {
-        if scene.fleet.facts().started.get(&name).is_some() {
+        if scene.fleet.facts().started.contains_key(&name) {
             scene.record.say(&format!("{name} started after {:.1} s", accepted.elapsed().as_secs_f64()));
             return Start::InTime;
         }
@@ -113,107 +113,11 @@
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
 
-/// An array of small tasks, and a replica of another team on the same machine.
-fn small_tasks(folder: &Path) -> ! {
-    let scene = Scene::new(folder, lanna(), vec![mekong(1)]);
-    up_at_start(&scene, &mekong(1), 1);
-    scene.start();
-    let tasks = if scene.trouble { 1_400 } else { 700 };
-    let service = json!({"cores": 22.0, "cards": 4.0, "mem_gb": 100.0, "size_gb": 0.1, "urgency": "production"});
-    let array = json!({"cores": 0.02, "cards": 0.0, "mem_gb": 0.05, "expected_s": RUN_S, "size_gb": 0.1,
-        "urgency": "best_effort"});
-    if scene.users.submit(&job(1, "roster-chat", "roster-desk", "service", 1, &service), 0.0) != 201
-        || scene.users.submit(&job(2, "form-sweep", "relief-ops", "batch", tasks, &array), RUN_S) != 201
-    {
-        scene.record.say("the jobs were not accepted");
-        scene.end(2);
-    }
-    let (accepted, mut done) = (Instant::now(), false);
-    while accepted.elapsed() < LONGEST_WAIT + Duration::from_secs(10) && !done {
-        sleep_s(3.0);
-        done = scene.users.poll("run-000002").is_some_and(|(status, body)| status == 200 && body["phase"] == "done");
-        scene.users.poll("run-000001");
-    }
-    let ran_s = accepted.elapsed().as_secs_f64();
-    for machine in scene.fleet.machines() {
-        let machine = machine.lock().unwrap();
-        scene.record.say(&format!(
-            "{}: largest report {} bytes, {} leases ended with tasks on it",
-            machine.id, machine.largest_report, machine.leases_ended
-        ));
-    }
-    let facts = scene.fleet.facts();
-    let of = |map: &std::collections::HashMap<String, u64>, id: &str| map.get(id).copied().unwrap_or(0);
-    let (killed, replica) = (of(&facts.killed_by_lease, "run-000002"), of(&facts.killed_by_lease, "run-000001"));
-    scene.record.say(&format!(
-        "array of {tasks} tasks of {RUN_S} s: done {done} after {ran_s:.0} s, {} tasks completed, {killed} killed by the \
-         end of a lease; the replica beside it was killed {replica} times",
-        of(&facts.completed, "run-000002")
-    ));
-    drop(facts);
-    match (done, killed + replica) {
-        (true, 0) => scene.end(0),
-        (false, 1..) => scene.end(1),
-        _ => scene.end(2),
-    }
-}
-
-/// Run time of the small tasks in seconds.
-const RUN_S: f64 = 20.0;
-
-/// One day's jobs have ended; then all controllers crash and come back.
-fn day(folder: &Path) -> ! {
-    let scene = Scene::new(folder, lanna(), vec![ping(4)]);
-    up_at_start(&scene, &ping(4), 2);
-    scene.start();
-    let small = json!({"size_gb": 0.1, "flavors": ["ping-gpu"], "urgency": "production"});
-    let status = scene.users.submit(&job(1, "form-sweep", "relief-ops", "batch", 7, &small), 1.0);
-    if status != 201 || scene.users.submit(&job(2, "roster-chat", "roster-desk", "service", 1, &small), 0.0) != 201 {
-        scene.record.say("the first jobs were not accepted");
-        scene.end(2);
-    }
-    let ended = |record: &(String, Value)| record.0 == "job/run-000001" && record.1["end"] == "Done";
-    let mut written = None;
-    for _ in 0..100 {
-        written = scene.store.under("job/").into_iter().find(ended);
-        if written.is_some() {
-            break;
-        }
-        sleep_s(0.1);
-    }
-    let Some((_, written)) = written else {
-        scene.record.say("the first job did not end");
-        scene.end(2);
-    };
-    // What the controllers wrote for the jobs that ended earlier: the same record under other ids.
-    let records = (0..JOBS_OF_A_DAY).map(|number| {
-        let id = format!("run-{:06}", 100_000 + number);
-        let mut record = written.clone();
-        record["spec"]["id"] = id.clone().into();
-        (format!("job/{id}"), record)
-    });
-    scene.record.line(&format!("state: {JOBS_OF_A_DAY} records like {written}"));
-    scene.store.add_earlier(records.collect());
-    if scene.trouble {
-        for index in 0..3 {
-            scene.platform.crash(index);
-        }
-        sleep_s(scene.platform.deployment.back_s);
-    }
-    let started = starts_in_time(&scene, 3, &small);
-    scene.users.poll("run-000002");
-    say_memory(&scene);
-    let lost = scene.fleet.facts().killed_by_lease.get("run-000002").copied().unwrap_or(0);
-    scene.record.say(&format!("tasks of the service that ran before the crash, killed by the end of a lease: {lost}"));
-    scene.end(started.code())
-}
-
-/// Jobs that the brief's rates of Lanna give in a day: (1.4 + 12 + 9.5 + 1.9) a minute.
-const JOBS_OF_A_DAY: u64 = 35_712;
-
 /// Arrays of the largest size that a submission may name.
 fn arrays(folder: &Path) -> ! {
-    let scene = Scene::new(folder, lanna(), vec![ping(4), mekong(1)]);
+    // The small deployment on smaller machines.
+    let lean = Deployment { memory_mb: 37.0, core_share: 0.036, ..lanna() };
+    let scene = Scene::new(folder, lean, vec![ping(4), mekong(1)]);
     up_at_start(&scene, &ping(4), 2);
     up_at_start(&scene, &mekong(1), 1);
     scene.start();
@@ -234,4 +138,115 @@
 }
 
 /// Number of arrays in the case of arrays.
-const ARRAYS: u64 = 16;
+const ARRAYS: u64 = 12;
+
+/// Returns the number of the controller that `part/0` names.
+fn leader(scene: &Scene) -> Option<usize> {
+    let records = scene.store.under("part/0");
+    let holder = records.first()?.1["holder"].as_str()?.to_string();
+    scene.platform.lock().iter().position(|controller| controller.name == holder)
+}
+
+/// Waits until `condition` holds, for `seconds` at most. Returns whether it did.
+fn wait_until(seconds: f64, mut condition: impl FnMut() -> bool) -> bool {
+    let began = Instant::now();
+    while began.elapsed().as_secs_f64() < seconds {
+        if condition() {
+            return true;
+        }
+        sleep_s(0.02);
+    }
+    false
+}
+
+/// The cloud's interface is down while the leader returns idle machines; the leader stands still, another one takes
+/// over and uses the machines; the cloud's interface is back, then the former leader goes on.
+fn late_return(folder: &Path) -> ! {
+    let scene = Scene::new(folder, lanna(), vec![ping(3)]);
+    up_at_start(&scene, &ping(3), 3);
+    scene.start();
+    let began = Instant::now();
+    if !wait_until(10.0, || leader(&scene).is_some()) {
+        scene.record.say("no controller leads");
+        scene.end(2);
+    }
+    let first = leader(&scene).unwrap_or(0);
+    let until = |seconds: f64| sleep_s(seconds - began.elapsed().as_secs_f64().min(seconds));
+    until(OUTAGE_AT_S);
+    let mut replaced = None;
+    if scene.trouble {
+        scene.record.line("cloud: down");
+        scene.fleet.cloud_down.store(true, Ordering::Relaxed);
+        let refused = || scene.fleet.refused_releases.lock().unwrap().iter().filter(|(_, node)| *node == first).count();
+        if !wait_until(25.0, || refused() >= 2) {
+            scene.record.say("the leader did not return its idle machines");
+            scene.end(2);
+        }
+        // Half a second after a refusal: the leader waits for a second before it repeats the request.
+        sleep_s(0.5);
+        scene.platform.pause(first, true);
+        let paused = Instant::now();
+        if !wait_until(15.0, || leader(&scene).is_some_and(|leader| leader != first)) {
+            scene.record.say("no other controller took over");
+            scene.end(2);
+        }
+        replaced = Some(Instant::now());
+        scene.record.say(&format!("{:.1} s: another controller leads", scene.record.seconds()));
+        submit_replicas(&scene);
+        let up_again = OUTAGE_AT_S + OUTAGE_S;
+        until(up_again);
+        scene.fleet.cloud_down.store(false, Ordering::Relaxed);
+        scene.record.line("cloud: up");
+        let left = FREEZE_S - paused.elapsed().as_secs_f64();
+        sleep_s(left.max(0.0));
+        scene.platform.pause(first, false);
+    } else {
+        until(OUTAGE_AT_S + 15.0);
+        submit_replicas(&scene);
+    }
+    let last = Instant::now();
+    while last.elapsed() < Duration::from_secs(8) {
+        sleep_s(1.0);
+        scene.users.poll("run-000001");
+    }
+    let releases = scene.fleet.releases.lock().unwrap().clone();
+    let stale = |release: &&crate::fleet::Release| {
+        let after = replaced.and_then(|replaced| release.at.checked_duration_since(replaced));
+        release.node == first && !release.tasks.is_empty() && after.is_some_and(|after| after > STALE_AFTER)
+    };
+    let stale: Vec<_> = releases.iter().filter(stale).collect();
+    for release in &stale {
+        let after = replaced.map_or(0.0, |replaced| (release.at - replaced).as_secs_f64());
+        scene.record.say(&format!(
+            "{} was returned by the controller that had been replaced {after:.1} s before, with {:?} running",
+            release.host, release.tasks
+        ));
+    }
+    scene.record.say(&format!(
+        "machines returned: {}, of these by a replaced controller while in use: {}",
+        releases.len(),
+        stale.len()
+    ));
+    scene.end(i32::from(!stale.is_empty()))
+}
+
+/// Submits a service of three replicas, each of which takes a machine, and waits until they run.
+fn submit_replicas(scene: &Scene) {
+    let extra = json!({"cores": 22.0, "cards": 4.0, "mem_gb": 100.0, "size_gb": 0.1, "urgency": "production"});
+    let status = scene.users.submit(&job(1, "roster-chat", "roster-desk", "service", 3, &extra), 0.0);
+    let started = || scene.fleet.facts().started.get("run-000001").copied().unwrap_or(0) >= 3;
+    if !wait_until(if scene.trouble { 14.0 } else { 60.0 }, started) {
+        scene.record.say(&format!("the replicas did not start; the submission was answered {status}"));
+        scene.end(2);
+    }
+    scene.record.say(&format!("{:.1} s: three replicas run", scene.record.seconds()));
+}
+
+/// When the cloud's interface goes down, in seconds after the start, and for how long: the site file's `cloud_outage`
+/// lasts up to 40 s.
+const OUTAGE_AT_S: f64 = 60.0;
+const OUTAGE_S: f64 = 35.0;
+/// How long the leader stands still: the site file's `node_freeze` lasts up to 28 s.
+const FREEZE_S: f64 = 27.0;
+/// Two leader leases: what a replaced controller sends later than this after the hand-over was not on its way before.
+const STALE_AFTER: Duration = Duration::from_secs(5);
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -68,10 +69,6 @@
     tasks: Vec<Task>,
     images: HashMap<String, Instant>,
     changed: bool,
-    /// Largest report so far, in bytes.
-    pub largest_report: usize,
-    /// Times that the lease ended while tasks were on the machine, and the tasks killed by that.
-    pub leases_ended: u32,
 }
 
 /// Facts that the checks read.
@@ -81,9 +78,6 @@
     /// Machines that each task is on now.
     on: HashMap<String, BTreeSet<String>>,
     pub started: HashMap<String, u64>,
-    pub completed: HashMap<String, u64>,
-    pub killed_by_lease: HashMap<String, u64>,
-    pub ran_twice: Vec<String>,
 }
 
 pub struct Fleet {
@@ -100,6 +94,22 @@
     listed: Mutex<Vec<(Instant, Vec<Value>)>>,
     calls: Mutex<(f64, Instant)>,
     rps: f64,
+    /// True while the cloud's interface is down.
+    pub cloud_down: AtomicBool,
+    /// Releases that the cloud refused because it was down, with the controllers that sent them.
+    pub refused_releases: Mutex<Vec<(Instant, usize)>>,
+    /// Machines that were returned.
+    pub releases: Mutex<Vec<Release>>,
+}
+
+/// A machine that a controller returned.
+#[derive(Clone)]
+pub struct Release {
+    pub at: Instant,
+    pub node: usize,
+    pub host: String,
+    /// Tasks that ran on it.
+    pub tasks: Vec<String>,
 }
 
 fn job_of(shard: &str) -> &str {
@@ -127,6 +137,9 @@
             listed: Mutex::default(),
             calls: Mutex::new((2.0 * rps, Instant::now())),
             rps,
+            cloud_down: AtomicBool::new(false),
+            refused_releases: Mutex::default(),
+            releases: Mutex::default(),
         });
         let listing = fleet.clone();
         std::thread::spawn(move || {
@@ -165,16 +178,16 @@
             .collect()
     }
 
-    /// Serves the cloud's interface.
-    pub fn serve_cloud(self: &Arc<Fleet>) -> SocketAddr {
+    /// Serves the cloud's interface at a port for the controller with this number.
+    pub fn serve_cloud(self: &Arc<Fleet>, node: usize) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let fleet = self.clone();
-        serve(listener, Arc::new(move |request| Some(fleet.cloud(request))));
+        serve(listener, Arc::new(move |request| Some(fleet.cloud(node, request))));
         addr
     }
 
-    fn cloud(self: &Arc<Fleet>, request: &Request) -> (u16, Value) {
+    fn cloud(self: &Arc<Fleet>, node: usize, request: &Request) -> (u16, Value) {
         let mut calls = self.calls.lock().unwrap();
         calls.0 = (calls.0 + calls.1.elapsed().as_secs_f64() * self.rps).min(2.0 * self.rps);
         calls.1 = Instant::now();
@@ -183,6 +196,14 @@
         }
         calls.0 -= 1.0;
         drop(calls);
+        if self.cloud_down.load(Ordering::Relaxed) {
+            if request.plain_path() == "/hosts/release" {
+                let body = request.json();
+                self.record.line(&format!("cloud: release of {} by controller {node}: 503", body["hosts"]));
+                self.refused_releases.lock().unwrap().push((Instant::now(), node));
+            }
+            return (503, json!({"error": "trouble"}));
+        }
         match (request.method.as_str(), request.plain_path()) {
             ("GET", "/flavors") => {
                 let flavors: Vec<Value> = self
@@ -204,11 +225,22 @@
                     let machine = self.machines.lock().unwrap().get(*id).cloned();
                     if let Some(machine) = machine {
                         let mut machine = machine.lock().unwrap();
+                        if machine.gone {
+                            continue;
+                        }
                         machine.gone = true;
-                        self.drop_tasks(&mut machine, false);
+                        let running = machine.tasks.iter().filter(|task| task.phase == "running");
+                        let tasks: Vec<String> = running.map(|task| task.shard.clone()).collect();
+                        self.record.line(&format!("cloud: controller {node} returned {id} with {tasks:?} running"));
+                        self.releases.lock().unwrap().push(Release {
+                            at: Instant::now(),
+                            node,
+                            host: (*id).into(),
+                            tasks,
+                        });
+                        self.drop_tasks(&mut machine);
                     }
                 }
-                self.record.line(&format!("cloud: released {ids:?}"));
                 (200, json!({}))
             }
             ("GET", "/hosts") => {
@@ -287,8 +319,6 @@
             tasks: Vec::new(),
             images: HashMap::new(),
             changed: false,
-            largest_report: 0,
-            leases_ended: 0,
         }));
         machines.insert(id.clone(), machine.clone());
         drop(machines);
@@ -415,11 +445,10 @@
         if now - machine.session_renewed > Duration::from_secs_f64(self.times.lease_s) {
             let tasks = machine.tasks.iter().filter(|task| task.phase != "ended").count();
             if tasks > 0 {
-                machine.leases_ended += 1;
                 self.record
                     .line(&format!("{}: lease of session {} ended, {tasks} tasks killed", machine.id, machine.tenure));
             }
-            self.drop_tasks(machine, true);
+            self.drop_tasks(machine);
             machine.tenure += 1;
             machine.session_renewed = now;
             machine.changed = true;
@@ -440,13 +469,11 @@
                 if elsewhere {
                     let hosts = format!("{} started on {} while on {on:?}", task.shard, machine.id);
                     self.record.line(&format!("ran_twice: {hosts}"));
-                    facts.ran_twice.push(hosts);
                 }
             }
             if task.phase == "running" && task.until.is_some_and(|until| until <= now) {
                 (task.phase, task.reason, task.until) = ("ended", "done", None);
                 machine.changed = true;
-                *facts.completed.entry(job_of(&task.shard).into()).or_default() += 1;
                 if let Some(on) = facts.on.get_mut(&task.shard) {
                     on.remove(&machine.id);
                 }
@@ -455,12 +482,9 @@
     }
 
     /// Kills and forgets all tasks of a machine.
-    fn drop_tasks(&self, machine: &mut Machine, by_lease: bool) {
+    fn drop_tasks(&self, machine: &mut Machine) {
         let mut facts = self.facts();
         for task in std::mem::take(&mut machine.tasks) {
-            if task.phase != "ended" && by_lease {
-                *facts.killed_by_lease.entry(job_of(&task.shard).into()).or_default() += 1;
-            }
             if let Some(on) = facts.on.get_mut(&task.shard) {
                 on.remove(&machine.id);
             }
@@ -490,11 +514,6 @@
                 (machine.tenure, machine.report())
             };
             let text = report.to_string();
-            let length = text.len();
-            {
-                let mut machine = machine.lock().unwrap();
-                machine.largest_report = machine.largest_report.max(length);
-            }
             let answer = crate::http::call_text(
                 self.controllers[node].1,
                 "POST",
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -50,7 +50,7 @@
         };
         let times = WorkerTimes { report_s: deployment.report_s, lease_s: deployment.lease_s };
         let (cloud_rps, lag) = (deployment.cloud_rps, deployment.list_lag_s);
-        let store = Store::new(limits, 3);
+        let store = Store::new(limits);
         let platform = Platform::new(deployment, &temporary, record.clone());
         let fleet = Fleet::new(flavors, times, cloud_rps, lag, platform.addresses(), record.clone());
         let users = Users { platform: platform.clone(), fleet: fleet.clone(), record: record.clone() };
@@ -61,9 +61,9 @@
 
     /// Starts the stand-ins and the controllers, and waits until a node is healthy.
     pub fn start(&self) {
-        let cloud = self.fleet.serve_cloud();
-        let states: Vec<_> = (0..3).map(|node| self.store.serve(node)).collect();
-        self.platform.start(cloud, &states);
+        let clouds: Vec<_> = (0..3).map(|node| self.fleet.serve_cloud(node)).collect();
+        let states: Vec<_> = (0..3).map(|_| self.store.serve()).collect();
+        self.platform.start(&clouds, &states);
         for _ in 0..200 {
             if self.users.poll("run-999999").is_some_and(|(status, _)| status == 404) {
                 return;
--- a/review/stand-2/src/platform.rs
+++ b/review/stand-2/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::http::call;
 use crate::record::Record;
 use std::fs::{self, File};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,6 +26,7 @@
     pub cloud_rps: f64,
     pub list_lag_s: f64,
     pub memory_mb: f64,
+    pub core_share: f64,
     pub back_s: f64,
 }
 
@@ -49,6 +50,7 @@
         cloud_rps: 5.0,
         list_lag_s: 4.0,
         memory_mb: 56.0,
+        core_share: 0.12,
         back_s: 3.0,
     }
 }
@@ -68,78 +70,9 @@
     /// Largest memory seen, in bytes.
     pub largest: u64,
     healthy: Arc<AtomicBool>,
-    suspended: bool,
-}
-
-/// A proxy on the way from one controller to another. It passes bytes on, or refuses connections.
-pub struct Link {
-    pub from: usize,
-    pub to: usize,
-    addr: SocketAddr,
-    state: Arc<Mutex<LinkState>>,
-}
-
-struct LinkState {
-    /// Address of the other controller; connections are refused while it is `None`.
-    target: Option<SocketAddr>,
-    open: Vec<TcpStream>,
-}
-
-impl Link {
-    fn new(from: usize, to: usize, target: SocketAddr) -> Link {
-        let addr = free_port();
-        let state = Arc::new(Mutex::new(LinkState { target: Some(target), open: Vec::new() }));
-        let link = Link { from, to, addr, state };
-        link.listen();
-        link
-    }
-
-    /// Accepts connections until they are to be refused.
-    fn listen(&self) {
-        let (addr, state) = (self.addr, self.state.clone());
-        let listener = TcpListener::bind(addr).unwrap();
-        listener.set_nonblocking(true).unwrap();
-        std::thread::spawn(move || {
-            loop {
-                let Some(target) = state.lock().unwrap().target else { return };
-                let Ok((stream, _)) = listener.accept() else {
-                    std::thread::sleep(Duration::from_millis(2));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
-                let Ok(other) = TcpStream::connect(target) else { continue };
-                let mut state = state.lock().unwrap();
-                for (from, to) in [(&stream, &other), (&other, &stream)] {
-                    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-                    let _ = to.set_nodelay(true);
-                    std::thread::spawn(move || {
-                        let _ = std::io::copy(&mut from, &mut to);
-                        let _ = to.shutdown(Shutdown::Both);
-                        let _ = from.shutdown(Shutdown::Both);
-                    });
-                }
-                state.open.push(stream);
-            }
-        });
-    }
-
-    /// Refuses new connections and ends the open ones.
-    fn refuse(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.target = None;
-        for stream in state.open.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
-    fn restore(&self, target: SocketAddr) {
-        self.state.lock().unwrap().target = Some(target);
-        self.listen();
-    }
 }
 
 pub struct Platform {
-    links: Vec<Link>,
     pub deployment: Deployment,
     pub controllers: Mutex<Vec<Controller>>,
     folder: PathBuf,
@@ -182,13 +115,9 @@
                 ended_itself: 0,
                 largest: 0,
                 healthy: Arc::default(),
-                suspended: false,
             })
             .collect();
-        let pairs = (0..3).flat_map(|from| (0..3).map(move |to| (from, to))).filter(|(from, to)| from != to);
-        let links = pairs.map(|(from, to)| Link::new(from, to, controllers[to].internal)).collect();
         Arc::new(Platform {
-            links,
             deployment,
             controllers: Mutex::new(controllers),
             folder: folder.into(),
@@ -207,9 +136,9 @@
     }
 
     /// Writes the settings, starts all controllers, and watches them from then on.
-    pub fn start(self: &Arc<Platform>, cloud: SocketAddr, states: &[SocketAddr]) {
+    pub fn start(self: &Arc<Platform>, clouds: &[SocketAddr], states: &[SocketAddr]) {
         for index in 0..3 {
-            let text = self.settings(index, cloud, states[index]);
+            let text = self.settings(index, clouds[index], states[index]);
             fs::write(self.folder.join(format!("settings-{index}.toml")), text).unwrap();
             self.start_one(&mut self.lock()[index], index);
         }
@@ -234,11 +163,10 @@
             "node = \"{}\"\nsite = \"{}\"\nserve_on = \"{}\"\ninternal_addr = \"{}\"\n",
             own.name, own.zone, own.public, own.internal
         );
-        for link in self.links.iter().filter(|link| link.from == index) {
-            let other = &controllers[link.to];
+        for other in controllers.iter().filter(|other| other.name != own.name) {
             text += &format!(
                 "[[seeds]]\nnode = \"{}\"\nsite = \"{}\"\nendpoint = \"{}\"\n",
-                other.name, other.zone, link.addr
+                other.name, other.zone, other.internal
             );
         }
         text += &format!(
@@ -259,8 +187,8 @@
             deployment.rps, deployment.write_rps, deployment.value_kb, deployment.txn_ops
         );
         text += &format!(
-            "[params.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n[params.limits]\ncore_share = 0.12\nmemory_mb = {:?}\nmax_sockets = 800\n",
-            deployment.cloud_rps, deployment.list_lag_s, deployment.memory_mb
+            "[params.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n[params.limits]\ncore_share = {:?}\nmemory_mb = {:?}\nmax_sockets = 800\n",
+            deployment.cloud_rps, deployment.list_lag_s, deployment.core_share, deployment.memory_mb
         );
         text
     }
@@ -286,7 +214,6 @@
         STARTED.lock().unwrap().push(child.id());
         controller.child = Some(child);
         controller.start_at = None;
-        controller.suspended = false;
     }
 
     fn watch(&self) {
@@ -326,19 +253,6 @@
         }
     }
 
-    /// Kills a controller; it is back after the usual time.
-    pub fn crash(&self, index: usize) {
-        let mut controllers = self.lock();
-        let controller = &mut controllers[index];
-        if let Some(mut child) = controller.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            forget(child.id());
-            self.record.line(&format!("platform: {} killed", controller.name));
-            controller.start_at = Some(Instant::now() + Duration::from_secs_f64(self.deployment.back_s));
-        }
-    }
-
     /// Stops or continues a controller by a signal.
     pub fn pause(&self, index: usize, paused: bool) {
         let mut controllers = self.lock();
@@ -346,7 +260,6 @@
         if let Some(child) = &controller.child {
             let signal = if paused { "-STOP" } else { "-CONT" };
             let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
-            controller.suspended = paused;
             self.record.line(&format!(
                 "platform: {} {}",
                 controller.name,
@@ -355,20 +268,6 @@
         }
     }
 
-    /// Refuses all connections between controllers, or allows them again.
-    pub fn refuse_peers(&self, refuse: bool) {
-        let targets: Vec<SocketAddr> = self.lock().iter().map(|controller| controller.internal).collect();
-        for link in &self.links {
-            if refuse {
-                link.refuse();
-            } else {
-                link.restore(targets[link.to]);
-            }
-        }
-        self.record
-            .line(&format!("platform: connections between controllers {}", if refuse { "refused" } else { "allowed" }));
-    }
-
     /// Ends all controllers for good.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
--- a/review/stand-2/src/store.rs
+++ b/review/stand-2/src/store.rs
@@ -60,10 +60,6 @@
     requests: Bucket,
     writes: Bucket,
     limits: Limits,
-    /// Requests that were refused for their rate.
-    pub throttled: u64,
-    /// What each port refuses, by number of the node.
-    pub refuses: Vec<bool>,
 }
 
 #[derive(Clone)]
@@ -72,7 +68,7 @@
 }
 
 impl Store {
-    pub fn new(limits: Limits, nodes: usize) -> Store {
+    pub fn new(limits: Limits) -> Store {
         let inner = Inner {
             epoch: 1,
             items: BTreeMap::new(),
@@ -82,8 +78,6 @@
             requests: Bucket::new(limits.rps),
             writes: Bucket::new(limits.write_rps),
             limits,
-            throttled: 0,
-            refuses: vec![false; nodes],
         };
         let store = Store { inner: Arc::new((Mutex::new(inner), Condvar::new())) };
         let ticking = store.clone();
@@ -103,12 +97,12 @@
         self.inner.0.lock().unwrap()
     }
 
-    /// Serves the node with this number at a port of its own; all ports lead to the same service.
-    pub fn serve(&self, node: usize) -> SocketAddr {
+    /// Serves a controller at a port of its own; all ports lead to the same service.
+    pub fn serve(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let store = self.clone();
-        serve(listener, Arc::new(move |request| Some(store.handle(node, request))));
+        serve(listener, Arc::new(move |request| Some(store.handle(request))));
         addr
     }
 
@@ -119,31 +113,15 @@
         found.map(|(key, item)| (key.clone(), item.data.clone())).collect()
     }
 
-    /// Adds records as earlier commits of the service would have left them.
-    pub fn add_earlier(&self, records: Vec<(String, Value)>) {
-        let mut inner = self.lock();
-        for (key, data) in records {
-            inner.epoch += 1;
-            let stamp = inner.epoch;
-            inner.log(stamp, key.clone(), Some(data.clone()));
-            inner.items.insert(key, Item { data, stamp, grant: None });
-        }
-        self.inner.1.notify_all();
-    }
-
-    fn handle(&self, node: usize, request: &Request) -> (u16, Value) {
+    fn handle(&self, request: &Request) -> (u16, Value) {
         std::thread::sleep(LATENCY);
         let mut inner = self.lock();
-        if inner.refuses[node] {
-            return (503, json!({"error": "unavailable"}));
-        }
         if !inner.requests.take(1.0) {
-            inner.throttled += 1;
             return (429, json!({"error": "too many requests"}));
         }
         inner.expire();
         let path = request.plain_path().to_string();
-        let answer = match (request.method.as_str(), path.as_str()) {
+        match (request.method.as_str(), path.as_str()) {
             ("GET", "/store") => inner.page(request),
             ("GET", key) if key.starts_with("/store/") => {
                 let key = &key["/store/".len()..];
@@ -180,14 +158,13 @@
             }
             ("GET", "/changes") => {
                 drop(inner);
-                return self.changes(node, request);
+                return self.changes(request);
             }
             _ => (400, json!({"error": "malformed"})),
-        };
-        answer
+        }
     }
 
-    fn changes(&self, node: usize, request: &Request) -> (u16, Value) {
+    fn changes(&self, request: &Request) -> (u16, Value) {
         let prefix = request.query("under").unwrap_or_default();
         let from: u64 = request.query("from").and_then(|from| from.parse().ok()).unwrap_or(0);
         let hold: u64 = request.query("hold_ms").and_then(|hold| hold.parse().ok()).unwrap_or(0);
@@ -207,10 +184,10 @@
                 })
                 .collect();
             let now = Instant::now();
-            if (!found.is_empty() || now >= until) && !inner.refuses[node] {
+            if !found.is_empty() || now >= until {
                 return (200, json!({"epoch": inner.epoch, "log": found}));
             }
-            let wait = if now < until { until - now } else { Duration::from_millis(100) };
+            let wait = until - now;
             inner = self.inner.1.wait_timeout(inner, wait.min(Duration::from_millis(500))).unwrap().0;
         }
     }
--- a/review/stand-2/src/users.rs
+++ b/review/stand-2/src/users.rs
@@ -73,24 +73,4 @@
         self.record.line(&format!("user: poll {id}: {status} {body}"));
         Some((status, body))
     }
-
-    /// Cancels a job, with retries for up to `for_s` seconds. Returns the phase of the answer.
-    pub fn withdraw(&self, id: &str, for_s: f64) -> Option<String> {
-        let began = Instant::now();
-        while began.elapsed() < Duration::from_secs_f64(for_s) {
-            let answer =
-                self.platform.user_call("POST", &format!("/v1/jobs/{id}/withdraw"), "", Duration::from_secs(5));
-            let status = answer.as_ref().map_or(0, |answer| answer.status);
-            self.record.line(&format!("user: withdraw {id}: {status}"));
-            match answer {
-                Ok(answer) if answer.status == 200 => return answer.body["phase"].as_str().map(String::from),
-                Ok(answer) => {
-                    let wait = answer.retry_after_s.unwrap_or(1.0).clamp(1.0, 30.0);
-                    std::thread::sleep(Duration::from_secs_f64(wait));
-                }
-                Err(_) => std::thread::sleep(Duration::from_secs(1)),
-            }
-        }
-        None
-    }
 }
