--- a/review/stand-2/src/platform.rs
+++ b/review/stand-2/src/platform.rs
@@ -81,6 +81,9 @@
     next_user: Mutex<usize>,
 }
 
+/// Time between two looks at the controllers' memory: a process over its limit is killed without delay.
+const WATCH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Processes that were started and are not known to have ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -146,7 +149,7 @@
         std::thread::spawn(move || {
             while !watching.ended.load(Ordering::Relaxed) {
                 watching.watch();
-                std::thread::sleep(Duration::from_millis(50));
+                std::thread::sleep(WATCH_INTERVAL);
             }
         });
         for index in 0..3 {
