Memory of a leader follows the tasks that run, not those submitted

Cause: `Job` kept a `Task` of 40 bytes for each task from its acceptance on, whether or not it was ever started. So an array cost the leader 4 MB, each new leader 4 MB as soon as it had read the record, and an ended one as much.

Fix: `JobTasks` stores one by one only tasks that are on a machine or have failed. Done tasks, and those that this leader has located and that are idle again, are two compressed sets (library `roaring`): at most two bits a task, a few bytes for a range. A task in no set was never started. What a job's tasks are asked for is counted by groups of equal tasks, so that a cycle or a plan does not look at each task of an array either. The end of a job frees all but the tasks that are still on machines. Records, wire and decisions are unchanged; a property test compares `JobTasks` with a plain list.

A running task takes 20 bytes more than before, an idle job of one task 16.

Tests: only how a task is read and set changed in existing ones (`tasks[n]` -> `tasks.get(n)`, `tasks.update(n, ..)`, `tasks_done` takes a range); no assertion changed.

--- a/src/control/partition/attempt_phases.rs
+++ b/src/control/partition/attempt_phases.rs
@@ -15,7 +15,7 @@
         now: u64,
     ) {
         let job = &mut self.cluster.jobs[key.job];
-        let idle = job.tasks[key.task as usize].place == Place::Idle;
+        let idle = job.tasks.get(key.task).place == Place::Idle;
         let ended = matches!(phase, TaskPhase::Ended(_));
         // Attempts first reported after the user requested the job's cancellation must be stopped as
         // well.
@@ -27,7 +27,7 @@
             should_run = attempt == job.gang_attempt;
         }
         if should_run {
-            job.tasks[key.task as usize].place = Place::OnHost(host_index, attempt);
+            job.tasks.update(key.task, |task| task.place = Place::OnHost(host_index, attempt));
         }
         let spec = &self.cluster.jobs[key.job].spec;
         let (image, image_gb, demand) = (spec.image.clone(), spec.image_gb, spec.demand);
@@ -62,7 +62,9 @@
             // An earlier leader has ordered this stop, and its team's usage is reduced accordingly.
             known.stop = Some(job.spec.grace_s().max(f64::MIN_POSITIVE));
         }
-        job.tasks[key.task as usize].located_by_leader |= !known.ended();
+        if !known.ended() {
+            job.tasks.update(key.task, |task| task.located_by_leader = true);
+        }
         let after_order_ms = now.saturating_sub(known.since_ms);
         match phase {
             TaskPhase::Gathering | TaskPhase::Running => {
--- a/src/control/partition/attempts.rs
+++ b/src/control/partition/attempts.rs
@@ -3,6 +3,7 @@
 
 use super::Partition;
 use crate::model::{ClusterState, ExitReason, HostIndex, JobEnd, JobIndex, Place, Shape, TaskKey, UnsavedChange};
+use std::ops::Range;
 
 /// Number of failures from which a task is retried only after a pause.
 const FAILURES_BEFORE_PAUSE: u16 = 2;
@@ -48,24 +49,26 @@
     /// Handles the success of an attempt: marks its task as done, or all tasks of a gang, because they
     /// complete together, and records the success for the host.
     fn attempt_completed(&mut self, host_index: HostIndex, key: TaskKey, now: u64) {
-        let spec = &self.cluster.jobs[key.job].spec;
-        let done: Vec<u32> = if spec.shape == Shape::Gang { (0..spec.tasks).collect() } else { vec![key.task] };
-        self.tasks_done(key.job, &done, now);
-        self.record_task_success(host_index, key);
+        let job = &self.cluster.jobs[key.job];
+        let is_gang = job.spec.shape == Shape::Gang;
+        let may_blame_others = is_gang || job.tasks.get(key.task).failures > 0;
+        let done = if is_gang { 0..job.spec.tasks } else { key.task..key.task + 1 };
+        self.tasks_done(key.job, done, now);
+        self.record_task_success(host_index, key.job, may_blame_others);
     }
 
     /// Records the success of a task on a host, which then counts as healthy. If the task had failed, or
-    /// its job is a gang, other hosts to which a failure of the job is attributed count as faulty.
-    fn record_task_success(&mut self, healthy_host: HostIndex, key: TaskKey) {
+    /// its job is a gang (`may_blame_others`), other hosts to which a failure of the job is attributed count as
+    /// faulty.
+    fn record_task_success(&mut self, healthy_host: HostIndex, job_index: JobIndex, may_blame_others: bool) {
         if let Some(host) = self.cluster.host_mut(healthy_host) {
             host.failed_jobs.clear();
             host.succeeded_elsewhere = false;
         }
-        let job = &self.cluster.jobs[key.job];
-        let failed = job.spec.shape == Shape::Gang || job.tasks[key.task as usize].failures > 0;
-        for host_index in job.failed_on.iter().filter(|_| failed) {
+        let job = &self.cluster.jobs[job_index];
+        for host_index in job.failed_on.iter().filter(|_| may_blame_others) {
             if let Some(host) =
-                self.cluster.hosts[*host_index].as_mut().filter(|host| host.failed_jobs.contains(&key.job))
+                self.cluster.hosts[*host_index].as_mut().filter(|host| host.failed_jobs.contains(&job_index))
             {
                 host.succeeded_elsewhere = true;
             }
@@ -75,11 +78,10 @@
     /// Sets the task to idle if this attempt holds its place. Returns `false` if it does not.
     fn clear_place(&mut self, host_index: HostIndex, key: TaskKey, attempt: u64) -> bool {
         let job = &mut self.cluster.jobs[key.job];
-        let task = &mut job.tasks[key.task as usize];
-        if task.place != Place::OnHost(host_index, attempt) {
+        if job.tasks.get(key.task).place != Place::OnHost(host_index, attempt) {
             return false;
         }
-        task.place = Place::Idle;
+        job.tasks.update(key.task, |task| task.place = Place::Idle);
         // The ended attempt may belong to an urgent job, or urgent work may wait for the released
         // capacity.
         let has_reservations =
@@ -94,13 +96,15 @@
     /// Counts a failed attempt. A task that fails repeatedly is paused before its next attempt, and a
     /// failure with an error is attributed to the host or to the job.
     fn task_failed(&mut self, host_index: HostIndex, key: TaskKey, reason: ExitReason, now: u64) {
-        let task = &mut self.cluster.jobs[key.job].tasks[key.task as usize];
-        task.failures = task.failures.saturating_add(1);
-        if task.failures >= FAILURES_BEFORE_PAUSE {
-            // The task may fail on every host: exponential pauses keep it from taking capacity again in
-            // each cycle.
-            task.retry_after_ms = now + self.policy.react_ms * (1 << task.failures.min(MAX_PAUSE_FAILURES));
-        }
+        let react_ms = self.policy.react_ms;
+        self.cluster.jobs[key.job].tasks.update(key.task, |task| {
+            task.failures = task.failures.saturating_add(1);
+            if task.failures >= FAILURES_BEFORE_PAUSE {
+                // The task may fail on every host: exponential pauses keep it from taking capacity again in
+                // each cycle.
+                task.retry_after_ms = now + react_ms * (1 << task.failures.min(MAX_PAUSE_FAILURES));
+            }
+        });
         if reason == ExitReason::Error {
             self.attribute_failure(host_index, key.job, now);
         }
@@ -126,16 +130,9 @@
     }
 
     /// Marks tasks as done and schedules the write of the job's record.
-    pub(super) fn tasks_done(&mut self, job_index: JobIndex, tasks: &[u32], now: u64) {
+    pub(super) fn tasks_done(&mut self, job_index: JobIndex, tasks: Range<u32>, now: u64) {
         let job = &mut self.cluster.jobs[job_index];
-        let mut newly_done = 0;
-        for task_number in tasks {
-            let task = &mut job.tasks[*task_number as usize];
-            if task.place != Place::Done {
-                task.place = Place::Done;
-                newly_done += 1;
-            }
-        }
+        let newly_done = job.tasks.complete(tasks.start, tasks.end);
         if newly_done == 0 || job.end.is_some() {
             return;
         }
@@ -165,7 +162,7 @@
         let ClusterState { jobs, hosts, .. } = &mut self.cluster;
         for attempt in hosts.iter_mut().flatten().flat_map(|host| host.attempts.iter_mut()) {
             let job = &jobs[attempt.key.job];
-            let done = job.spec.shape == Shape::Batch && job.tasks[attempt.key.task as usize].place == Place::Done;
+            let done = job.spec.shape == Shape::Batch && job.tasks.get(attempt.key.task).place == Place::Done;
             if done && !attempt.ended() && attempt.stop.is_none() {
                 attempt.stop = Some(0.0);
             }
@@ -199,9 +196,8 @@
     /// other attempts of a gang, unless the lost one had already ended (`ended`).
     pub(super) fn attempt_lost(&mut self, host_index: HostIndex, key: TaskKey, attempt: u64, ended: bool) {
         let job = &mut self.cluster.jobs[key.job];
-        let task = &mut job.tasks[key.task as usize];
-        if task.place == Place::OnHost(host_index, attempt) {
-            task.place = Place::Idle;
+        if job.tasks.get(key.task).place == Place::OnHost(host_index, attempt) {
+            job.tasks.update(key.task, |task| task.place = Place::Idle);
             self.scheduling_triggers.request_cycle_for(job.urgency);
             self.metrics.count("tasks_lost", &job.spec.class);
             if !ended && job.spec.shape == Shape::Gang {
--- a/src/control/partition/borrowing/demand.rs
+++ b/src/control/partition/borrowing/demand.rs
@@ -1,6 +1,6 @@
 //! Current use and runnable demand of each team's jobs, as the calculation of floors needs them.
 
-use crate::model::{ClusterState, HostOffering, Job, JobIndex, Place, Shape};
+use crate::model::{ClusterState, HostIndex, HostOffering, Job, JobIndex, Place, Shape, TaskKey};
 use crate::scheduling::{self, TeamRule};
 use badgerdrift_borrowing::{Amounts, BorrowingSettings, JobDemand, Priority, TeamShare};
 use std::collections::{BTreeMap, HashMap};
@@ -74,17 +74,14 @@
 /// included.
 pub(super) fn missing_tasks(cluster: &ClusterState, job_index: JobIndex) -> u32 {
     let job = &cluster.jobs[job_index];
-    let is_running = |place: Place, task: usize| {
-        let Place::OnHost(host, attempt) = place else { return false };
-        let attempts = cluster.host(host).map_or(&[][..], |host| &host.attempts);
-        let is_own = |candidate: &&crate::model::TaskAttempt| {
-            candidate.attempt == attempt && candidate.key.job == job_index && candidate.key.task as usize == task
-        };
-        attempts.iter().find(is_own).is_some_and(|candidate| candidate.stop.is_none())
+    let is_running = |(task, host, number): &(u32, HostIndex, u64)| {
+        let key = TaskKey { job: job_index, task: *task };
+        let attempts = cluster.host(*host).map_or(&[][..], |host| &host.attempts);
+        let own = attempts.iter().find(|attempt| attempt.key == key && attempt.attempt == *number);
+        own.is_some_and(|attempt| attempt.stop.is_none())
     };
-    let tasks = job.tasks.iter().enumerate();
-    let missing = tasks.filter(|(number, task)| task.place != Place::Done && !is_running(task.place, *number));
-    missing.count() as u32
+    let running = job.tasks.on_hosts().filter(is_running).count() as u32;
+    job.tasks.count(|task| task.place != Place::Done) - running
 }
 
 /// Returns the numbers of attempts of each job that has any.
@@ -133,7 +130,7 @@
     };
     let may_start = job.active() && offerings.iter().any(fits);
     let placeable = cluster.placeable_tasks(job);
-    let idle = || job.tasks.iter().filter(|task| task.retry_after_ms <= now && placeable.includes(task)).count() as u32;
+    let idle = || job.tasks.count(|task| task.retry_after_ms <= now && placeable.includes(task));
     let waiting = if may_start { idle() + attempts.stopping } else { 0 };
     JobDemand {
         per_task: Amounts::from(spec.demand),
--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -260,7 +260,7 @@
             return self.cluster.host(host_index).map_or(0, |host| host.attempts.len().saturating_sub(1));
         };
         let before = host.attempts[position].phase;
-        let seen_before = jobs[key.job].tasks[key.task as usize].located_by_leader;
+        let seen_before = jobs[key.job].tasks.get(key.task).located_by_leader;
         // Most of the listed statuses are unchanged.
         if before != status.phase() || !seen_before {
             self.apply_phase(host_index, key, status.attempt, before, status.phase(), now);
--- a/src/control/partition/running_counts.rs
+++ b/src/control/partition/running_counts.rs
@@ -5,7 +5,7 @@
 //! together, in one iteration over all attempts, whenever failures are detected. The protocol allows the
 //! number to lag.
 
-use crate::model::{ClusterState, HostIndex, JobIndex, Place, Task, TaskAttempt};
+use crate::model::{ClusterState, HostIndex, JobIndex, Place, TaskAttempt, TaskKey};
 use std::collections::HashMap;
 
 /// Maximum number of tasks of a job that is counted on each request.
@@ -39,17 +39,12 @@
 
 /// Counts the running tasks of one job.
 pub(super) fn count_running(cluster: &ClusterState, job_index: JobIndex) -> u32 {
-    let runs = |task_number: usize, task: &Task| match task.place {
-        Place::OnHost(host_index, number) => cluster.host(host_index).is_some_and(|host| {
-            host.attempts.iter().any(|attempt| {
-                let same_task = attempt.key.job == job_index && attempt.key.task as usize == task_number;
-                same_task && attempt.attempt == number && attempt.running()
-            })
-        }),
-        _ => false,
+    let runs = |(task, host_index, number): &(u32, HostIndex, u64)| {
+        let key = TaskKey { job: job_index, task: *task };
+        let is_own = |attempt: &TaskAttempt| attempt.key == key && attempt.attempt == *number && attempt.running();
+        cluster.host(*host_index).is_some_and(|host| host.attempts.iter().any(is_own))
     };
-    let tasks = cluster.jobs[job_index].tasks.iter().enumerate();
-    tasks.filter(|(number, task)| runs(*number, task)).count() as u32
+    cluster.jobs[job_index].tasks.on_hosts().filter(runs).count() as u32
 }
 
 /// Returns whether the attempt runs, holds the place of its task and belongs to a large job.
@@ -57,5 +52,5 @@
     let job = &cluster.jobs[attempt.key.job];
     job.spec.tasks > SMALL_JOB_TASKS
         && attempt.running()
-        && job.tasks[attempt.key.task as usize].place == Place::OnHost(host_index, attempt.attempt)
+        && job.tasks.get(attempt.key.task).place == Place::OnHost(host_index, attempt.attempt)
 }
--- a/src/control/partition/tests/failover.rs
+++ b/src/control/partition/tests/failover.rs
@@ -25,7 +25,7 @@
         partition.dispatch_queue.hosts().is_empty() && partition.cluster.all_reconciled,
         "the task is already running"
     );
-    assert!(matches!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(_, placed) if placed == attempt));
+    assert!(matches!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(_, placed) if placed == attempt));
 }
 
 #[test]
@@ -64,8 +64,8 @@
     // The first job's replica ends on h1, and so does not run on h2.
     partition.heartbeat(&first_job("ended", 11), StatusSource::Heartbeat, 1200);
     partition.schedule(1300, 1300);
-    assert!(matches!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(..)));
-    assert_eq!(partition.cluster.jobs[1].tasks[0].place, Place::Idle, "the second job's replica may run on h2");
+    assert!(matches!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(..)));
+    assert_eq!(partition.cluster.jobs[1].tasks.get(0).place, Place::Idle, "the second job's replica may run on h2");
     let mut rx = request_cancellation(&mut partition, "run-000001", 1000, true);
     assert!(
         partition.next_commit(1300, 32).is_none() && rx.try_recv().is_err(),
@@ -94,8 +94,8 @@
         complete_all_commits(&mut partition, 1200, 90);
         partition.schedule(1300, 1300);
         // The other task may run on h1, or a delayed order may start it there.
-        assert_eq!(partition.cluster.jobs[0].tasks[0].place == Place::Idle, spread);
-        assert_eq!(partition.cluster.jobs[0].tasks[1].place, Place::Idle);
+        assert_eq!(partition.cluster.jobs[0].tasks.get(0).place == Place::Idle, spread);
+        assert_eq!(partition.cluster.jobs[0].tasks.get(1).place, Place::Idle);
     }
 }
 
@@ -115,7 +115,7 @@
     partition.heartbeat(&heartbeat("h2", 1, 1, 5, vec![]), StatusSource::Heartbeat, 1200);
     complete_all_commits(&mut partition, 1200, 90);
     partition.schedule(1300, 1300);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle, "the task may run on h1");
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle, "the task may run on h1");
 }
 
 // With 3.6% of a core, a new leader of 240 machines probed each of them although all had just sent it a heartbeat, and
@@ -162,13 +162,13 @@
         partition.detect_failures(now, now);
     }
     assert!(
-        matches!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(..)),
+        matches!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(..)),
         "another controller could renew the lease until now"
     );
     for now in (end..=end + LEASE_MS + 1500).step_by(500) {
         partition.detect_failures(now, end);
     }
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
 }
 
 #[test]
@@ -180,8 +180,8 @@
     let _rx = submit_job(&mut partition, &job_submission("run-000002", "service", 1), 1100);
     complete_next_commit(&mut partition, 1100, 101);
     partition.schedule(1100, 1100);
-    assert!(partition.cluster.jobs[1].tasks[0].place != Place::Idle);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert!(partition.cluster.jobs[1].tasks.get(0).place != Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
 }
 
 // Guards against a machine that is left out of reconciliation because its record cannot be read, while its task is
@@ -209,7 +209,7 @@
         partition.heartbeat(&heartbeat("h2", 1, 1, 5, vec![]), StatusSource::Heartbeat, 1100);
         complete_next_commit(&mut partition, 1100, 101);
         partition.schedule(1200, 1200);
-        assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle, "the task may run on h1");
+        assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle, "the task may run on h1");
         assert!(!partition.cluster.all_reconciled);
         // A report that shows an older token may be a late copy and accounts for nothing.
         partition.heartbeat(&heartbeat("h1", 1, 7, 1, vec![]), StatusSource::Heartbeat, 1250);
@@ -219,7 +219,7 @@
         partition.recount_unreconciled();
         assert!(partition.cluster.all_reconciled);
         partition.schedule(20_000, 20_000);
-        let placed = partition.cluster.jobs[0].tasks[0].place;
+        let placed = partition.cluster.jobs[0].tasks.get(0).place;
         assert!(matches!(placed, Place::OnHost(_, placed) if (placed == attempt) == runs_on_h1), "{placed:?}");
     }
 }
--- a/src/control/partition/tests/failure_detection.rs
+++ b/src/control/partition/tests/failure_detection.rs
@@ -29,12 +29,12 @@
     }
     assert_eq!(terminated, ["h1"], "an unreachable machine is terminated");
     assert_eq!(
-        partition.cluster.jobs[0].tasks[0].place,
+        partition.cluster.jobs[0].tasks.get(0).place,
         Place::OnHost(0, attempt),
         "its tasks stay placed until the cloud confirms the termination"
     );
     partition.host_terminated("h1");
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
     // A late heartbeat of the terminated machine is ignored.
     assert!(partition.heartbeat(&heartbeat("h1", 1, 3, 1, vec![]), StatusSource::Heartbeat, 7200).is_empty());
     assert!(partition.cluster.host_index.is_empty());
@@ -54,7 +54,7 @@
         9100,
     );
     partition.detect_failures(1000 + LEASE_MS + 1000, 0);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(0, attempt));
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(0, attempt));
 }
 
 // A controller that is paused for seconds has missed the heartbeats of all machines when it resumes, because it has
--- a/src/control/partition/tests/failures.rs
+++ b/src/control/partition/tests/failures.rs
@@ -12,9 +12,9 @@
     complete_next_commit(&mut partition, 1000, 100);
     let mut now = 1000;
     for round in 0..4 {
-        partition.cluster.jobs[0].tasks[0].retry_after_ms = 0;
+        partition.cluster.jobs[0].tasks.update(0, |task| task.retry_after_ms = 0);
         partition.schedule(now, now);
-        let Place::OnHost(host_index, attempt) = partition.cluster.jobs[0].tasks[0].place else {
+        let Place::OnHost(host_index, attempt) = partition.cluster.jobs[0].tasks.get(0).place else {
             panic!("not placed in round {round}")
         };
         let host = partition.cluster.host(host_index).unwrap().id.clone();
@@ -23,7 +23,7 @@
         partition.heartbeat(&heartbeat(&host, 1, now, 1, ended), StatusSource::Heartbeat, now);
         partition.cluster.host_mut(host_index).unwrap().blocked_until_ms = if round == 0 { now + 600 } else { 0 };
     }
-    assert!(partition.cluster.jobs[0].tasks[0].retry_after_ms > now + 2000);
+    assert!(partition.cluster.jobs[0].tasks.get(0).retry_after_ms > now + 2000);
     assert!(partition.cluster.each_host().all(|(_, host)| host.failed_jobs.is_empty()));
 }
 
@@ -42,7 +42,7 @@
 /// Places the only task and reports its end. Returns the machine on which it ran.
 fn end_task(partition: &mut Partition, reason: &str, now: u64) -> HostIndex {
     partition.schedule(now, now);
-    let Place::OnHost(host_index, attempt) = partition.cluster.jobs[0].tasks[0].place else { panic!("not placed") };
+    let Place::OnHost(host_index, attempt) = partition.cluster.jobs[0].tasks.get(0).place else { panic!("not placed") };
     let host = partition.cluster.host(host_index).unwrap().id.clone();
     let ended = vec![task_status("run-000001/0", attempt, "ended", Some(reason))];
     partition.heartbeat(&heartbeat(&host, 1, now, 1, ended), StatusSource::Heartbeat, now);
@@ -64,7 +64,7 @@
     let (mut partition, failed) = failed_once();
     let other = end_task(&mut partition, "error", 2000);
     assert_ne!(other, failed);
-    partition.cluster.jobs[0].tasks[0].retry_after_ms = 0;
+    partition.cluster.jobs[0].tasks.update(0, |task| task.retry_after_ms = 0);
     end_task(&mut partition, "done", 3000);
     assert!(partition.cluster.each_host().all(|(_, host)| !host.faulty()), "the job failed on both machines");
 
--- a/src/control/partition/tests/fault_combinations.rs
+++ b/src/control/partition/tests/fault_combinations.rs
@@ -113,7 +113,7 @@
         1300,
     );
     partition.schedule(1300, 1300);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle, "the task is not started again");
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle, "the task is not started again");
     complete_all_commits(&mut partition, 1400, 101);
     assert_eq!(answered_phase(&partition), Some(JobPhase::Cancelled));
 }
@@ -178,7 +178,7 @@
         1200,
     );
     assert!(orders.is_empty());
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(0, attempt));
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(0, attempt));
     // The same with an old heartbeat of the machine that runs the task, with an older attempt.
     let mut partition = partition_with_records(5, stored_records(&mut old).0, stored_records(&mut old).1);
     partition.heartbeat(
@@ -191,7 +191,7 @@
         StatusSource::DirectCommandReply,
         1200,
     );
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(0, attempt));
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(0, attempt));
 }
 
 // A new machine must see this leader's fencing token before it gets tasks, and is probed at once to save time.
@@ -202,7 +202,7 @@
     partition.heartbeat(&heartbeat("h1", 1, 1, 0, vec![]), StatusSource::Heartbeat, 1000);
     complete_all_commits(&mut partition, 1000, 100);
     partition.schedule(1000, 1000);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
     assert!(partition.dispatch_queue.hosts().contains(&0));
     let command = partition.take_direct_command(0, 1010, false).unwrap();
     assert!(command.orders.is_empty());
@@ -213,7 +213,7 @@
     );
     complete_all_commits(&mut partition, 1020, 101);
     partition.schedule(1030, 1030);
-    assert!(matches!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(0, _)));
+    assert!(matches!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(0, _)));
 }
 
 // A task has two attempts, one of which is being stopped. When the other one is lost, the task still runs on a machine
@@ -231,7 +231,7 @@
     partition.heartbeat(&heartbeat("h3", 1, 1, 5, vec![]), StatusSource::Heartbeat, 1100);
     complete_all_commits(&mut partition, 1100, 101);
     partition.heartbeat(&heartbeat("h1", 1, 8, 5, vec![]), StatusSource::Heartbeat, 1200);
-    let place = |partition: &Partition, task: usize| partition.cluster.jobs[0].tasks[task].place;
+    let place = |partition: &Partition, task: u32| partition.cluster.jobs[0].tasks.get(task).place;
     partition.schedule(1200, 1200);
     assert_eq!(place(&partition, 0), Place::Idle, "its attempt on h2 is still being stopped");
     assert!(matches!(place(&partition, 1), Place::OnHost(..)), "the other task has no attempt");
@@ -270,7 +270,7 @@
     let _rx = request_cancellation(&mut partition, "run-000001", 1100, true);
     let _rx = submit_job(&mut partition, &job_submission("run-000002", "service", 1), 1100);
     complete_all_commits(&mut partition, 1100, 101);
-    let second = |partition: &Partition| partition.cluster.jobs[1].tasks[0].place;
+    let second = |partition: &Partition| partition.cluster.jobs[1].tasks.get(0).place;
     partition.schedule(1200, 1200);
     assert_eq!(second(&partition), Place::Idle, "the cancelled job may still run on h1");
     partition.host_terminated("h1");
--- a/src/control/partition/tests/late_copies.rs
+++ b/src/control/partition/tests/late_copies.rs
@@ -211,7 +211,7 @@
     complete_all_commits(&mut partition, 1600, 101);
     agent.tasks.clear();
     agent.settle(&mut partition, 2000);
-    let place = partition.cluster.jobs[0].tasks[0].place;
+    let place = partition.cluster.jobs[0].tasks.get(0).place;
     partition.schedule(9000, 9000);
     assert_eq!(place, Place::Idle, "the machine has shown that the task is gone");
     assert_eq!(agent.receive_copies(), vec![]);
@@ -251,8 +251,9 @@
     for reports_more_than_before in [false, true] {
         let (mut partition, mut agent) = started_by_direct_command("service", 2);
         partition.heartbeat(&heartbeat("h2", 1, 1, 1, vec![]), StatusSource::Heartbeat, 1600);
-        let places =
-            |partition: &Partition| partition.cluster.jobs[0].tasks.iter().map(|task| task.place).collect::<Vec<_>>();
+        let places = |partition: &Partition| {
+            (0..2).map(|task| partition.cluster.jobs[0].tasks.get(task).place).collect::<Vec<_>>()
+        };
         let before = places(&partition);
         agent.tasks.clear();
         (agent.seen_token, agent.sequence) = (0, if reports_more_than_before { 1000 } else { 0 });
@@ -270,7 +271,7 @@
         partition.schedule(3700, 3700);
         assert_eq!(places(&partition), before);
         let others = &partition.cluster.jobs[1].tasks;
-        assert!(others.iter().all(|task| matches!(task.place, Place::OnHost(1, _))), "{others:?}");
+        assert!(others.all(|task| matches!(task.place, Place::OnHost(1, _))), "{others:?}");
         assert_eq!(partition.detect_failures(4000, 0).to_terminate, ["h1"]);
         assert!(partition.metrics_mut().text().contains("badgerdrift_agents_without_memory_total{of=\"all\"} 1"));
         partition.host_terminated("h1");
--- a/src/control/partition/tests/limits.rs
+++ b/src/control/partition/tests/limits.rs
@@ -51,7 +51,7 @@
     );
     let machines = partition.next_commit(60_000, 32);
     assert!(machines.is_none_or(|commit| commit.writes.iter().all(|write| write.to_json()["put"] != "job/run-000001")));
-    partition.tasks_done(0, &[0, 1], 61_000);
+    partition.tasks_done(0, 0..2, 61_000);
     if partition.is_committing() {
         partition.apply_commit_outcome(CommitOutcome::Done { revision: 150 }).unwrap();
     }
--- a/src/control/partition/tests/mod.rs
+++ b/src/control/partition/tests/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod late_copies;
 mod limits;
+mod memory;
 mod orders;
 mod propagated_cancellations;
 mod recording;
--- a/src/control/partition/tests/orders.rs
+++ b/src/control/partition/tests/orders.rs
@@ -81,12 +81,12 @@
     let running = || vec![task_status("run-000001/0", attempt, "running", None)];
     partition.heartbeat(&heartbeat("h1", 1, 9, 1, running()), StatusSource::Heartbeat, 1100);
     partition.heartbeat(&heartbeat("h1", 1, 3, 1, vec![]), StatusSource::Heartbeat, 1200);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::OnHost(0, attempt));
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::OnHost(0, attempt));
     // A machine in a new agent epoch has lost all tasks, regardless of what an older heartbeat reports.
     partition.heartbeat(&heartbeat("h1", 2, 10, 1, vec![]), StatusSource::Heartbeat, 1300);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
     partition.heartbeat(&heartbeat("h1", 1, 11, 1, running()), StatusSource::Heartbeat, 1400);
-    assert_eq!(partition.cluster.jobs[0].tasks[0].place, Place::Idle);
+    assert_eq!(partition.cluster.jobs[0].tasks.get(0).place, Place::Idle);
 }
 
 #[test]
@@ -144,7 +144,7 @@
     let _rx = submit_job(&mut partition, &job_submission("run-000001", "batch", 1), 1000);
     complete_next_commit(&mut partition, 1000, 100);
     partition.schedule(1000, 1000);
-    let Place::OnHost(first, attempt) = partition.cluster.jobs[0].tasks[0].place else { panic!("not placed") };
+    let Place::OnHost(first, attempt) = partition.cluster.jobs[0].tasks.get(0).place else { panic!("not placed") };
     let id = partition.cluster.host(first).unwrap().id.clone();
     let other = if id == "h1" { "h2" } else { "h1" };
     let late = vec![task_status("run-000001/0", attempt + 1, "ended", Some("done"))];
--- a/src/control/partition/tests/recording.rs
+++ b/src/control/partition/tests/recording.rs
@@ -54,7 +54,7 @@
     let _rx = submit_job(&mut partition, submission.to_string().as_bytes(), 1000);
     complete_next_commit(&mut partition, 1000, 100);
     let every_other: Vec<u32> = (0..100_000).step_by(2).collect();
-    partition.tasks_done(0, &every_other, 1100);
+    every_other.iter().for_each(|task| partition.tasks_done(0, *task..*task + 1, 1100));
     let commit = partition.next_commit(1100 + 60_000, 32).unwrap();
     assert!(commit.writes[0].to_string().len() < 32 * 1024);
 }
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -1,6 +1,6 @@
 //! Jobs, with the state of their tasks and of their stored records.
 
-use super::{ClusterState, HostIndex, Place, Spec, Task, Urgency};
+use super::{ClusterState, HostIndex, JobTasks, Spec, Urgency};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
@@ -91,8 +91,8 @@
     /// True while the outcome of a write of the job's end is indeterminate: the write may take effect, now or
     /// later, or not at all. Until the outcome is known, another node may read the end and answer with it.
     pub end_indeterminate: bool,
-    /// State of each task, by its number.
-    pub tasks: Vec<Task>,
+    /// State of each task, by its number; not kept once the job has ended.
+    pub tasks: JobTasks,
     /// Number of tasks that are done, whether or not that is stored.
     pub done: u32,
     /// Done tasks that the stored record states, as ordered ranges of the first number and one past the last.
@@ -123,10 +123,7 @@
     /// Creates a job none of whose tasks is placed. `accepted_ms` is wall time, `now` is steady time, both in
     /// milliseconds.
     pub fn new(spec: Spec, accepted_ms: u64, now: u64) -> Job {
-        let tasks = vec![
-            Task { place: Place::Idle, located_by_leader: false, failures: 0, retry_after_ms: 0 };
-            spec.tasks as usize
-        ];
+        let tasks = JobTasks::new(spec.tasks);
         Job {
             waiting: !spec.dependencies.is_empty(),
             urgency: spec.urgency,
@@ -192,11 +189,14 @@
         self.failed_on.len() > MAX_AVOIDED_HOSTS || (self.failed_on.len() > 1 && no_other_host())
     }
 
-    /// Sets the number of done tasks to the number of tasks if the job is done.
+    /// Sets the number of done tasks to the number of tasks if the job is done, and frees the memory for tasks that
+    /// are on no machine. The job has ended.
     pub fn retire(&mut self) {
         if self.end == Some(JobEnd::Done) {
             self.done = self.spec.tasks;
         }
+        self.tasks.retire();
+        self.recorded_done = Vec::new();
     }
 
     /// Returns the phase of the job, given the number of its running tasks.
--- a/src/model/records.rs
+++ b/src/model/records.rs
@@ -1,6 +1,6 @@
 //! Stored records of jobs and machines in the state service.
 
-use super::{Job, JobEnd, Place, Spec};
+use super::{Job, JobEnd, Spec};
 use crate::clients::write_limits::{MAX_RANGE_BYTES, json_bytes};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -35,7 +35,7 @@
         }
         let left_bytes = max_bytes.checked_sub(json_bytes(&record))?;
         record.done = widest_ranges(
-            done_ranges(job),
+            job.tasks.done_ranges(),
             (left_bytes / MAX_RANGE_BYTES).min((max_bytes / 2 / MAX_RANGE_BYTES).max(1)),
         );
         Some(record)
@@ -48,10 +48,7 @@
         job.version = version;
         job.end = self.end;
         for (first, end) in &self.done {
-            for task in *first..(*end).min(job.spec.tasks) {
-                job.tasks[task as usize].place = Place::Done;
-                job.done += 1;
-            }
+            job.done += job.tasks.complete(*first, *end);
         }
         job.recorded_done = self.done;
         if job.end.is_some() {
@@ -87,17 +84,3 @@
     }
     ranges
 }
-
-/// Returns the numbers of the done tasks as ordered ranges of the first number and one past the last.
-pub fn done_ranges(job: &Job) -> Vec<(u32, u32)> {
-    let mut out: Vec<(u32, u32)> = Vec::new();
-    for (number, task) in (0u32..).zip(&job.tasks) {
-        if task.place == Place::Done {
-            match out.last_mut() {
-                Some(last) if last.1 == number => last.1 = number + 1,
-                _ => out.push((number, number + 1)),
-            }
-        }
-    }
-    out
-}
--- a/src/model/task.rs
+++ b/src/model/task.rs
@@ -24,7 +24,7 @@
 }
 
 /// State of one task of a job.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Task {
     /// Placement of the task.
     pub place: Place,
--- a/src/scheduling/cycle/free_capacity.rs
+++ b/src/scheduling/cycle/free_capacity.rs
@@ -109,8 +109,8 @@
     pub(super) fn pending_tasks(&self, request: &PlacementRequest) -> usize {
         let job = &self.cluster.jobs[request.job_index];
         let placeable = self.cluster.placeable_tasks(job);
-        let pending = |task: &&Task| task.retry_after_ms <= self.now && placeable.includes(task);
-        job.tasks.iter().filter(pending).count()
+        let pending = |task: &Task| task.retry_after_ms <= self.now && placeable.includes(task);
+        job.tasks.count(pending) as usize
     }
 
     /// Returns the machines on which capacity for one task is free or can be freed, each with its cost.
--- a/src/scheduling/cycle/gang.rs
+++ b/src/scheduling/cycle/gang.rs
@@ -13,7 +13,7 @@
         let job = &self.cluster.jobs[job_index];
         // The next attempt waits until every task of the previous one has ended.
         let placeable = self.cluster.placeable_tasks(job);
-        let must_wait = job.tasks.iter().any(|task| task.retry_after_ms > self.now || !placeable.includes(task));
+        let must_wait = job.tasks.any(|task| task.retry_after_ms > self.now || !placeable.includes(task));
         if must_wait || self.index.hosts_of(job_index).next().is_some() {
             return true;
         }
--- a/src/scheduling/cycle/queue.rs
+++ b/src/scheduling/cycle/queue.rs
@@ -54,7 +54,7 @@
     // A task that an unreconciled machine may run is not placed. A task located since then is certain to
     // run on no other machine.
     let placeable = cluster.placeable_tasks(job);
-    job.tasks.iter().any(|task| task.retry_after_ms <= now && placeable.includes(task))
+    job.tasks.any(|task| task.retry_after_ms <= now && placeable.includes(task))
 }
 
 impl SchedulingCycle<'_> {
--- a/src/scheduling/cycle/tasks.rs
+++ b/src/scheduling/cycle/tasks.rs
@@ -5,7 +5,7 @@
 use super::request::PlacementRequest;
 use super::victims::PreemptionPlan;
 use super::{Assignment, SchedulingCycle};
-use crate::model::{HostIndex, Place, Reservation, TaskAttempt, TaskKey};
+use crate::model::{HostIndex, Place, Reservation, Task, TaskAttempt, TaskKey};
 use crate::scheduling::task_requirements::ZoneCounts;
 
 /// State carried from the placement of one task of a job to the next.
@@ -30,9 +30,10 @@
     /// Starts an attempt of a task on a machine.
     pub(super) fn start(&mut self, key: TaskKey, host_index: HostIndex, attempt: u64) {
         let job = &mut self.cluster.jobs[key.job];
-        let task = &mut job.tasks[key.task as usize];
-        task.place = Place::OnHost(host_index, attempt);
-        task.located_by_leader = true;
+        job.tasks.update(key.task, |task| {
+            task.place = Place::OnHost(host_index, attempt);
+            task.located_by_leader = true;
+        });
         job.image_wait_until_ms = 0;
         self.index.record_start(&job.spec, key.job, host_index);
         self.borrowing.record_start(key.job, job.spec.demand);
@@ -70,10 +71,13 @@
         let mut state = PlacementState { counts: self.index.tasks_by_zone(job_index), candidates: None };
         let placeable = self.cluster.placeable_tasks(&self.cluster.jobs[job_index]);
         let stray_tasks = self.cluster.tasks_with_stray_attempts(job_index, self.index.hosts_of(job_index));
+        let now = self.now;
+        let may_start = |task: &Task| task.retry_after_ms <= now && placeable.includes(task);
         let mut tasks_examined = 0;
-        for task_number in 0..self.cluster.jobs[job_index].tasks.len() as u32 {
-            let task = self.cluster.jobs[job_index].tasks[task_number as usize];
-            if task.retry_after_ms > self.now || !placeable.includes(&task) || stray_tasks.contains(&task_number) {
+        let mut next_number = 0;
+        while let Some(task_number) = self.cluster.jobs[job_index].tasks.next(next_number, may_start) {
+            next_number = task_number + 1;
+            if stray_tasks.contains(&task_number) {
                 continue;
             }
             if self.must_wait(request, tasks_examined) {
--- a/src/scheduling/plan/mod.rs
+++ b/src/scheduling/plan/mod.rs
@@ -110,8 +110,8 @@
     for job_index in work.pending_jobs.iter().chain(work.upcoming_jobs) {
         let job = &cluster.jobs[*job_index];
         let placeable = cluster.placeable_tasks(job);
-        let tasks = job.tasks.iter().filter(|task| placeable.includes(task)).count();
-        packer.pack(&job.spec, tasks, job.avoided_hosts(cluster, now));
+        let tasks = job.tasks.count(|task| placeable.includes(task));
+        packer.pack(&job.spec, tasks as usize, job.avoided_hosts(cluster, now));
     }
     for class_arrivals in work.arrivals {
         packer.pack(&class_arrivals.spec, headroom_tasks(cluster, policy, class_arrivals), &HashSet::new());
--- a/src/scheduling/task_locations.rs
+++ b/src/scheduling/task_locations.rs
@@ -54,7 +54,7 @@
             return PlaceableTasks::All;
         }
         let has_zone_constraints = job.spec.spread || job.spec.one_zone;
-        if has_zone_constraints && !job.tasks.iter().all(|task| task.located_by_leader || task.place == Place::Done) {
+        if has_zone_constraints && !job.tasks.all(|task| task.located_by_leader || task.place == Place::Done) {
             return PlaceableTasks::None;
         }
         PlaceableTasks::Located
@@ -71,7 +71,7 @@
         let tasks = &self.jobs[job_index].tasks;
         let is_stray = |attempt: &&TaskAttempt| {
             let key = attempt.key;
-            key.job == job_index && !attempt.ended() && tasks[key.task as usize].place == Place::Idle
+            key.job == job_index && !attempt.ended() && tasks.get(key.task).place == Place::Idle
         };
         let attempts = hosts.filter_map(|host_index| self.host(host_index)).flat_map(|host| host.attempts.iter());
         attempts.filter(is_stray).map(|attempt| attempt.key.task).collect()
@@ -90,7 +90,7 @@
         let job = &self.jobs[job_index];
         let reconciled = self.reconciled_for(job);
         !on_machines.contains(&job_index)
-            && job.tasks.iter().all(|task| match task.place {
+            && job.tasks.all(|task| match task.place {
                 Place::OnHost(..) => false,
                 Place::Idle => reconciled || task.located_by_leader,
                 Place::Done => true,
@@ -106,9 +106,8 @@
         }
         let runnable = self.runnable_jobs.iter().map(|job_index| &self.jobs[*job_index]);
         for job in runnable.filter(|job| !self.reconciled_for(job)) {
-            let unlocated =
-                job.tasks.iter().filter(|task| task.place == Place::Idle && !task.located_by_leader).count();
-            by_team.entry(job.spec.team.clone()).or_default().add(&job.spec.demand.times(unlocated as f64));
+            let unlocated = job.tasks.count(|task| task.place == Place::Idle && !task.located_by_leader);
+            by_team.entry(job.spec.team.clone()).or_default().add(&job.spec.demand.times(f64::from(unlocated)));
         }
         let capacity = self.unreconciled;
         for demand in by_team.values_mut() {
--- a/src/scheduling/tests/borrowing.rs
+++ b/src/scheduling/tests/borrowing.rs
@@ -173,7 +173,7 @@
         for stop in stops {
             let host = self.cluster.host_mut(stop.host).unwrap();
             host.attempts.retain(|attempt| attempt.key != stop.key);
-            self.cluster.jobs[stop.key.job].tasks[stop.key.task as usize].place = Place::Idle;
+            self.cluster.jobs[stop.key.job].tasks.update(stop.key.task, |task| task.place = Place::Idle);
         }
     }
 
@@ -325,9 +325,9 @@
     assert_eq!((fleet.gpus("desk"), fleet.gpus("night")), (8.0, 8.0));
     // A machine with tasks of the lender fails.
     let lost = fleet.cluster.hosts[1].take().unwrap();
-    lost.attempts
-        .iter()
-        .for_each(|attempt| fleet.cluster.jobs[attempt.key.job].tasks[attempt.key.task as usize].place = Place::Idle);
+    lost.attempts.iter().for_each(|attempt| {
+        fleet.cluster.jobs[attempt.key.job].tasks.update(attempt.key.task, |task| task.place = Place::Idle);
+    });
     let (mut reclaimed, mut max_at_once) = (0, 0);
     for round in 5..40 {
         let outcome = fleet.schedule(round * ROUND_MS);
--- a/src/scheduling/tests/guarantees.rs
+++ b/src/scheduling/tests/guarantees.rs
@@ -83,7 +83,7 @@
         for stop in stops {
             let host = self.cluster.host_mut(stop.host).unwrap();
             host.attempts.retain(|attempt| attempt.key != stop.key);
-            self.cluster.jobs[stop.key.job].tasks[stop.key.task as usize].place = Place::Idle;
+            self.cluster.jobs[stop.key.job].tasks.update(stop.key.task, |task| task.place = Place::Idle);
         }
     }
 
--- a/src/scheduling/tests/ordering.rs
+++ b/src/scheduling/tests/ordering.rs
@@ -139,7 +139,7 @@
     assert_eq!(run_cycle(&mut cluster, 2).starts.len(), 3, "the limit does not apply to more urgent work");
     let ended = first.starts[0];
     cluster.host_mut(ended.host).unwrap().attempts.retain(|attempt| attempt.attempt != ended.attempt);
-    cluster.jobs[0].tasks[ended.key.task as usize].place = Place::Done;
+    cluster.jobs[0].tasks.update(ended.key.task, |task| task.place = Place::Done);
     assert!(run_cycle(&mut cluster, 3).starts.is_empty(), "seven attempts are left");
     cluster.hosts.iter_mut().flatten().for_each(|host| host.attempts.retain(|attempt| attempt.key.job == 0));
     assert_eq!(run_cycle(&mut cluster, 4).starts.iter().filter(|start| start.key.job == 0).count(), 1);
--- a/src/scheduling/tests/planning.rs
+++ b/src/scheduling/tests/planning.rs
@@ -58,7 +58,7 @@
             let key = TaskKey { job: job_index, task };
             let demand = cluster.jobs[job_index].spec.demand;
             let attempt = TaskAttempt { phase: TaskPhase::Running, ..TaskAttempt::sent(key, 1, demand, 0) };
-            cluster.jobs[job_index].tasks[task as usize].place = Place::OnHost(host_index, 1);
+            cluster.jobs[job_index].tasks.update(task, |task| task.place = Place::OnHost(host_index, 1));
             let host = cluster.host_mut(host_index).unwrap();
             host.attempts.push(attempt);
             host.use_image("i", 10.0, 100.0, 1);
--- a/src/scheduling/tests/properties.rs
+++ b/src/scheduling/tests/properties.rs
@@ -127,7 +127,7 @@
             }
             for (host_index, key) in ended {
                 state.host_mut(host_index).unwrap().attempts.retain(|attempt| attempt.key != key);
-                state.jobs[key.job].tasks[key.task as usize].place = Place::Idle;
+                state.jobs[key.job].tasks.update(key.task, |task| task.place = Place::Idle);
             }
         }
     }
--- a/src/scheduling/tests/replicas.rs
+++ b/src/scheduling/tests/replicas.rs
@@ -13,7 +13,7 @@
     state.host_mut(0).unwrap().blocked_until_ms = 10;
     run_cycle(&mut state, 1);
     state.host_mut(1).unwrap().attempts.truncate(1);
-    state.jobs[1].tasks[0].place = Place::Idle;
+    state.jobs[1].tasks.update(0, |task| task.place = Place::Idle);
     state.host_mut(0).unwrap().blocked_until_ms = 0;
     state.host_mut(1).unwrap().blocked_until_ms = 10;
     run_cycle(&mut state, 2);
@@ -59,7 +59,7 @@
     let job_index = add_job(&mut state, job_spec, 1);
     let stopped = run_cycle(&mut state, 2).stops[0];
     state.host_mut(0).unwrap().attempts.retain(|attempt| attempt.key != stopped.key);
-    state.jobs[0].tasks[stopped.key.task as usize].place = Place::Idle;
+    state.jobs[0].tasks.update(stopped.key.task, |task| task.place = Place::Idle);
     assert!(run_cycle(&mut state, 3).starts.iter().any(|start| start.key.job == job_index));
 }
 
@@ -84,7 +84,7 @@
     assert_eq!(zones(&state), ["a", "b"]);
     // A reservation that has become useless is removed.
     let key = TaskKey { job: job_index, task: 0 };
-    state.jobs[job_index].tasks[0].place = Place::OnHost(1, 9);
+    state.jobs[job_index].tasks.update(0, |task| task.place = Place::OnHost(1, 9));
     let demand = state.jobs[job_index].spec.demand;
     state.hosts[1].as_mut().unwrap().attempts = vec![TaskAttempt::sent(key, 9, demand, 12)];
     run_cycle(&mut state, 12);
@@ -130,7 +130,7 @@
     let settled = 1_000_000;
     for (host, job) in replicas.iter().enumerate() {
         let key = TaskKey { job: *job, task: 0 };
-        state.jobs[*job].tasks[0].place = Place::OnHost(host, 1 + host as u64);
+        state.jobs[*job].tasks.update(0, |task| task.place = Place::OnHost(host, 1 + host as u64));
         let mut attempt = TaskAttempt::sent(key, 1 + host as u64, state.jobs[*job].spec.demand, 0);
         attempt.phase = TaskPhase::Running;
         state.host_mut(host).unwrap().attempts.push(attempt);
@@ -143,7 +143,7 @@
     let mut filler = spec("run-000007", Shape::Service, 1, 6.0);
     filler.urgency = Urgency::Production;
     let filler = add_job(&mut state, filler, 0);
-    state.jobs[filler].tasks[0].place = Place::OnHost(2, 9);
+    state.jobs[filler].tasks.update(0, |task| task.place = Place::OnHost(2, 9));
     let mut attempt = TaskAttempt::sent(TaskKey { job: filler, task: 0 }, 9, state.jobs[filler].spec.demand, settled);
     attempt.phase = TaskPhase::Running;
     state.host_mut(2).unwrap().attempts.push(attempt);
