A plan lists no more machines than can be requested

Each second the leader plans which machines it lacks; it listed a machine for each task that waits, before the number in a request was cut to 50. With arrays whose tasks take a machine each, every plan took as much memory, and as much time, as users had asked for tasks.

Fix: a plan opens at most 50 machines of an offering, which is what the cloud's protocol takes in a request and what the provisioner asks for at a time. Of equally cheap offerings those below the limit come first, so that a zone that is full for a plan does not hold up the others. What is missing beyond that follows with the next plans, as before. The constant stands in the plan, `MAX_NEW_MACHINES`, in place of `MAX_MACHINES_PER_REQUEST`.

--- a/src/control/partition/tests/memory.rs
+++ b/src/control/partition/tests/memory.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::model::{JobEnd, JobTasks};
+use crate::scheduling::{Availability, ExpectedWork};
 use allocations::{MemoryUse, measure};
 
 /// Number of jobs in each measurement.
@@ -134,3 +135,30 @@
         assert!(used.kept <= MAX_TASKS as usize / 4 + MAX_EXTRA_BYTES_PER_JOB, "every {step}: {used:?}");
     }
 }
+
+// Guards against a plan that lists a machine for each task that waits: ten arrays whose tasks take a machine each would
+// have ended the leader for memory with each plan.
+#[test]
+fn a_plan_takes_no_memory_for_tasks_beyond_the_machines_that_it_can_request() {
+    let plan = |tasks: u32| {
+        let mut partition = partition();
+        for number in 0..JOBS {
+            let mut submission: Value =
+                serde_json::from_slice(&job_submission(&format!("run-{number:06}"), "batch", tasks)).unwrap();
+            submission["cards"] = json!(8.0);
+            let _rx = submit_job(&mut partition, submission.to_string().as_bytes(), 1000);
+            complete_all_commits(&mut partition, 1000, 100);
+        }
+        partition.schedule(1000, 1000);
+        let work = ExpectedWork {
+            pending_jobs: partition.pending_jobs(),
+            pool_replicas: &[],
+            upcoming_jobs: &[],
+            arrivals: &[],
+        };
+        assert_eq!(work.pending_jobs.len() as u32, JOBS);
+        let available = |_: &_| Availability::Available { cost_factor: 1.0 };
+        measure(|| scheduling::plan_capacity(partition.cluster(), partition.policy(), 1000, &work, &[], &available)).1
+    };
+    assert_size_is_free("planned", plan(1000), plan(MAX_TASKS));
+}
--- a/src/provisioning/provisioner/distribution.rs
+++ b/src/provisioning/provisioner/distribution.rs
@@ -4,12 +4,9 @@
 use super::{CloudRequest, Provisioner, frame_sizes};
 use crate::control::partition::Partition;
 use crate::model::{ClusterState, InstanceOffering};
-use crate::scheduling::ScaleOut;
+use crate::scheduling::{MAX_NEW_MACHINES, ScaleOut};
 use crate::transport::peer::{CapacityReport, MachineGroup};
 
-/// Maximum number of machines in one request, as defined by the cloud's protocol.
-const MAX_MACHINES_PER_REQUEST: usize = 50;
-
 /// Capacity report of a partition, with the time of its receipt.
 #[derive(Debug)]
 pub(super) struct ReceivedReport {
@@ -98,7 +95,7 @@
                 let left = wanted.count - transfers.len();
                 requests.extend(transfers);
                 if left > 0 && !self.is_refused(&offering, now) {
-                    let scale_out = ScaleOut { offering, count: left.min(MAX_MACHINES_PER_REQUEST) };
+                    let scale_out = ScaleOut { offering, count: left.min(MAX_NEW_MACHINES) };
                     requests.push(self.request_scale_out(to, scale_out, partition));
                 }
             }
--- a/src/scheduling/mod.rs
+++ b/src/scheduling/mod.rs
@@ -26,7 +26,7 @@
 pub use host_eligibility::{is_joining, is_usable};
 pub use index::CapacityIndex;
 pub use plan::{
-    Availability, AvailabilityFn, CapacityPlan, ClassArrivals, Drain, ExpectedWork, Migration, ScaleOut,
-    expected_demands, plan_capacity,
+    Availability, AvailabilityFn, CapacityPlan, ClassArrivals, Drain, ExpectedWork, MAX_NEW_MACHINES, Migration,
+    ScaleOut, expected_demands, plan_capacity,
 };
 pub use policy::{Policy, StartObjective, TeamRule};
--- a/src/scheduling/plan/bin_packing.rs
+++ b/src/scheduling/plan/bin_packing.rs
@@ -4,7 +4,11 @@
 use crate::model::{ClusterState, Demand, ExpectedDemand, HostIndex, InstanceOffering, Spec};
 use crate::scheduling::index::CapacityIndex;
 use crate::scheduling::task_requirements::{TaskRequirements, ZoneCounts};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
+
+/// Maximum number of machines of an offering that a plan opens. The cloud takes no larger request, and further machines
+/// follow with the next plans.
+pub const MAX_NEW_MACHINES: usize = 50;
 
 /// A machine, existing or not, that tasks are packed into.
 #[derive(Debug)]
@@ -23,6 +27,13 @@
     pub(super) used: bool,
 }
 
+impl Bin {
+    /// Returns the instance type, the zone and whether the machine is spot.
+    fn offering(&self) -> (usize, usize, bool) {
+        (self.instance_type, self.zone, self.spot)
+    }
+}
+
 /// Packs tasks into bins and opens new bins where needed.
 pub(super) struct BinPacker<'a> {
     cluster: &'a ClusterState,
@@ -31,6 +42,8 @@
     bins: Vec<Bin>,
     /// Number of bins of existing or pending machines; the bins after them would be requested.
     existing: usize,
+    /// Number of new bins by offering: instance type, zone and whether it is spot.
+    new_machines: HashMap<(usize, usize, bool), usize>,
 }
 
 /// State of the packing of tasks with the same description.
@@ -54,6 +67,8 @@
 struct Offer {
     /// Price per task on a machine that is filled with such tasks.
     price: f64,
+    /// True if the plan opens no more machines of the offering.
+    at_limit: bool,
     /// Number of tasks of the packing in the zone of the machine.
     tasks_in_zone: u32,
     bin: Bin,
@@ -66,7 +81,7 @@
         availability: &'a AvailabilityFn<'a>,
         bins: Vec<Bin>,
     ) -> BinPacker<'a> {
-        BinPacker { cluster, index, availability, existing: bins.len(), bins }
+        BinPacker { cluster, index, availability, existing: bins.len(), bins, new_machines: HashMap::new() }
     }
 
     /// Returns the bins of existing or pending machines, and those of machines to be requested.
@@ -76,7 +91,8 @@
     }
 
     /// Packs `tasks` tasks of `spec` and opens new bins where needed. Tasks for which no machine is available
-    /// are left out.
+    /// are left out, as are those for which the plan would open more than `MAX_NEW_MACHINES` machines of an offering:
+    /// the effort follows the machines that can be requested, not the tasks that wait.
     pub(super) fn pack(&mut self, spec: &Spec, tasks: usize, avoided_hosts: &HashSet<HostIndex>) {
         let mut packing = self.start_packing(spec, avoided_hosts);
         for _ in 0..tasks {
@@ -99,7 +115,7 @@
             requirements: self.index.requirements(self.cluster, spec),
             avoided_hosts,
             // If a spot machine is the cheapest new one, work that may use spot machines takes no other ones.
-            only_spot: spec.spot && self.cheapest(spec, &counts).is_some_and(|bin| bin.spot),
+            only_spot: spec.spot && self.cheapest(spec, &counts).is_some_and(|offer| offer.bin.spot),
             counts,
             order,
             next: 0,
@@ -110,7 +126,7 @@
     }
 
     /// Returns the position of the bin for the next task and opens a new bin if needed; `None` if no machine
-    /// is available.
+    /// is available, or none that the plan may still open.
     fn bin_for_task(&mut self, packing: &mut Packing) -> Option<usize> {
         loop {
             while let Some(position) = packing.order.get(packing.next) {
@@ -119,9 +135,13 @@
                 }
                 packing.next += 1;
             }
-            if let Some(bin) = self.cheapest(packing.spec, &packing.counts) {
+            if let Some(offer) = self.cheapest(packing.spec, &packing.counts) {
+                if offer.at_limit {
+                    return None;
+                }
                 // A machine requested for these tasks is used for them, even if they strand its accelerators.
-                self.bins.push(bin);
+                *self.new_machines.entry(offer.bin.offering()).or_default() += 1;
+                self.bins.push(offer.bin);
                 packing.order.push(self.bins.len() - 1);
                 return Some(self.bins.len() - 1);
             }
@@ -142,10 +162,10 @@
             && !(packing.spares_accelerators && strands_accelerators(self.cluster, spec, bin.instance_type, &bin.free))
     }
 
-    /// Returns the bin of the machine to request on which a task of `spec` is cheapest, with prices multiplied
-    /// by the cost factor of the offering. Of equally cheap machines it takes one in the zone with the fewest
-    /// tasks. `None` if no allowed machine is available.
-    fn cheapest(&self, spec: &Spec, counts: &ZoneCounts) -> Option<Bin> {
+    /// Returns the offer of the machine on which a task of `spec` is cheapest, with prices multiplied by the cost
+    /// factor of the offering. Of equally cheap machines it takes one that the plan may still open, in the zone with
+    /// the fewest tasks. `None` if no allowed machine is available.
+    fn cheapest(&self, spec: &Spec, counts: &ZoneCounts) -> Option<Offer> {
         let mut cheapest: Option<Offer> = None;
         for (index, instance_type) in self.cluster.instance_types.iter().enumerate() {
             if !spec.allows_instance_type(instance_type) {
@@ -155,14 +175,14 @@
                 for spot in [false, true] {
                     let offering = InstanceOffering { instance_type: index, zone: zone_name.clone(), spot };
                     let Some(offer) = self.offer(spec, counts, &offering) else { continue };
-                    let rank = |offer: &Offer| (offer.price, offer.tasks_in_zone);
+                    let rank = |offer: &Offer| (offer.price, offer.at_limit, offer.tasks_in_zone);
                     if cheapest.as_ref().is_none_or(|cheapest| rank(&offer) < rank(cheapest)) {
                         cheapest = Some(offer);
                     }
                 }
             }
         }
-        cheapest.map(|offer| offer.bin)
+        cheapest
     }
 
     /// Returns the offer of a machine of this offering for a task of `spec`; `None` if the offering is refused
@@ -185,7 +205,8 @@
             host: None,
             used: true,
         };
-        Some(Offer { price, tasks_in_zone, bin })
+        let at_limit = self.new_machines.get(&bin.offering()).is_some_and(|machines| *machines >= MAX_NEW_MACHINES);
+        Some(Offer { price, at_limit, tasks_in_zone, bin })
     }
 }
 
--- a/src/scheduling/plan/mod.rs
+++ b/src/scheduling/plan/mod.rs
@@ -5,7 +5,7 @@
 mod drain;
 mod headroom;
 
-pub use bin_packing::strands_accelerators;
+pub use bin_packing::{MAX_NEW_MACHINES, strands_accelerators};
 pub use drain::{Drain, Migration};
 pub use headroom::expected_demands;
 
--- a/src/scheduling/tests/planning.rs
+++ b/src/scheduling/tests/planning.rs
@@ -95,3 +95,20 @@
     assert_eq!(scale_out(4.0, &[]), one_on_demand, "all eight tasks fit on one machine");
     assert!(scale_out(4.0, &[on_demand()]).is_empty(), "the pending machine suffices");
 }
+
+#[test]
+fn a_plan_opens_no_more_machines_of_an_offering_than_one_request_takes() {
+    let mut cluster = cluster(&[]);
+    // Each task takes a whole machine.
+    let in_zone_a = Spec { zone: Some("a".into()), ..spec("run-000001", Shape::Batch, 100_000, 8.0) };
+    add_job(&mut cluster, in_zone_a, 0);
+    add_job(&mut cluster, spec("run-000002", Shape::Batch, 10, 8.0), 0);
+    let scale_out = |jobs: &[JobIndex]| {
+        let requests = plan_capacity(&cluster, &policy(), 0, &pending_jobs(jobs), &[], &all_available).scale_out;
+        requests.into_iter().map(|request| (request.offering.zone, request.count)).collect::<BTreeMap<_, _>>()
+    };
+    let zones = |in_a, in_b| BTreeMap::from([("a".to_string(), in_a), ("b".to_string(), in_b)]);
+    assert_eq!(scale_out(&[0]), BTreeMap::from([("a".to_string(), MAX_NEW_MACHINES)]));
+    assert_eq!(scale_out(&[0, 1]), zones(MAX_NEW_MACHINES, 10), "the other zone is as cheap and below its limit");
+    assert_eq!(scale_out(&[1, 0]), zones(MAX_NEW_MACHINES, 5), "the first job is spread over both zones");
+}
