--- a/src/control/partition/tests/memory.rs
+++ b/src/control/partition/tests/memory.rs
@@ -121,6 +121,21 @@
     }
 }
 
+// Guards against memory for each task of an array that fails everywhere: those with low numbers are tried again first, so
+// that the tasks that have failed are as many as start within the longest pause.
+#[test]
+fn an_array_that_fails_everywhere_keeps_few_of_its_tasks() {
+    let mut partition = partition();
+    accept_arrays(&mut partition, 0, MAX_TASKS);
+    (1..50).for_each(|round| run_tasks(&mut partition, round, "error"));
+    let failed = |partition: &Partition| partition.cluster.jobs[0].tasks.count(|task| task.failures > 0);
+    let before = failed(&partition);
+    let (_, used) = measure(|| (50..200).for_each(|round| run_tasks(&mut partition, round, "error")));
+    println!("failed: {before} tasks, {} after 150 more rounds, {used:?}", failed(&partition));
+    assert_eq!(failed(&partition), before);
+    assert!(used.kept <= MAX_EXTRA_BYTES_PER_JOB, "{used:?}");
+}
+
 // Guards against sets of done tasks that grow beyond two bits for each task when tasks end in any order.
 #[test]
 fn done_tasks_take_at_most_two_bits_each_in_any_order() {
