Done tasks move to their set together, and lookups are shorter

Each task that was done shifted the list of running ones, and small jobs paid for iterators over groups of equal tasks.

Change: a task that is done or idle keeps its entry until such entries are the larger half of the list, then all move to the sets. A lookup searches only as far from both ends as the number is. Conditions look at equal tasks first, without a chain of iterators.

--- a/src/model/job_tasks.rs
+++ b/src/model/job_tasks.rs
@@ -3,9 +3,6 @@
 use super::{ClusterState, HostIndex, JobIndex, Place, Task, TaskAttempt, TaskKey};
 use roaring::RoaringBitmap;
 
-/// Number of newly done tasks after which the set of done tasks is compressed again.
-const TASKS_PER_COMPRESSION: u64 = 256;
-
 /// State of a task that was never started.
 const UNTOUCHED: Task = Task { place: Place::Idle, located_by_leader: false, failures: 0, retry_after_ms: 0 };
 /// State of a task that this leader has located, that is on no machine now and that never failed.
@@ -17,7 +14,8 @@
 ///
 /// Users submit arrays of many more tasks than run at a time. A task that was never started takes no memory, and one
 /// that is done, or that was stopped and is idle again, at most two bits; ranges of such tasks take a few bytes. Only
-/// tasks that are on a machine or have failed are stored one by one.
+/// tasks that are on a machine or have failed are stored one by one, and as many others at most, which move to the sets
+/// together.
 ///
 /// Invariant: a task is in at most one of `done`, `located` and `tracked`; in none of them if it was never started or,
 /// once the job has ended, if it is on no machine.
@@ -26,11 +24,13 @@
     count: u32,
     /// True once the job has ended. No task may be started any more, and those in none of the sets count as done.
     retired: bool,
+    /// Number of tracked tasks whose state a set can hold.
+    settled: u32,
     /// Tasks in the state [`DONE`].
     done: RoaringBitmap,
     /// Tasks in the state [`LOCATED`].
     located: RoaringBitmap,
-    /// All other tasks, in ascending order of their numbers.
+    /// All other tasks that were started, in ascending order of their numbers.
     tracked: Vec<TrackedTask>,
 }
 
@@ -67,6 +67,7 @@
         JobTasks {
             count,
             retired: false,
+            settled: 0,
             done: RoaringBitmap::new(),
             located: RoaringBitmap::new(),
             tracked: Vec::new(),
@@ -101,16 +102,20 @@
             let is_newly_done = |task: &mut Task| std::mem::replace(&mut task.place, Place::Done) != Place::Done;
             return range.map(|number| u32::from(self.update(number, is_newly_done))).sum();
         }
+        let before = self.count(|task| task.place == Place::Done);
         self.located.remove_range(range.clone());
         self.tracked.retain(|tracked| !range.contains(&tracked.number));
-        self.release_unused_capacity();
-        self.change_done(|done| done.insert_range(range) as u32)
+        self.done.insert_range(range);
+        self.move_settled_to_sets();
+        self.count(|task| task.place == Place::Done) - before
     }
 
     /// Returns the numbers of the done tasks as ordered ranges of the first number and one past the last. The ranges
     /// are forgotten with the end of the job.
     pub fn done_ranges(&self) -> Vec<(u32, u32)> {
-        let mut done = self.done.iter();
+        let mut done = self.done.clone();
+        done.extend(self.tracked.iter().filter(|tracked| tracked.task == DONE).map(|tracked| tracked.number));
+        let mut done = done.iter();
         let ranges = std::iter::from_fn(|| done.next_range());
         ranges.map(|range| (*range.start(), *range.end() + 1)).collect()
     }
@@ -125,17 +130,20 @@
 
     /// Returns the number of tasks whose state meets the condition.
     pub fn count(&self, condition: impl Fn(&Task) -> bool) -> u32 {
-        self.groups().filter(|(task, _)| condition(task)).map(|(_, tasks)| tasks).sum()
+        let in_sets: u32 =
+            self.equal_groups().iter().map(|(task, tasks)| if condition(task) { *tasks } else { 0 }).sum();
+        in_sets + self.tracked.iter().filter(|tracked| condition(&tracked.task)).count() as u32
     }
 
     /// Returns whether the state of any task meets the condition.
     pub fn any(&self, condition: impl Fn(&Task) -> bool) -> bool {
-        self.groups().any(|(task, _)| condition(&task))
+        self.equal_groups().iter().any(|(task, tasks)| *tasks > 0 && condition(task))
+            || self.tracked.iter().any(|tracked| condition(&tracked.task))
     }
 
     /// Returns whether the states of all tasks meet the condition.
     pub fn all(&self, condition: impl Fn(&Task) -> bool) -> bool {
-        self.groups().all(|(task, _)| condition(&task))
+        !self.any(|task| !condition(task))
     }
 
     /// Returns the number of the first task, from `first` on, whose state meets the condition.
@@ -158,6 +166,7 @@
     /// Forgets the tasks that are on no machine, as the job has ended. They count as done from now on.
     pub fn retire(&mut self) {
         self.retired = true;
+        self.settled = 0;
         self.done = RoaringBitmap::new();
         self.located = RoaringBitmap::new();
         self.tracked.retain(|tracked| matches!(tracked.task.place, Place::OnHost(..)));
@@ -186,83 +195,82 @@
         }
     }
 
-    /// Returns each state that tasks have, with the number of such tasks; a state may occur several times.
-    fn groups(&self) -> impl Iterator<Item = (Task, u32)> {
+    /// Returns the states of the tasks that are not tracked, with the number of tasks in each.
+    fn equal_groups(&self) -> [(Task, u32); 3] {
         let (done, located) = (self.done.len() as u32, self.located.len() as u32);
         let others = self.count - done - located - self.tracked.len() as u32;
-        let equal = [(DONE, done), (LOCATED, located), (self.common_state(), others)];
-        let equal = equal.into_iter().filter(|(_, tasks)| *tasks > 0);
-        equal.chain(self.tracked.iter().map(|tracked| (tracked.task, 1)))
+        [(self.common_state(), others), (LOCATED, located), (DONE, done)]
     }
 
-    /// Moves a task to the set of the state `after`.
+    /// Stores the new state of a task.
     fn replace(&mut self, number: u32, after: Task) {
         let after = if after.place == Place::Done { DONE } else { after };
-        if after != LOCATED {
-            self.located.remove(number);
-        }
-        if after != DONE {
-            self.done.remove(number);
-        }
-        if after == self.common_state() {
-            self.untrack(number);
-        } else if after == DONE {
-            self.untrack(number);
-            self.change_done(|done| u32::from(done.insert(number)));
-        } else if after == LOCATED {
-            self.untrack(number);
-            self.located.insert(number);
-        } else {
-            self.track(TrackedTask { number, task: after });
-        }
-    }
-
-    /// Adds tasks to those that are done, and compresses the set from time to time, which needs a look at all of it.
-    /// `add` returns the number of added tasks, as this function does.
-    fn change_done(&mut self, add: impl FnOnce(&mut RoaringBitmap) -> u32) -> u32 {
-        let before = self.done.len();
-        let added = add(&mut self.done);
-        if before / TASKS_PER_COMPRESSION != self.done.len() / TASKS_PER_COMPRESSION {
-            self.done.optimize();
-        }
-        added
-    }
-
-    fn position(&self, number: u32) -> Result<usize, usize> {
-        self.tracked.binary_search_by_key(&number, |tracked| tracked.number)
-    }
-
-    /// Returns the position of the first tracked task with this number or a higher one.
-    fn first_tracked(&self, number: u32) -> usize {
-        self.tracked.partition_point(|tracked| tracked.number < number)
-    }
-
-    fn track(&mut self, tracked: TrackedTask) {
-        match self.position(tracked.number) {
-            Ok(position) => self.tracked[position] = tracked,
+        match self.position(number) {
+            Ok(position) => {
+                let before = std::mem::replace(&mut self.tracked[position].task, after);
+                self.settled = self.settled + u32::from(is_settled(&after)) - u32::from(is_settled(&before));
+            }
             Err(position) => {
+                self.done.remove(number);
+                self.located.remove(number);
+                self.settled += u32::from(is_settled(&after));
                 if self.tracked.is_empty() {
                     // Most jobs have a single task.
                     self.tracked.reserve_exact(1);
                 }
-                self.tracked.insert(position, tracked);
+                self.tracked.insert(position, TrackedTask { number, task: after });
             }
         }
-    }
-
-    fn untrack(&mut self, number: u32) {
-        if let Ok(position) = self.position(number) {
-            self.tracked.remove(position);
-            self.release_unused_capacity();
+        if 2 * self.settled as usize > self.tracked.len() {
+            self.move_settled_to_sets();
         }
     }
 
-    /// Frees memory after many tracked tasks were removed.
-    fn release_unused_capacity(&mut self) {
+    /// Moves the tracked tasks whose state a set can hold there, and frees memory that is no longer needed.
+    fn move_settled_to_sets(&mut self) {
+        if self.settled > 0 {
+            let common_state = self.common_state();
+            for tracked in self.tracked.extract_if(.., |tracked| is_settled(&tracked.task)) {
+                match tracked.task {
+                    task if task == common_state => {}
+                    task if task.place == Place::Done => _ = self.done.insert(tracked.number),
+                    task if task.located_by_leader => _ = self.located.insert(tracked.number),
+                    _ => {}
+                }
+            }
+            self.settled = 0;
+        }
+        self.done.optimize();
         if self.tracked.len() < self.tracked.capacity() / 4 {
             self.tracked.shrink_to(2 * self.tracked.len());
         }
     }
+
+    /// Returns the position of a tracked task, or the one at which it would be inserted.
+    fn position(&self, number: u32) -> Result<usize, usize> {
+        let (Some(first), Some(last)) = (self.tracked.first(), self.tracked.last()) else { return Err(0) };
+        if number < first.number {
+            return Err(0);
+        }
+        if number > last.number {
+            return Err(self.tracked.len());
+        }
+        // The numbers ascend, so that the task is at most as far from either end as its number.
+        let begin = (self.tracked.len() - 1).saturating_sub((last.number - number) as usize);
+        let end = self.tracked.len().min((number - first.number) as usize + 1);
+        let found = self.tracked[begin..end].binary_search_by_key(&number, |tracked| tracked.number);
+        found.map(|position| begin + position).map_err(|position| begin + position)
+    }
+
+    /// Returns the position of the first tracked task with this number or a higher one.
+    fn first_tracked(&self, number: u32) -> usize {
+        self.position(number).unwrap_or_else(|position| position)
+    }
+}
+
+/// Returns whether a set can hold a task in this state, instead of an entry of its own.
+fn is_settled(task: &Task) -> bool {
+    !matches!(task.place, Place::OnHost(..)) && task.failures == 0 && task.retry_after_ms == 0
 }
 
 #[cfg(test)]
