A heartbeat looks up no task whose status is unchanged

Cause: for each listed task the leader asked whether it had located the task, to apply an unchanged status to one that it had not. The phase of an attempt is set by `apply_phase` alone, which locates the task of an attempt that has not ended, and nothing takes that back; for an ended attempt an unchanged phase changes nothing. So the question had one answer, and cost a search in the list of the job's running tasks.

--- a/src/control/partition/heartbeats.rs
+++ b/src/control/partition/heartbeats.rs
@@ -250,8 +250,7 @@
         expected: usize,
         now: u64,
     ) -> usize {
-        let ClusterState { jobs, hosts, .. } = &mut self.cluster;
-        let host = hosts[host_index].as_mut();
+        let host = self.cluster.host_mut(host_index);
         let position = host.as_ref().and_then(|host| host.attempt_position(key, status.attempt, expected));
         let (Some(host), Some(position)) = (host, position) else {
             self.check_not_removed_before(host_index, heartbeat, status);
@@ -260,9 +259,9 @@
             return self.cluster.host(host_index).map_or(0, |host| host.attempts.len().saturating_sub(1));
         };
         let before = host.attempts[position].phase;
-        let seen_before = jobs[key.job].tasks.get(key.task).located_by_leader;
-        // Most of the listed statuses are unchanged.
-        if before != status.phase() || !seen_before {
+        // Most of the listed statuses are unchanged. An unchanged phase was applied before, and the task was located
+        // then if the attempt had not ended.
+        if before != status.phase() {
             self.apply_phase(host_index, key, status.attempt, before, status.phase(), now);
         }
         position
